common, wire, http, transport: add the foundation and the design

Cause: a new project needs a design that its parts can be built against in parallel. Change: the design page, the build, the message codec, the HTTP server and client, the nng mailbox, and the public interfaces of the decision libraries.

--- /dev/null
+++ b/source/core/common/assert.h
@@ -0,0 +1,11 @@
+// Invariant checks. They stay on in release builds because a process with a broken invariant must not go on.
+#pragma once
+
+namespace cuminpath {
+
+[[noreturn]] void fail_assertion(const char* expression, const char* file, int line);
+
+}  // namespace cuminpath
+
+#define CUMINPATH_ASSERT(expression) \
+  ((expression) ? static_cast<void>(0) : ::cuminpath::fail_assertion(#expression, __FILE__, __LINE__))
--- /dev/null
+++ b/source/core/common/json.h
@@ -0,0 +1,19 @@
+// JSON parsing for input from outside.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "core/common/error.h"
+
+namespace cuminpath {
+
+using json = nlohmann::json;
+
+// Deeper input is refused because serialising and visiting a document recurse once for each level.
+constexpr int k_max_json_depth = 64;
+
+// Parses a whole document. Errors: invalid_input for malformed or too deeply nested text.
+result<json> parse_json(std::string_view text);
+
+}  // namespace cuminpath
--- /dev/null
+++ b/source/core/config/settings.h
@@ -0,0 +1,64 @@
+// Settings of one daemon process, read from a TOML file.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/error.h"
+#include "core/common/time.h"
+#include "core/config/manifest_parser.h"
+
+namespace cuminpath::config {
+
+enum class role : std::uint8_t { entry, agent };
+
+// The key of each member in the file is its name; members of a nested struct are in a table of that name.
+struct daemon_settings {
+  role kind = role::entry;  // Key "role".
+  std::string name;         // Unique name of the process.
+  std::string host;         // Name of the host in the platform's host list.
+  std::string availability_zone;
+  std::string region;
+  std::string address;        // Entry: IP:PORT for callers.
+  std::string peer_address;   // IP:PORT for messages of other processes.
+  std::string admin_address;  // IP:PORT for operators.
+  std::string operator_key_sha256;
+  std::vector<std::string> seed_peers;  // Peer addresses to ask when the platform is down at the start.
+
+  struct platform_urls {
+    std::string table;
+    std::string objects;
+    std::string hosts;
+    std::string weights;
+  } platform;
+
+  struct entry_settings {
+    milliseconds entries_ttl{30000};  // Lifetime of an answer of GET /v1/entries. Key entries_ttl_ms.
+    milliseconds default_timeout{
+        120000};  // Of a request without X-Request-Timeout-Ms. Key default_timeout_ms.
+    std::uint64_t max_body_bytes = 4U << 20U;
+    std::uint32_t max_requests = 20000;  // In flight; more are refused.
+  } entry;
+
+  struct agent_settings {
+    std::string upstream_url;  // http://IP:PORT of the engine or service on this host.
+    std::uint32_t max_queued = 10000;
+  } agent;
+
+  struct log_settings {
+    std::string level = "info";                     // trace, debug, info, warning, error.
+    std::map<std::string, std::string> subsystems;  // Level of single subsystems.
+  } log;
+};
+
+struct parsed_settings {
+  daemon_settings value;
+  std::vector<diagnostic> errors;
+};
+
+parsed_settings parse_settings(std::string_view text, std::string_view file);
+
+}  // namespace cuminpath::config
--- /dev/null
+++ b/source/core/http/client.cpp
@@ -0,0 +1,306 @@
+#include "core/http/client.h"
+
+#include <curl/curl.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+#include "core/common/assert.h"
+
+namespace cuminpath::http {
+namespace {
+
+constexpr int k_poll_ms = 1000;
+
+struct easy_deleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+struct slist_deleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+// A call from its start to its last event. The transfer thread owns it; the handler runs on the io_context.
+struct transfer {
+  call_id id = 0;
+  std::string url;
+  request value;
+  call_options options;
+  std::shared_ptr<stream_handler> handler;
+  std::unique_ptr<CURL, easy_deleter> easy;
+  std::unique_ptr<curl_slist, slist_deleter> headers;
+  header_list response_headers;
+  bool head_reported = false;
+  std::size_t received = 0;
+  asio::io_context* context = nullptr;
+  std::shared_ptr<std::atomic<bool>> cancelled;
+
+  template <class function>
+  void post(function event) {
+    asio::post(*context, [event = std::move(event), handler = handler, cancelled = cancelled]() mutable {
+      if (!*cancelled) {
+        event(*handler);
+      }
+    });
+  }
+
+  void report_head() {
+    if (head_reported) {
+      return;
+    }
+    head_reported = true;
+    long status = 0;
+    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    post([status, headers = std::move(response_headers)](stream_handler& target) mutable {
+      target.head(static_cast<int>(status), std::move(headers));
+    });
+  }
+};
+
+std::string_view trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user) {
+  auto& target = *static_cast<transfer*>(user);
+  const std::string_view line(data, size * count);
+  if (line.starts_with("HTTP/")) {
+    target.response_headers.clear();  // A final status line after an interim one.
+  } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+    target.response_headers.emplace_back(trim(line.substr(0, colon)), trim(line.substr(colon + 1)));
+  }
+  return size * count;
+}
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
+  auto& target = *static_cast<transfer*>(user);
+  const auto bytes = size * count;
+  target.received += bytes;
+  if (target.received > target.options.max_response_bytes) {
+    return 0;  // libcurl ends the transfer with CURLE_WRITE_ERROR.
+  }
+  target.report_head();
+  target.post([text = std::string(data, bytes)](stream_handler& to) mutable { to.data(std::move(text)); });
+  return bytes;
+}
+
+void configure(transfer& target) {
+  CURL* easy = target.easy.get();
+  curl_easy_setopt(easy, CURLOPT_URL, target.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &target);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(target.options.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(target.options.connect_timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, target.value.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &target);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &target);
+  if (target.options.never_reuse_connection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (target.value.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (!target.value.body.empty() || target.value.method == "POST" || target.value.method == "PUT") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, target.value.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(target.value.body.size()));
+  }
+  // An empty Expect header keeps libcurl from waiting for "100 Continue" before a large body.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  for (const auto& [name, text] : target.value.headers) {
+    std::string line = name;
+    line.append(": ").append(text);
+    list = curl_slist_append(list, line.c_str());
+  }
+  target.headers.reset(list);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+}
+
+call_failure to_failure(CURL* easy, CURLcode code) {
+  call_failure failure;
+  failure.message = curl_easy_strerror(code);
+  failure.code = code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out : error_code::unreachable;
+  long request_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_off_t connect_time = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
+  const bool connected = connect_time > 0;
+  failure.sent = code != CURLE_COULDNT_CONNECT && (connected || request_bytes > 0);
+  return failure;
+}
+
+}  // namespace
+
+class client::impl {
+public:
+  explicit impl(asio::io_context& context) : m_context(context), m_multi(curl_multi_init()) {
+    CUMINPATH_ASSERT(m_multi != nullptr);
+    m_thread = std::thread([this] { run(); });
+  }
+
+  ~impl() {
+    m_stopping = true;
+    curl_multi_wakeup(m_multi);
+    m_thread.join();
+    for (auto& [id, open] : m_transfers) {
+      *open->cancelled = true;
+      curl_multi_remove_handle(m_multi, open->easy.get());
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+  }
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  call_id start(std::string url, request value, call_options options, stream_handler handler) {
+    auto added = std::make_unique<transfer>();
+    added->id = ++m_last_id;
+    added->url = std::move(url);
+    added->value = std::move(value);
+    added->options = options;
+    added->handler = std::make_shared<stream_handler>(std::move(handler));
+    added->context = &m_context;
+    added->cancelled = std::make_shared<std::atomic<bool>>(false);
+    const auto id = added->id;
+    {
+      const std::lock_guard lock(m_mutex);
+      m_cancel_flags.emplace(id, added->cancelled);
+      m_added.push_back(std::move(added));
+    }
+    curl_multi_wakeup(m_multi);
+    return id;
+  }
+
+  void cancel(call_id id) {
+    {
+      const std::lock_guard lock(m_mutex);
+      const auto found = m_cancel_flags.find(id);
+      if (found == m_cancel_flags.end()) {
+        return;
+      }
+      if (const auto flag = found->second.lock()) {
+        *flag = true;
+      }
+      m_cancelled.push_back(id);
+    }
+    curl_multi_wakeup(m_multi);
+  }
+
+private:
+  void run() {
+    while (!m_stopping) {
+      take_orders();
+      int running = 0;
+      curl_multi_perform(m_multi, &running);
+      finish_transfers();
+      curl_multi_poll(m_multi, nullptr, 0, k_poll_ms, nullptr);
+    }
+  }
+
+  void take_orders() {
+    std::vector<std::unique_ptr<transfer>> added;
+    std::vector<call_id> cancelled;
+    {
+      const std::lock_guard lock(m_mutex);
+      added.swap(m_added);
+      cancelled.swap(m_cancelled);
+    }
+    for (auto& item : added) {
+      item->easy.reset(curl_easy_init());
+      CUMINPATH_ASSERT(item->easy != nullptr);
+      configure(*item);
+      curl_multi_add_handle(m_multi, item->easy.get());
+      m_transfers.emplace(item->id, std::move(item));
+    }
+    for (const auto id : cancelled) {
+      remove(id);
+    }
+  }
+
+  void finish_transfers() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      transfer* done = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &done);
+      if (message->data.result == CURLE_OK) {
+        done->report_head();
+        done->post([](stream_handler& to) { to.end(); });
+      } else {
+        done->post([failure = to_failure(message->easy_handle, message->data.result)](stream_handler& to) {
+          to.failure(failure);
+        });
+      }
+      remove(done->id);
+    }
+  }
+
+  void remove(call_id id) {
+    const auto found = m_transfers.find(id);
+    if (found != m_transfers.end()) {
+      curl_multi_remove_handle(m_multi, found->second->easy.get());
+      m_transfers.erase(found);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_cancel_flags.erase(id);
+  }
+
+  asio::io_context& m_context;
+  CURLM* m_multi;
+  std::thread m_thread;
+  std::atomic<bool> m_stopping = false;
+  std::atomic<call_id> m_last_id = 0;
+  std::unordered_map<call_id, std::unique_ptr<transfer>> m_transfers;  // Used by the transfer thread only.
+  std::mutex m_mutex;                                                  // Guards the members below.
+  std::unordered_map<call_id, std::weak_ptr<std::atomic<bool>>> m_cancel_flags;
+  std::vector<std::unique_ptr<transfer>> m_added;
+  std::vector<call_id> m_cancelled;
+};
+
+client::client(asio::io_context& context) : m_impl(std::make_unique<impl>(context)) {}
+client::~client() = default;
+
+call_id client::stream(std::string_view base_url, request value, call_options options,
+                       stream_handler handler) {
+  auto url = std::string(base_url) + value.target;
+  return m_impl->start(std::move(url), std::move(value), options, std::move(handler));
+}
+
+call_id client::call(std::string_view base_url, request value, call_options options,
+                     std::function<void(whole_response)> done) {
+  const auto collected = std::make_shared<whole_response>();
+  const auto finish = [collected, done = std::move(done)] { done(std::move(*collected)); };
+  return stream(base_url, std::move(value), options,
+                {.head =
+                     [collected](int status, header_list headers) {
+                       collected->value.status = status;
+                       collected->value.headers = std::move(headers);
+                     },
+                 .data = [collected](const std::string& data) { collected->value.body += data; },
+                 .end = finish,
+                 .failure =
+                     [collected, finish](call_failure failure) {
+                       collected->failure = std::move(failure);
+                       finish();
+                     }});
+}
+
+void client::cancel(call_id id) {
+  m_impl->cancel(id);
+}
+
+}  // namespace cuminpath::http
--- /dev/null
+++ b/source/core/http/message.h
@@ -0,0 +1,36 @@
+// HTTP messages as plain data.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cuminpath::http {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+// Value of the first header of that name, compared without regard to case.
+std::optional<std::string_view> find_header(const header_list& headers, std::string_view name);
+
+struct request {
+  std::string method = "GET";
+  std::string target = "/";  // Path and query.
+  header_list headers = {};
+  std::string body = {};
+
+  [[nodiscard]] std::string_view path() const;
+  [[nodiscard]] std::string_view query() const;
+  [[nodiscard]] std::optional<std::string_view> header(std::string_view name) const {
+    return find_header(headers, name);
+  }
+};
+
+struct response {
+  int status = 200;
+  header_list headers = {};
+  std::string body = {};
+};
+
+}  // namespace cuminpath::http
--- /dev/null
+++ b/source/core/platform/table_client.h
@@ -0,0 +1,54 @@
+// Client of the platform's transactional table service. Callbacks run on the io_context.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/error.h"
+#include "core/common/json.h"
+#include "core/common/time.h"
+#include "core/http/client.h"
+
+namespace cuminpath::platform {
+
+struct row {
+  std::string key;
+  std::uint64_t version = 0;
+  json value;
+};
+
+struct write_outcome {
+  bool won = false;           // False: the condition did not hold and nothing changed.
+  std::uint64_t version = 0;  // After the write, or the current one if it lost.
+  json current;               // The current value if it lost; null if there is no row.
+};
+
+class table_client {
+public:
+  table_client(http::client& client, std::string base_url, milliseconds timeout = milliseconds(2000));
+
+  // Absent if there is no such row. Errors: unreachable, timed_out, internal.
+  void read(std::string_view table, std::string_view key,
+            std::function<void(result<std::optional<row>>)> done);
+
+  // Writes if the row's version is `if_version` (0: if there is no row). After the errors timed_out and
+  // unreachable the write may have taken effect; the caller tells by a token of its own in the value.
+  void write(std::string_view table, std::string_view key, json value, std::uint64_t if_version,
+             std::function<void(result<write_outcome>)> done);
+
+  // Rows whose key starts with the prefix, in order of keys.
+  void list(std::string_view table, std::string_view prefix, std::uint32_t limit,
+            std::function<void(result<std::vector<row>>)> done);
+
+private:
+  http::client& m_client;
+  std::string m_base_url;
+  milliseconds m_timeout;
+};
+
+}  // namespace cuminpath::platform
--- /dev/null
+++ b/source/core/rollout/rollout.h
@@ -0,0 +1,81 @@
+// Brings each accepted configuration into force in this process. A core without input or output: events come
+// in, actions go out.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/common/ids.h"
+#include "core/common/random.h"
+#include "core/common/time.h"
+#include "core/config/manifest.h"
+#include "core/wire/messages.h"
+
+namespace cuminpath::rollout {
+
+struct rollout_options {
+  std::string name;  // Host name of this process.
+  std::string availability_zone;
+  bool may_poll = true;  // Entries poll the head if they are chosen; agents never do.
+};
+
+// The head row of table `configuration`, key `head`: {"version":N,"index":DIGEST,...}.
+struct head {
+  configuration_version version{};
+  std::string index_digest;
+};
+
+struct poll_head {};   // Read the head row; report with on_head() or on_head_failed().
+struct fetch_object {  // From the object store; report with on_object() or on_object_failed().
+  std::string digest;
+};
+struct send_message {
+  std::string peer_address;
+  wire::message message;
+};
+struct configuration_in_force {  // A newer configuration is complete.
+  configuration_version version{};
+  std::shared_ptr<const config::manifest> manifest;
+};
+using action = std::variant<poll_head, fetch_object, send_message, configuration_in_force>;
+
+class rollout {
+public:
+  explicit rollout(rollout_options options);
+  ~rollout();
+  rollout(rollout&&) noexcept;
+  rollout& operator=(rollout&&) noexcept;
+
+  // Entries of the own availability zone (host names, live), for the choice of pollers.
+  void set_zone_entries(std::span<const std::string> entry_names);
+  // Peers to ask while nothing is known yet and the table is down.
+  void set_peers(std::span<const std::string> peer_addresses);
+
+  void on_head(time_point now, const head& value, std::vector<action>& actions);
+  void on_head_failed(time_point now, std::vector<action>& actions);
+  void on_object(time_point now, std::string_view digest, std::string content, std::vector<action>& actions);
+  void on_object_failed(time_point now, std::string_view digest, std::vector<action>& actions);
+  // Every envelope carries its sender's version.
+  void on_peer_version(time_point now, std::string_view peer_address, configuration_version version,
+                       std::vector<action>& actions);
+  void on_fetch(time_point now, std::string_view peer_address, const wire::configuration_fetch& message,
+                std::vector<action>& actions);
+  void on_sections(time_point now, std::string_view peer_address, const wire::configuration_sections& message,
+                   std::vector<action>& actions);
+  void tick(time_point now, random_source& random, std::vector<action>& actions);
+
+  // 0 until a first configuration is in force. Never decreases.
+  [[nodiscard]] configuration_version version() const;
+
+private:
+  class impl;
+  std::unique_ptr<impl> m_impl;
+};
+
+}  // namespace cuminpath::rollout
--- /dev/null
+++ b/source/core/transport/mailbox.cpp
@@ -0,0 +1,345 @@
+#include "core/transport/mailbox.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <arpa/inet.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <cstring>
+#include <deque>
+#include <span>
+#include <unordered_map>
+
+#include "core/common/assert.h"
+#include "core/wire/codec.h"
+
+namespace cuminpath::transport {
+namespace {
+
+constexpr nng_duration k_reconnect_min_ms = 20;
+constexpr nng_duration k_reconnect_max_ms = 500;
+// An envelope is cut into several above this size, so that one peer's burst does not exceed the codec's
+// limit.
+constexpr std::size_t k_envelope_target_bytes = 256U << 10U;
+
+std::string nng_url(std::string_view address) {
+  return "tcp://" + std::string(address);
+}
+
+std::size_t approximate_size(const wire::message& value) {
+  constexpr std::size_t k_base = 64;
+  if (const auto* chunk = std::get_if<wire::answer_chunk>(&value)) {
+    return k_base + chunk->data.size();
+  }
+  if (const auto* submit = std::get_if<wire::submit_request>(&value)) {
+    return k_base + submit->body.size() + submit->resume_text.size();
+  }
+  if (const auto* sections = std::get_if<wire::configuration_sections>(&value)) {
+    std::size_t size = k_base + sections->index.size();
+    for (const auto& [digest, content] : sections->sections) {
+      size += digest.size() + content.size();
+    }
+    return size;
+  }
+  return k_base;
+}
+
+}  // namespace
+
+// nng calls back on threads of its own. Callbacks only post to the io_context; a weak pointer tells whether
+// the mailbox still exists when the posted function runs.
+class mailbox::impl : public std::enable_shared_from_this<mailbox::impl> {
+public:
+  impl(asio::io_context& context, mailbox_options options, mailbox_handler handler)
+      : m_context(context), m_options(std::move(options)), m_handler(std::move(handler)) {}
+
+  ~impl() {
+    m_links.clear();
+    if (m_receive_aio != nullptr) {
+      nng_aio_stop(m_receive_aio);
+    }
+    if (m_listening) {
+      nng_close(m_pull);
+    }
+    if (m_receive_aio != nullptr) {
+      nng_aio_free(m_receive_aio);
+    }
+  }
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  result<void> listen() {
+    if (const int code = nng_pull0_open(&m_pull); code != 0) {
+      return make_error(error_code::internal, nng_strerror(code));
+    }
+    m_listening = true;
+    nng_socket_set_size(m_pull, NNG_OPT_RECVMAXSZ, wire::k_max_envelope_bytes);
+    nng_listener listener{};
+    if (const int code = nng_listen(m_pull, nng_url(m_options.address).c_str(), &listener, 0); code != 0) {
+      return make_error(error_code::unreachable,
+                        "cannot listen on " + m_options.address + ": " + nng_strerror(code));
+    }
+    nng_sockaddr bound{};
+    nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &bound);
+    const auto colon = m_options.address.rfind(':');
+    m_address = m_options.address.substr(0, colon) + ":" + std::to_string(ntohs(bound.s_in.sa_port));
+    CUMINPATH_ASSERT(nng_aio_alloc(&m_receive_aio, &impl::on_receive, this) == 0);
+    nng_recv_aio(m_pull, m_receive_aio);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  [[nodiscard]] const std::string& address() const { return m_address; }
+
+  void send(std::string_view peer_address, wire::message value) {
+    auto& target = link_to(peer_address);
+    target.pending_bytes += approximate_size(value);
+    target.pending.push_back(std::move(value));
+  }
+
+  void flush(configuration_version version, std::uint64_t logical_time) {
+    std::vector<std::string> overflowed;
+    for (auto& [peer, target] : m_links) {
+      if (!target->pending.empty()) {
+        seal(*target, version, logical_time);
+      }
+      if (target->queued_bytes > m_options.max_queued_bytes) {
+        overflowed.push_back(peer);
+      }
+      start_send(*target);
+    }
+    for (const auto& peer : overflowed) {
+      m_links.erase(peer);
+      m_handler.lost(peer, link_loss::queue_overflow);
+    }
+  }
+
+  void close_link(std::string_view peer_address) { m_links.erase(std::string(peer_address)); }
+
+  [[nodiscard]] mailbox_counters counters() const {
+    auto value = m_counters;
+    value.peers = m_links.size();
+    return value;
+  }
+
+private:
+  struct link {
+    ~link() {
+      // Stopping the send first makes sure that no callback runs into a freed link.
+      if (send_aio != nullptr) {
+        nng_aio_stop(send_aio);
+      }
+      nng_close(socket);
+      if (send_aio != nullptr) {
+        nng_aio_free(send_aio);
+      }
+    }
+    impl* owner = nullptr;
+    std::uint64_t id = 0;
+    std::string peer;
+    nng_socket socket{};
+    nng_aio* send_aio = nullptr;
+    bool sending = false;
+    std::uint64_t sequence = 0;
+    std::vector<wire::message> pending;
+    std::size_t pending_bytes = 0;
+    std::deque<std::string> sealed;
+    std::size_t queued_bytes = 0;
+  };
+
+  struct peer_state {
+    incarnation number{};
+    std::uint64_t sequence = 0;
+  };
+
+  link& link_to(std::string_view peer_address) {
+    auto& slot = m_links[std::string(peer_address)];
+    if (slot != nullptr) {
+      return *slot;
+    }
+    slot = std::make_unique<link>();
+    slot->owner = this;
+    slot->id = ++m_last_link_id;
+    slot->peer = peer_address;
+    CUMINPATH_ASSERT(nng_push0_open(&slot->socket) == 0);
+    nng_socket_set_ms(slot->socket, NNG_OPT_RECONNMINT, k_reconnect_min_ms);
+    nng_socket_set_ms(slot->socket, NNG_OPT_RECONNMAXT, k_reconnect_max_ms);
+    nng_pipe_notify(slot->socket, NNG_PIPE_EV_REM_POST, &impl::on_pipe_removed, slot.get());
+    CUMINPATH_ASSERT(nng_aio_alloc(&slot->send_aio, &impl::on_sent, slot.get()) == 0);
+    // A peer that is not there yet is dialled again in the background.
+    nng_dial(slot->socket, nng_url(peer_address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    return *slot;
+  }
+
+  void seal(link& target, configuration_version version, std::uint64_t logical_time) {
+    wire::envelope value{.sender = m_options.name,
+                         .sender_address = m_address,
+                         .sender_incarnation = m_options.number,
+                         .sequence = 0,
+                         .version = version,
+                         .logical_time = logical_time};
+    std::size_t bytes = 0;
+    const auto close_envelope = [&] {
+      value.sequence = ++target.sequence;
+      target.sealed.push_back(wire::encode(value));
+      target.queued_bytes += target.sealed.back().size();
+      value.messages.clear();
+      bytes = 0;
+    };
+    for (auto& item : target.pending) {
+      bytes += approximate_size(item);
+      value.messages.push_back(std::move(item));
+      if (bytes >= k_envelope_target_bytes) {
+        close_envelope();
+      }
+    }
+    if (!value.messages.empty()) {
+      close_envelope();
+    }
+    target.pending.clear();
+    target.pending_bytes = 0;
+  }
+
+  void start_send(link& target) {
+    if (target.sending || target.sealed.empty()) {
+      return;
+    }
+    const auto& bytes = target.sealed.front();
+    nng_msg* message = nullptr;
+    CUMINPATH_ASSERT(nng_msg_alloc(&message, bytes.size()) == 0);
+    std::memcpy(nng_msg_body(message), bytes.data(), bytes.size());
+    nng_aio_set_msg(target.send_aio, message);
+    target.sending = true;
+    ++m_counters.envelopes_sent;
+    m_counters.bytes_sent += bytes.size();
+    nng_send_aio(target.socket, target.send_aio);
+  }
+
+  static void on_sent(void* argument) {
+    auto* target = static_cast<link*>(argument);
+    const int code = nng_aio_result(target->send_aio);
+    if (code != 0) {
+      nng_msg_free(nng_aio_get_msg(target->send_aio));
+    }
+    if (code == NNG_ECLOSED || code == NNG_ECANCELED) {
+      return;
+    }
+    post(target->owner, [peer = target->peer, id = target->id](impl& self) { self.send_finished(peer, id); });
+  }
+
+  void send_finished(const std::string& peer, std::uint64_t id) {
+    const auto found = m_links.find(peer);
+    if (found == m_links.end() || found->second->id != id) {
+      return;
+    }
+    auto& target = *found->second;
+    target.sending = false;
+    target.queued_bytes -= target.sealed.front().size();
+    target.sealed.pop_front();
+    start_send(target);
+  }
+
+  static void on_pipe_removed(nng_pipe, nng_pipe_ev, void* argument) {
+    auto* target = static_cast<link*>(argument);
+    post(target->owner, [peer = target->peer, id = target->id](impl& self) {
+      const auto found = self.m_links.find(peer);
+      if (found != self.m_links.end() && found->second->id == id) {
+        self.m_handler.lost(peer, link_loss::connection_closed);
+      }
+    });
+  }
+
+  static void on_receive(void* argument) {
+    auto* self = static_cast<impl*>(argument);
+    if (nng_aio_result(self->m_receive_aio) != 0) {
+      return;
+    }
+    nng_msg* message = nng_aio_get_msg(self->m_receive_aio);
+    std::string bytes(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
+    nng_msg_free(message);
+    // The next receive starts only when this message has been handled: that bounds the memory, and senders
+    // are slowed down by the connection.
+    post(self, [bytes = std::move(bytes)](impl& owner) {
+      nng_recv_aio(owner.m_pull, owner.m_receive_aio);
+      owner.handle(bytes);
+    });
+  }
+
+  void handle(const std::string& bytes) {
+    ++m_counters.envelopes_received;
+    m_counters.bytes_received += bytes.size();
+    auto decoded = wire::decode(std::as_bytes(std::span(bytes)));
+    if (!decoded) {
+      ++m_counters.malformed;
+      return;
+    }
+    check_sequence(decoded.value());
+    m_handler.received(std::move(decoded.value()));
+  }
+
+  void check_sequence(const wire::envelope& value) {
+    const auto [found, added] = m_peers.try_emplace(value.sender_address);
+    auto& known = found->second;
+    const bool restarted = !added && known.number != value.sender_incarnation;
+    // A peer that reopens its link starts again at 1; what it had queued on the old link is gone.
+    const bool gap = !added && !restarted && value.sequence != known.sequence + 1;
+    known = {value.sender_incarnation, value.sequence};
+    if (restarted) {
+      m_handler.lost(value.sender_address, link_loss::peer_restarted);
+    } else if (gap) {
+      m_handler.lost(value.sender_address, link_loss::sequence_gap);
+    }
+  }
+
+  template <class function>
+  static void post(impl* self, function action) {
+    asio::post(self->m_context, [weak = self->weak_from_this(), action = std::move(action)]() mutable {
+      if (const auto alive = weak.lock()) {
+        action(*alive);
+      }
+    });
+  }
+
+  asio::io_context& m_context;
+  mailbox_options m_options;
+  mailbox_handler m_handler;
+  std::string m_address;
+  nng_socket m_pull{};
+  bool m_listening = false;
+  nng_aio* m_receive_aio = nullptr;
+  std::uint64_t m_last_link_id = 0;
+  std::unordered_map<std::string, std::unique_ptr<link>> m_links;
+  std::unordered_map<std::string, peer_state> m_peers;
+  mailbox_counters m_counters;
+};
+
+result<std::unique_ptr<mailbox>> mailbox::open(asio::io_context& context, mailbox_options options,
+                                               mailbox_handler handler) {
+  auto implementation = std::make_shared<impl>(context, std::move(options), std::move(handler));
+  if (auto listening = implementation->listen(); !listening) {
+    return listening.error();
+  }
+  return std::unique_ptr<mailbox>(new mailbox(std::move(implementation)));
+}
+
+mailbox::mailbox(std::shared_ptr<impl> implementation) : m_impl(std::move(implementation)) {}
+mailbox::~mailbox() = default;
+std::string mailbox::address() const {
+  return m_impl->address();
+}
+void mailbox::send(std::string_view peer_address, wire::message value) {
+  m_impl->send(peer_address, std::move(value));
+}
+void mailbox::flush(configuration_version version, std::uint64_t logical_time) {
+  m_impl->flush(version, logical_time);
+}
+void mailbox::close_link(std::string_view peer_address) {
+  m_impl->close_link(peer_address);
+}
+mailbox_counters mailbox::counters() const {
+  return m_impl->counters();
+}
+
+}  // namespace cuminpath::transport
