platform, emulator: add the clients of the platform and three emulators

The entry, the rollout and the operators' commands need the table service, the object store and the host list. A status of 500 and above counts as unreachable: the write may have taken effect.

The emulators of the three parts stand behind one server that adds GET /stats, POST /control, outages, delays and responses lost after the write.

--- /dev/null
+++ b/source/core/platform/host_list_client.cpp
@@ -0,0 +1,61 @@
+#include "core/platform/host_list_client.h"
+
+#include "core/platform/url_path.h"
+
+namespace cuminpath::platform {
+namespace {
+
+std::string text_of(const json& value, const char* key) {
+  const auto found = value.find(key);
+  return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+// Absent for an entry without a name or with an unknown role: one malformed host must not hide the others.
+std::optional<host_entry> to_host(const json& value) {
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  const auto role = text_of(value, "role");
+  if (text_of(value, "name").empty() || (role != "entry" && role != "agent")) {
+    return std::nullopt;
+  }
+  return host_entry{.name = text_of(value, "name"),
+                    .role = role == "entry" ? host_role::entry : host_role::agent,
+                    .availability_zone = text_of(value, "availability_zone"),
+                    .region = text_of(value, "region"),
+                    .address = text_of(value, "address"),
+                    .peer_address = text_of(value, "peer_address"),
+                    .admin_address = text_of(value, "admin_address"),
+                    .leaving = text_of(value, "state") == "leaving"};
+}
+
+result<host_list> to_host_list(const http::client::whole_response& answer) {
+  const auto body = to_json(answer);
+  if (!body) {
+    return body.error();
+  }
+  const auto& value = body.value();
+  if (!value.is_object() || !value.contains("hosts") || !value["hosts"].is_array() ||
+      !value.contains("generation") || !value["generation"].is_number_unsigned()) {
+    return make_error(error_code::internal, "malformed host list");
+  }
+  host_list list{value["generation"].get<std::uint64_t>(), {}};
+  for (const auto& item : value["hosts"]) {
+    if (auto host = to_host(item)) {
+      list.hosts.push_back(std::move(*host));
+    }
+  }
+  return list;
+}
+
+}  // namespace
+
+host_list_client::host_list_client(http::client& client, std::string base_url, milliseconds timeout)
+    : m_client(client), m_base_url(std::move(base_url)), m_timeout(timeout) {}
+
+void host_list_client::fetch(std::function<void(result<host_list>)> done) {
+  m_client.call(m_base_url, {.target = "/v1/hosts"}, {.timeout = m_timeout},
+                [done = std::move(done)](const auto& answer) { done(to_host_list(answer)); });
+}
+
+}  // namespace cuminpath::platform
--- /dev/null
+++ b/source/core/platform/url_path.cpp
@@ -0,0 +1,47 @@
+#include "core/platform/url_path.h"
+
+namespace cuminpath::platform {
+
+std::string encode_segment(std::string_view text) {
+  constexpr std::string_view k_digits = "0123456789ABCDEF";
+  constexpr std::string_view k_unreserved =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_~";
+  std::string encoded;
+  for (const char c : text) {
+    // A dot is encoded too: a segment of dots only would be removed from the path.
+    if (k_unreserved.find(c) != std::string_view::npos) {
+      encoded += c;
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      encoded += '%';
+      encoded += k_digits[byte >> 4U];
+      encoded += k_digits[byte & 15U];
+    }
+  }
+  return encoded;
+}
+
+error to_error(const http::client::whole_response& answer) {
+  if (answer.failure) {
+    return make_error(answer.failure->code, answer.failure->message);
+  }
+  const auto status = answer.value.status;
+  const auto message = "status " + std::to_string(status);
+  if (status == 404) {
+    return make_error(error_code::not_found, message);
+  }
+  return make_error(status >= 500 ? error_code::unreachable : error_code::internal, message);
+}
+
+result<json> to_json(const http::client::whole_response& answer) {
+  if (answer.failure || answer.value.status != 200) {
+    return to_error(answer);
+  }
+  auto parsed = parse_json(answer.value.body);
+  if (!parsed) {
+    return make_error(error_code::internal, "malformed response: " + parsed.error().message);
+  }
+  return parsed;
+}
+
+}  // namespace cuminpath::platform
--- /dev/null
+++ b/source/emulator/host_role.h
@@ -0,0 +1,24 @@
+// Emulator of the platform's list of hosts, which lags behind what was set.
+#pragma once
+
+#include "emulator/role.h"
+
+namespace cuminpath::emulator {
+
+class host_role final : public role {
+public:
+  explicit host_role(asio::io_context& context) : m_context(context) {}
+  void handle(const http::request& request, const responder_ptr& to) override;
+  // {"generation","hosts":N}
+  [[nodiscard]] json stats() const override;
+  // "hosts": the new list; "lag_ms": how much later it (and each further one) is published.
+  std::optional<std::string> control(const json& orders) override;
+
+private:
+  asio::io_context& m_context;
+  json m_hosts = json::array();
+  std::uint64_t m_generation = 0;
+  milliseconds m_lag{0};
+};
+
+}  // namespace cuminpath::emulator
