emulator: add engine, weight store and service

The scenarios need upstreams that behave like real ones. Tokens depend on the prompt and the index only, so a stream that is resumed elsewhere continues the same text, and a wrong resume text is counted. Ranks of a group announce each step to each other and run it when all have announced it; the announcement names the map, so that a step on different maps is counted. A rank that was started again joins at the step of the others and waits for their map.

--- /dev/null
+++ b/source/emulator/engine_role.h
@@ -0,0 +1,122 @@
+// Emulator of a model engine: streams tokens with continuous batching, reports load and cache events late,
+// and takes orders to switch expert maps. The ranks of a group step together.
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <unordered_map>
+
+#include "core/http/client.h"
+#include "emulator/batch.h"
+#include "emulator/expert_maps.h"
+#include "emulator/prefix_cache.h"
+#include "emulator/role.h"
+
+namespace cuminpath::emulator {
+
+struct engine_options {
+  std::string model = "model";
+  std::uint32_t slots = 8;
+  std::uint32_t default_max_tokens = 16;
+  milliseconds token_interval{20};
+  milliseconds first_token{40};  // Prefill of a prompt that is not cached; a cached one takes a quarter.
+  milliseconds load_lag{200};
+  prefix_cache_options cache;
+  expert_options experts;
+  std::string weights_url;               // Empty: new experts need no loading.
+  std::vector<std::string> group_peers;  // Base URLs of the other ranks.
+};
+
+class engine_role final : public role {
+public:
+  engine_role(asio::io_context& context, http::client& client, engine_options options);
+
+  void handle(const http::request& request, const responder_ptr& to) override;
+  // {"arrivals":{ID:N},"starts":{ID:N},"completed","cancelled","broken","tokens","resumed",
+  //  "resume_mismatches","running","waiting","max_running","step","switch":{...},"map_history":[...],
+  //  "mixed_map_steps","weight_bytes"}
+  [[nodiscard]] json stats() const override;
+  // "token_interval_ms", "first_token_ms", "lag_ms" (load and cache events), "stall": true stops the steps,
+  // "fail_after_tokens": N cuts each stream off after N tokens (0: never), "ignore_fencing",
+  // "refuse": true answers new requests with 503 and runs nothing, "group_peers": [URL,...].
+  std::optional<std::string> control(const json& orders) override;
+
+private:
+  struct open_stream {
+    std::string request_id;
+    responder_ptr to;
+    bool chat = false;
+    bool head_sent = false;
+    std::uint32_t tokens = 0;
+  };
+  struct load_sample {
+    time_point at;
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+  };
+  struct peer {
+    std::string url;
+    std::uint64_t confirmed_step = 0;  // Highest own announcement that it has confirmed.
+    bool in_flight = false;
+  };
+
+  void start_stream(const http::request& request, const responder_ptr& to);
+  void close_stream(stream_id id);
+  void record_starts();
+  void record_load();
+  void respond_load(const responder_ptr& to) const;
+  void emit(const emitted_token& token);
+
+  void take_order(const http::request& request, const responder_ptr& to);
+  void respond_order(const responder_ptr& to, expert_maps::verdict verdict) const;
+  struct preparation;
+  void load_weights(const std::shared_ptr<preparation>& work);
+  void fetch_weights(const std::shared_ptr<preparation>& work, const std::string& target);
+
+  void schedule_step(time_point at);
+  void on_step_timer();
+  void try_step();
+  void run_step();
+  [[nodiscard]] bool joined() const;
+  void announce();
+  void announce_to(std::size_t index);
+  void on_barrier(const http::request& request, const responder_ptr& to);
+  void note_peer(std::uint32_t rank, std::uint64_t step, const std::string& digest);
+
+  asio::io_context& m_context;
+  http::client& m_client;
+  engine_options m_options;
+  batch m_batch;
+  prefix_cache m_cache;
+  expert_maps m_maps;
+  std::unordered_map<stream_id, open_stream> m_streams;
+
+  std::uint64_t m_step = 0;            // The last step that was run.
+  std::uint64_t m_announced_step = 0;  // Highest step that the other ranks have been told about.
+  time_point m_step_ended;
+  bool m_pacing_over = false;  // The time of the last step is over and the next one is announced.
+  bool m_stalled = false;
+  bool m_rejoining = false;  // Started after the other ranks; has not run a step with them yet.
+  milliseconds m_step_time{0};
+  asio::steady_timer m_step_timer;
+  asio::steady_timer m_announce_timer;
+  std::vector<peer> m_peers;
+  std::map<std::uint32_t, std::pair<std::uint64_t, std::string>> m_ready;  // Step and map digest by rank.
+
+  std::deque<load_sample> m_load;
+  std::uint32_t m_fail_after_tokens = 0;
+  bool m_refusing = false;
+  std::map<std::string, std::uint64_t> m_arrivals;
+  std::map<std::string, std::uint64_t> m_starts;
+  std::uint64_t m_completed = 0;
+  std::uint64_t m_cancelled = 0;
+  std::uint64_t m_broken = 0;
+  std::uint64_t m_tokens = 0;
+  std::uint64_t m_resumed = 0;
+  std::uint64_t m_resume_mismatches = 0;
+  std::uint64_t m_mixed_map_steps = 0;
+  std::uint64_t m_weight_bytes = 0;
+  std::size_t m_max_running = 0;
+};
+
+}  // namespace cuminpath::emulator
--- /dev/null
+++ b/source/emulator/expert_maps.cpp
@@ -0,0 +1,235 @@
+#include "emulator/expert_maps.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminpath::emulator {
+namespace {
+
+// Popularity falls by this factor from one expert to the next one; it gives a skew of the kind that
+// replication of hot experts is for.
+constexpr double k_popularity_ratio = 0.75;
+
+json initial_map(const expert_options& options) {
+  auto layers = json::array();
+  for (std::uint32_t layer = 0; layer < options.layers; ++layer) {
+    auto ranks = json::array();
+    for (std::uint32_t rank = 0; rank < options.ranks; ++rank) {
+      auto experts = json::array();
+      for (auto expert = rank; expert < options.experts; expert += options.ranks) {
+        experts.push_back(expert);
+      }
+      ranks.push_back(std::move(experts));
+    }
+    layers.push_back(std::move(ranks));
+  }
+  return {{"layers", std::move(layers)}};
+}
+
+// The experts of a rank in a layer; null if the map does not have them.
+const json* experts_of(const json& map, std::uint32_t layer, std::uint32_t rank) {
+  if (!map.is_object() || !map.contains("layers")) {
+    return nullptr;
+  }
+  const auto& layers = map["layers"];
+  if (!layers.is_array() || layer >= layers.size() || !layers[layer].is_array() ||
+      rank >= layers[layer].size() || !layers[layer][rank].is_array()) {
+    return nullptr;
+  }
+  return &layers[layer][rank];
+}
+
+}  // namespace
+
+expert_maps::expert_maps(const expert_options& options)
+    : m_options(options),
+      m_map(initial_map(options)),
+      m_digest("initial"),
+      m_tokens(options.layers, std::vector<double>(options.experts)),
+      m_history({{0, m_digest}}) {}
+
+bool expert_maps::accept_fencing(std::uint64_t token) {
+  if (token < m_fencing && !m_options.ignore_fencing) {
+    return false;
+  }
+  m_fencing = std::max(m_fencing, token);
+  return true;
+}
+
+void expert_maps::prepare(const std::string& switch_name, std::string digest, json map) {
+  const bool same = m_pending.name == switch_name && m_pending.state != phase::idle;
+  if (!same && switch_name != m_last_applied) {
+    m_pending = {switch_name, std::move(digest), std::move(map), 0, phase::preparing};
+  }
+}
+
+std::vector<expert_maps::expert_position> expert_maps::missing() const {
+  std::vector<expert_position> positions;
+  if (m_pending.state != phase::preparing) {
+    return positions;
+  }
+  for (std::uint32_t layer = 0; layer < m_options.layers; ++layer) {
+    for (std::uint32_t expert = 0; expert < m_options.experts; ++expert) {
+      if (holds_expert(m_pending.map, layer, expert) && !holds_expert(m_map, layer, expert)) {
+        positions.emplace_back(layer, expert);
+      }
+    }
+  }
+  return positions;
+}
+
+void expert_maps::set_prepared(const std::string& switch_name) {
+  if (m_pending.name == switch_name && m_pending.state == phase::preparing) {
+    m_pending.state = phase::prepared;
+  }
+}
+
+expert_maps::verdict expert_maps::arm(const std::string& switch_name, std::uint64_t step,
+                                      std::uint64_t current_step) {
+  if (m_pending.name != switch_name ||
+      (m_pending.state != phase::prepared && m_pending.state != phase::armed)) {
+    return verdict::wrong_switch;
+  }
+  if (m_pending.state == phase::armed && m_pending.step == step) {
+    return verdict::accepted;
+  }
+  if (step <= current_step) {
+    return verdict::step_passed;
+  }
+  m_pending.step = step;
+  m_pending.state = phase::armed;
+  return verdict::accepted;
+}
+
+expert_maps::verdict expert_maps::go(const std::string& switch_name, std::uint64_t current_step,
+                                     bool joined) {
+  if (switch_name == m_last_applied) {
+    return verdict::accepted;
+  }
+  const bool may_commit = m_pending.state == phase::armed || m_pending.state == phase::committed ||
+                          (!joined && m_pending.state == phase::prepared);
+  if (m_pending.name != switch_name || !may_commit) {
+    return verdict::wrong_switch;
+  }
+  m_pending.state = phase::committed;
+  if (!joined) {
+    use_pending(current_step + 1);
+  }
+  return verdict::accepted;
+}
+
+expert_maps::verdict expert_maps::abort(const std::string& switch_name) {
+  if (switch_name == m_last_applied ||
+      (m_pending.name == switch_name && m_pending.state == phase::committed)) {
+    return verdict::wrong_switch;
+  }
+  if (m_pending.name == switch_name) {
+    m_pending = {};
+  }
+  return verdict::accepted;
+}
+
+bool expert_maps::holds(std::uint64_t step) const {
+  return m_pending.state == phase::armed && step >= m_pending.step;
+}
+
+const std::string& expert_maps::digest_at(std::uint64_t step) const {
+  return m_pending.state == phase::committed && step >= m_pending.step ? m_pending.digest : m_digest;
+}
+
+void expert_maps::run_step(std::uint64_t step, std::uint64_t tokens) {
+  if (m_pending.state == phase::committed && step >= m_pending.step) {
+    use_pending(step);
+  }
+  if (tokens == 0) {
+    return;
+  }
+  for (std::uint32_t layer = 0; layer < m_options.layers; ++layer) {
+    const auto shares = popularity(layer, step);
+    for (std::uint32_t expert = 0; expert < m_options.experts; ++expert) {
+      m_tokens[layer][expert] += shares[expert] * static_cast<double>(tokens);
+    }
+  }
+}
+
+double expert_maps::relative_load(std::uint64_t step) const {
+  if (m_options.ranks < 2) {
+    return 1.0;
+  }
+  double load = 0;
+  for (std::uint32_t layer = 0; layer < m_options.layers; ++layer) {
+    const auto shares = popularity(layer, step);
+    std::vector<std::uint32_t> replicas(m_options.experts);
+    for (std::uint32_t rank = 0; rank < m_options.ranks; ++rank) {
+      const auto* experts = experts_of(m_map, layer, rank);
+      for (const auto& expert : experts == nullptr ? json::array() : *experts) {
+        if (expert.is_number_unsigned() && expert.get<std::uint32_t>() < m_options.experts) {
+          ++replicas[expert.get<std::uint32_t>()];
+        }
+      }
+    }
+    for (std::uint32_t expert = 0; expert < m_options.experts; ++expert) {
+      if (replicas[expert] > 0 && holds_expert(m_map, layer, expert)) {
+        load += shares[expert] / replicas[expert];
+      }
+    }
+  }
+  return load * m_options.ranks / m_options.layers;
+}
+
+json expert_maps::load_counts() const {
+  auto layers = json::array();
+  for (const auto& layer : m_tokens) {
+    auto counts = json::array();
+    for (const auto tokens : layer) {
+      counts.push_back(static_cast<std::uint64_t>(tokens));
+    }
+    layers.push_back(std::move(counts));
+  }
+  return layers;
+}
+
+json expert_maps::state() const {
+  static constexpr const char* k_names[] = {"idle", "preparing", "prepared", "armed", "committed"};
+  return {{"switch", m_pending.name},     {"phase", k_names[static_cast<std::size_t>(m_pending.state)]},
+          {"armed_step", m_pending.step}, {"last_switch", m_last_applied},
+          {"digest", m_digest},           {"fencing", m_fencing}};
+}
+
+json expert_maps::history() const {
+  auto list = json::array();
+  for (const auto& [step, digest] : m_history) {
+    list.push_back({{"step", step}, {"digest", digest}});
+  }
+  return list;
+}
+
+bool expert_maps::holds_expert(const json& map, std::uint32_t layer, std::uint32_t expert) const {
+  const auto* experts = experts_of(map, layer, m_options.rank);
+  return experts != nullptr && std::find(experts->begin(), experts->end(), json(expert)) != experts->end();
+}
+
+std::vector<double> expert_maps::popularity(std::uint32_t layer, std::uint64_t step) const {
+  std::vector<double> shares(m_options.experts);
+  const auto shift = step / std::max<std::uint32_t>(m_options.drift_steps, 1) + layer;
+  double total = 0;
+  for (std::uint32_t expert = 0; expert < m_options.experts; ++expert) {
+    const auto distance = (expert + m_options.experts - shift % m_options.experts) % m_options.experts;
+    shares[expert] = std::pow(k_popularity_ratio, static_cast<double>(distance));
+    total += shares[expert];
+  }
+  for (auto& share : shares) {
+    share /= total;
+  }
+  return shares;
+}
+
+void expert_maps::use_pending(std::uint64_t step) {
+  m_map = std::move(m_pending.map);
+  m_digest = std::move(m_pending.digest);
+  m_last_applied = std::move(m_pending.name);
+  m_history.emplace_back(step, m_digest);
+  m_pending = {};
+}
+
+}  // namespace cuminpath::emulator
--- a/source/emulator/host_role.h
+++ b/source/emulator/host_role.h
@@ -7,7 +7,8 @@
 
 class host_role final : public role {
 public:
-  explicit host_role(asio::io_context& context) : m_context(context) {}
+  explicit host_role(asio::io_context& context, milliseconds lag = milliseconds(0))
+      : m_context(context), m_lag(lag) {}
   void handle(const http::request& request, const responder_ptr& to) override;
   // {"generation","hosts":N}
   [[nodiscard]] json stats() const override;
@@ -18,7 +19,7 @@
   asio::io_context& m_context;
   json m_hosts = json::array();
   std::uint64_t m_generation = 0;
-  milliseconds m_lag{0};
+  milliseconds m_lag;
 };
 
 }  // namespace cuminpath::emulator
--- /dev/null
+++ b/source/emulator/service_role.cpp
@@ -0,0 +1,44 @@
+#include "emulator/service_role.h"
+
+namespace cuminpath::emulator {
+
+void service_role::handle(const http::request& request, const responder_ptr& to) {
+  json body = {{"path", std::string(request.path())}};
+  if (request.method == "GET" || request.method == "HEAD") {
+    ++m_reads;
+  } else {
+    const auto key = request.header("Idempotency-Key");
+    ++(key ? m_runs[std::string(*key)] : m_runs_without_key);
+    body["booking"] = ++m_last_booking;
+  }
+  ++m_running;
+  const auto answer = [this, to, body] {
+    --m_running;
+    ++m_answered;
+    respond_json(to, m_fail ? 500 : 200, body);
+  };
+  if (m_delay.count() == 0) {
+    answer();
+    return;
+  }
+  const auto timer = std::make_shared<asio::steady_timer>(m_context, m_delay);
+  timer->async_wait([timer, answer](const std::error_code&) { answer(); });
+}
+
+json service_role::stats() const {
+  return {{"runs", m_runs},
+          {"runs_without_key", m_runs_without_key},
+          {"reads", m_reads},
+          {"answered", m_answered},
+          {"running", m_running}};
+}
+
+std::optional<std::string> service_role::control(const json& orders) {
+  m_delay = milliseconds(orders.value("delay_ms", m_delay.count()));
+  m_fail = orders.value("fail", m_fail);
+  return orders.size() == orders.count("delay_ms") + orders.count("fail")
+             ? std::nullopt
+             : std::optional<std::string>("unknown key");
+}
+
+}  // namespace cuminpath::emulator
--- /dev/null
+++ b/source/emulator/service_role.h
@@ -0,0 +1,32 @@
+// Emulator of a plain service that records bookings and counts how often each was run.
+#pragma once
+
+#include <map>
+
+#include "emulator/role.h"
+
+namespace cuminpath::emulator {
+
+class service_role final : public role {
+public:
+  service_role(asio::io_context& context, milliseconds delay) : m_context(context), m_delay(delay) {}
+  // Counts the run at once and answers after the delay: {"booking":N,"path":PATH}.
+  void handle(const http::request& request, const responder_ptr& to) override;
+  // {"runs":{KEY:N},"runs_without_key","reads","answered","running"}
+  [[nodiscard]] json stats() const override;
+  // "delay_ms"; "fail": true answers with status 500 after the run.
+  std::optional<std::string> control(const json& orders) override;
+
+private:
+  asio::io_context& m_context;
+  milliseconds m_delay;
+  bool m_fail = false;
+  std::map<std::string, std::uint64_t> m_runs;
+  std::uint64_t m_runs_without_key = 0;
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_answered = 0;
+  std::uint64_t m_running = 0;
+  std::uint64_t m_last_booking = 0;
+};
+
+}  // namespace cuminpath::emulator
