telemetry: add logs, metrics and the timeline

Cause: the headers had no implementation, and every process needs them. Ruled out: std::cerr without Boost.Log, because the sink is what tests and later outputs replace; exact quantiles, because they keep every sample. Change: JSON lines through a Boost.Log sink with a level for each subsystem; summaries with extended_p_square, exact up to the 11 samples that its markers need; a hybrid clock that does not follow a sender more than an hour ahead.

--- /dev/null
+++ b/source/unit_tests/telemetry/telemetry_test.cpp
@@ -0,0 +1,104 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/common/json.h"
+#include "core/telemetry/log.h"
+#include "core/telemetry/metrics.h"
+#include "core/telemetry/timeline.h"
+
+namespace cuminpath::telemetry {
+namespace {
+
+using ::testing::HasSubstr;
+
+// Guards against log lines that are no JSON because of quotes, line feeds or bytes that are not UTF-8.
+TEST(log, a_line_is_one_json_object_whatever_the_text) {
+  start_logging("entry-1", log_level::info);
+  testing::internal::CaptureStderr();
+  log(log_level::warning, "http", "bad \"request\"\n\xff",
+      {{"count", std::int64_t{3}}, {"ok", false}, {"level", std::string_view("x")}});
+  const std::string text = testing::internal::GetCapturedStderr();
+  ASSERT_EQ(std::count(text.begin(), text.end(), '\n'), 1);
+  const json line = parse_json(text).value();
+  EXPECT_EQ(line["level"], "warning");
+  EXPECT_EQ(line["process"], "entry-1");
+  EXPECT_EQ(line["count"], 3);
+  EXPECT_EQ(line["field_level"], "x");
+}
+
+// Guards against levels of one subsystem that apply to another or not at all.
+TEST(log, drops_lines_below_the_level_of_their_subsystem) {
+  start_logging("entry-1", log_level::info);
+  set_log_level("router", log_level::debug);
+  testing::internal::CaptureStderr();
+  log(log_level::debug, "http", "dropped");
+  log(log_level::debug, "router", "kept");
+  const std::string text = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(text.find("dropped"), std::string::npos);
+  EXPECT_THAT(text, HasSubstr("kept"));
+}
+
+// Guards against a quantile estimate that is far off, and against one from too few samples for its markers.
+TEST(metrics, quantiles_are_exact_for_few_samples_and_close_for_many) {
+  metrics few;
+  for (const double value : {5.0, 1.0, 3.0}) {
+    few.observe("t_seconds", value);
+  }
+  EXPECT_THAT(few.prometheus_text(), HasSubstr("t_seconds{quantile=\"0.5\"} 3\n"));
+  EXPECT_THAT(few.prometheus_text(), HasSubstr("t_seconds{quantile=\"0.99\"} 5\n"));
+
+  metrics many;
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> uniform(0, 1000);
+  for (int i = 0; i < 20000; ++i) {
+    many.observe("t_seconds", uniform(random));
+  }
+  const std::string text = many.prometheus_text();
+  const std::string prefix = "t_seconds{quantile=\"0.99\"} ";
+  EXPECT_NEAR(std::stod(text.substr(text.find(prefix) + prefix.size())), 990, 10);
+  EXPECT_THAT(text, HasSubstr("t_seconds_count 20000\n"));
+}
+
+// Guards against label values that break the exposition format, and against a counter that falls.
+TEST(metrics, escapes_labels_and_counters_never_fall) {
+  metrics value;
+  value.add("c_total", {{"name", "a\"b\\c\nd"}}, 2);
+  value.add("c_total", {{"name", "a\"b\\c\nd"}}, -1);
+  value.set("g", 1.5);
+  EXPECT_THAT(value.prometheus_text(),
+              HasSubstr("# TYPE c_total counter\nc_total{name=\"a\\\"b\\\\c\\nd\"} 2\n"));
+  EXPECT_THAT(value.prometheus_text(), HasSubstr("# TYPE g gauge\ng 1.5\n"));
+}
+
+// Guards against an effect that orders before its cause when the receiver's clock is behind, and against a
+// wrong clock of one host that spreads.
+TEST(hybrid_clock, follows_the_sender_but_not_a_clock_far_ahead) {
+  hybrid_clock sender;
+  hybrid_clock receiver;
+  const std::uint64_t cause = sender.tick(10'000);
+  EXPECT_GT(receiver.receive(5'000, cause), cause);
+  EXPECT_GT(receiver.tick(4'000), cause);
+  EXPECT_LT(receiver.receive(5'000, ~std::uint64_t{0}), 20'000ULL << 16U);
+}
+
+// Guards against unbounded growth and against a wrong order once the ring has wrapped.
+TEST(timeline, keeps_the_newest_events_and_merges_by_time) {
+  timeline a("a", 3);
+  timeline b("b", 3);
+  for (std::uint64_t time = 1; time <= 5; ++time) {
+    a.record(time * 2, "even", std::to_string(time));
+  }
+  b.record(7, "odd", "");
+  const std::vector<std::vector<event>> rings{a.events(), b.events()};
+  std::vector<std::uint64_t> times;
+  for (const event& value : merge(rings)) {
+    times.push_back(value.time);
+  }
+  EXPECT_EQ(times, (std::vector<std::uint64_t>{6, 7, 8, 10}));
+  EXPECT_EQ(a.to_json()["events"][0]["detail"], "3");
+}
+
+}  // namespace
+}  // namespace cuminpath::telemetry
