--- /dev/null
+++ b/source/core/routing/ejection.cpp
@@ -0,0 +1,73 @@
+#include "core/routing/ejection.h"
+
+#include <algorithm>
+
+namespace cuminpath::routing {
+namespace {
+
+constexpr double k_rate_weight = 0.1;
+constexpr std::uint32_t k_max_doublings = 10;
+
+}  // namespace
+
+void ejection_state::on_success(const ejection_options& options) {
+  m_consecutive_failures = 0;
+  m_failure_rate *= 1 - k_rate_weight;
+  m_samples = std::min(m_samples + 1, options.min_samples);
+  if (!m_ejected) {
+    // A long healthy period ends the doubling of the ejection time.
+    if (m_failure_rate < k_rate_weight / 10) {
+      m_ejections = 0;
+    }
+    return;
+  }
+  if (++m_successful_trials >= options.trials_to_restore) {
+    m_ejected = false;
+    m_failure_rate = 0;
+    m_samples = 0;
+  }
+}
+
+void ejection_state::on_failure(time_point now, const ejection_options& options, bool may_eject) {
+  ++m_consecutive_failures;
+  m_failure_rate += k_rate_weight * (1 - m_failure_rate);
+  m_samples = std::min(m_samples + 1, options.min_samples);
+  if (!options.enabled || ejected(now)) {
+    return;
+  }
+  const bool row = options.consecutive_failures > 0 && m_consecutive_failures >= options.consecutive_failures;
+  const bool rate = m_samples >= options.min_samples && m_failure_rate >= options.failure_rate;
+  if (on_trial(now) || (may_eject && (row || rate))) {
+    eject(now, options);
+  }
+}
+
+void ejection_state::eject(time_point now, const ejection_options& options) {
+  const auto length = options.base_duration * (1U << std::min(m_ejections, k_max_doublings));
+  m_until = now + std::min<duration>(length, options.max_duration);
+  m_ejections = std::min(m_ejections + 1, k_max_doublings);
+  m_ejected = true;
+  m_successful_trials = 0;
+}
+
+void ejection_state::on_started(time_point now) {
+  if (on_trial(now)) {
+    ++m_outstanding_trials;
+  }
+}
+
+void ejection_state::on_ended() {
+  // Requests sent before the ejection end here too, so the count of trials may be low, never negative.
+  if (m_outstanding_trials > 0) {
+    --m_outstanding_trials;
+  }
+}
+
+bool ejection_state::usable(time_point now, const ejection_options& options) const {
+  if (!m_ejected) {
+    return true;
+  }
+  return now >= m_until && m_outstanding_trials < options.trials_at_once;
+}
+
+}  // namespace cuminpath::routing
--- /dev/null
+++ b/source/core/routing/ejection.h
@@ -0,0 +1,53 @@
+// Outlier ejection of one upstream: healthy -> ejected for a time -> a bounded number of trials -> healthy.
+#pragma once
+
+#include <cstdint>
+
+#include "core/common/time.h"
+
+namespace cuminpath::routing {
+
+struct ejection_options {
+  bool enabled = true;
+  std::uint32_t consecutive_failures = 3;  // 0 disables this condition.
+  // Failures in a row do not show an upstream that fails every other request; the failure rate does.
+  double failure_rate = 0.5;
+  std::uint32_t min_samples = 8;
+  // Doubles with each ejection in a row, up to the maximum.
+  milliseconds base_duration{2000};
+  milliseconds max_duration{30000};
+  std::uint32_t trials_at_once = 1;
+  std::uint32_t trials_to_restore = 3;
+  // A fault that has the same cause everywhere must not take the whole fleet out of service.
+  double max_ejected_share = 0.7;
+};
+
+class ejection_state {
+public:
+  // `may_eject` is false while too large a share of the upstreams is ejected already.
+  void on_success(const ejection_options& options);
+  void on_failure(time_point now, const ejection_options& options, bool may_eject);
+  void on_started(time_point now);
+  // Counterpart of on_started(), with every outcome.
+  void on_ended();
+
+  [[nodiscard]] bool ejected(time_point now) const { return m_ejected && now < m_until; }
+  [[nodiscard]] bool on_trial(time_point now) const { return m_ejected && now >= m_until; }
+  [[nodiscard]] bool usable(time_point now, const ejection_options& options) const;
+  // Ejected or on trial.
+  [[nodiscard]] bool out() const { return m_ejected; }
+
+private:
+  void eject(time_point now, const ejection_options& options);
+
+  time_point m_until{};
+  double m_failure_rate = 0;  // Moving average over about ten requests.
+  std::uint32_t m_samples = 0;
+  std::uint32_t m_consecutive_failures = 0;
+  std::uint32_t m_ejections = 0;  // In a row; bounded by the doubling limit.
+  std::uint32_t m_outstanding_trials = 0;
+  std::uint32_t m_successful_trials = 0;
+  bool m_ejected = false;
+};
+
+}  // namespace cuminpath::routing
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -11,6 +11,7 @@
 
 #include "core/common/random.h"
 #include "core/common/time.h"
+#include "core/routing/ejection.h"
 #include "core/wire/messages.h"
 
 namespace cuminpath::routing {
@@ -31,6 +32,13 @@
   std::string availability_zone;
   std::string region;
   std::uint32_t subset_size = 24;  // Upstreams of a model in use at the same time.
+  milliseconds suspicion_timeout{2000};
+  // An upstream with more than this multiple of the mean load is skipped in spite of a prefix match.
+  double affinity_bound = 1.25;
+  // Mean load for each slot of the own availability zone above which the others are used as well.
+  double spill_over_load = 0.8;
+  bool slow_penalty = true;
+  ejection_options ejection = {};
 };
 
 struct route_request {
