scheduling: queue, floors, fair queueing, admission and preemption

The agent needs a scheduler to link against.

Change: classes in rank order with floors as a slot-time account, start-time fair queueing by tokens between workspaces, admission by predicted wait with Retry-After from the queue, and the policies for urgent work (preempt running jobs, reserve slots, wait) as a variant. A class's queue limit is its own, so a flood of one class cannot fill the queue of another. Targets are not applied to a job that starts at once: otherwise one high estimate would refuse everything for ever, because only runs correct the estimate.

Policies are not measured yet.

--- /dev/null
+++ b/source/core/scheduling/class_table.cpp
@@ -0,0 +1,98 @@
+#include "core/scheduling/class_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace cuminpath::scheduling {
+namespace {
+
+// Slot time beyond the floor that is held against a class, as seconds of its floor. It must be longer than
+// a run, otherwise a class with a small floor gets more than its floor during a flood of an urgent class.
+constexpr double k_debt_s = 30;
+// Slot time owed to a class that is kept while no slot becomes free, as seconds of its floor.
+constexpr double k_claim_s = 10;
+// A run that was started on credit keeps its slot for this many slot-seconds, so that it is not preempted
+// at once when the credit is used up.
+constexpr double k_quantum = 1;
+constexpr double k_usage_time_s = 2;
+
+bool has_jobs(const class_state& value) {
+  return value.queue.queued() > 0 || !value.running.empty();
+}
+
+}  // namespace
+
+void class_table::configure(std::span<const config::priority_class> classes, std::uint32_t slots) {
+  m_slots = std::max(slots, 1U);
+  for (class_state& row : m_rows) {
+    // Classes that are not declared any more finish their jobs after all others.
+    row.declared = {.name = row.declared.name, .rank = std::numeric_limits<std::uint32_t>::max()};
+  }
+  for (const config::priority_class& value : classes) {
+    at(row_of(value.name)).declared = value;
+  }
+  sort_order();
+}
+
+class_index class_table::row_of(std::string_view name) {
+  const auto found = std::find_if(m_rows.begin(), m_rows.end(),
+                                  [&](const class_state& row) { return row.declared.name == name; });
+  if (found != m_rows.end()) {
+    return static_cast<class_index>(found - m_rows.begin());
+  }
+  class_state& row = m_rows.emplace_back();
+  row.declared = {.name = std::string(name), .rank = std::numeric_limits<std::uint32_t>::max()};
+  sort_order();
+  return static_cast<class_index>(m_rows.size() - 1);
+}
+
+void class_table::sort_order() {
+  m_order.resize(m_rows.size());
+  for (std::size_t i = 0; i < m_rows.size(); ++i) {
+    m_order[i] = static_cast<class_index>(i);
+  }
+  std::stable_sort(m_order.begin(), m_order.end(), [this](class_index left, class_index right) {
+    return at(left).declared.rank < at(right).declared.rank;
+  });
+}
+
+void class_table::advance(time_point now) {
+  const double elapsed = m_started ? std::chrono::duration<double>(now - m_accounted).count() : 0;
+  m_accounted = now;
+  m_started = true;
+  if (elapsed <= 0) {
+    return;
+  }
+  const double weight = 1 - std::exp(-elapsed / k_usage_time_s);
+  for (class_state& row : m_rows) {
+    const auto used = static_cast<double>(row.running.size());
+    const double owed = row.declared.floor * m_slots;
+    const double debt = -std::max(owed * k_debt_s, 2 * k_quantum);
+    const double claim = has_jobs(row) ? owed * k_claim_s : 0;
+    row.credit = std::clamp(row.credit + (owed - used) * elapsed, debt, claim);
+    row.usage += weight * (used / m_slots - row.usage);
+  }
+}
+
+std::uint32_t class_table::running() const {
+  std::size_t sum = 0;
+  for (const class_state& row : m_rows) {
+    sum += row.running.size();
+  }
+  return static_cast<std::uint32_t>(sum);
+}
+
+std::uint32_t class_table::queued() const {
+  std::uint32_t sum = 0;
+  for (const class_state& row : m_rows) {
+    sum += row.queue.queued();
+  }
+  return sum;
+}
+
+bool class_table::protected_by_floor(class_index row) const {
+  return at(row).declared.floor > 0 && at(row).credit > -k_quantum;
+}
+
+}  // namespace cuminpath::scheduling
--- /dev/null
+++ b/source/core/scheduling/fair_queue.cpp
@@ -0,0 +1,146 @@
+#include "core/scheduling/fair_queue.h"
+
+#include <algorithm>
+
+#include "core/common/assert.h"
+
+namespace cuminpath::scheduling {
+namespace {
+
+bool active(const flow& value) {
+  return value.queued > 0 || value.running > 0;
+}
+
+}  // namespace
+
+flow& fair_queue::open(workspace_index workspace, double share) {
+  flow& value = m_flows[workspace];
+  if (active(value)) {
+    m_active_share += share - value.share;
+  } else {
+    m_active_share += share;
+    ++m_active;
+  }
+  value.share = share;
+  return value;
+}
+
+void fair_queue::close_if_idle(flow& value) {
+  if (!active(value)) {
+    m_active_share -= value.share;
+    --m_active;
+    if (m_active == 0) {
+      // The end of a busy period: nobody owes anything.
+      m_active_share = 0;
+      for (auto& [workspace, other] : m_flows) {
+        m_virtual_time = std::max(m_virtual_time, other.finish_tag);
+      }
+    }
+  }
+}
+
+void fair_queue::reorder(workspace_index workspace, flow& value) {
+  m_order.erase({value.start_tag, workspace});
+  if (!value.jobs.empty()) {
+    value.start_tag = std::max(m_virtual_time, value.finish_tag);
+    m_order.emplace(value.start_tag, workspace);
+  }
+}
+
+void fair_queue::push_back(job_id id, const job_state& value, double share) {
+  flow& target = open(value.workspace_row, share);
+  const bool first = target.jobs.empty();
+  target.jobs.emplace_back(id, value.sequence);
+  ++target.queued;
+  target.queued_tokens += remaining_tokens(value);
+  ++m_queued;
+  m_queued_tokens += remaining_tokens(value);
+  if (first) {
+    reorder(value.workspace_row, target);
+  }
+}
+
+void fair_queue::push_front(job_id id, const job_state& value, double share) {
+  flow& target = open(value.workspace_row, share);
+  target.jobs.emplace_front(id, value.sequence);
+  target.finish_tag -= remaining_tokens(value) / target.share;
+  ++target.queued;
+  target.queued_tokens += remaining_tokens(value);
+  ++m_queued;
+  m_queued_tokens += remaining_tokens(value);
+  reorder(value.workspace_row, target);
+}
+
+void fair_queue::drop_dead(const job_table& jobs, flow& value) {
+  while (!value.jobs.empty()) {
+    const auto found = jobs.find(value.jobs.front().first);
+    if (found != jobs.end() && found->second.sequence == value.jobs.front().second) {
+      return;
+    }
+    value.jobs.pop_front();
+  }
+}
+
+std::optional<job_id> fair_queue::front(const job_table& jobs) {
+  while (!m_order.empty()) {
+    const workspace_index workspace = m_order.begin()->second;
+    flow& value = m_flows.at(workspace);
+    drop_dead(jobs, value);
+    if (!value.jobs.empty()) {
+      return value.jobs.front().first;
+    }
+    m_order.erase(m_order.begin());
+  }
+  return std::nullopt;
+}
+
+void fair_queue::start_front(const job_table& jobs) {
+  const workspace_index workspace = m_order.begin()->second;
+  flow& value = m_flows.at(workspace);
+  const job_state& started = jobs.at(value.jobs.front().first);
+  m_virtual_time = std::max(m_virtual_time, value.start_tag);
+  m_order.erase(m_order.begin());
+  value.jobs.pop_front();
+  value.finish_tag = value.start_tag + remaining_tokens(started) / value.share;
+  --value.queued;
+  value.queued_tokens -= remaining_tokens(started);
+  ++value.running;
+  --m_queued;
+  m_queued_tokens -= remaining_tokens(started);
+  reorder(workspace, value);
+}
+
+void fair_queue::on_cancelled(const job_state& value) {
+  flow& target = m_flows.at(value.workspace_row);
+  --target.queued;
+  target.queued_tokens -= remaining_tokens(value);
+  --m_queued;
+  m_queued_tokens -= remaining_tokens(value);
+  close_if_idle(target);
+}
+
+void fair_queue::on_run_ended(const job_state& value) {
+  flow& target = m_flows.at(value.workspace_row);
+  CUMINPATH_ASSERT(target.running > 0);
+  --target.running;
+  close_if_idle(target);
+}
+
+void fair_queue::charge(workspace_index workspace, std::uint32_t tokens) {
+  flow& value = m_flows.at(workspace);
+  value.finish_tag += tokens / value.share;
+  reorder(workspace, value);
+}
+
+const flow* fair_queue::find(workspace_index workspace) const {
+  const auto found = m_flows.find(workspace);
+  return found == m_flows.end() ? nullptr : &found->second;
+}
+
+void fair_queue::prune() {
+  std::erase_if(m_flows, [this](const auto& row) {
+    return !active(row.second) && row.second.jobs.empty() && row.second.finish_tag <= m_virtual_time;
+  });
+}
+
+}  // namespace cuminpath::scheduling
--- /dev/null
+++ b/source/core/scheduling/run_time_estimator.cpp
@@ -0,0 +1,25 @@
+#include "core/scheduling/run_time_estimator.h"
+
+#include <algorithm>
+
+namespace cuminpath::scheduling {
+namespace {
+
+// About twenty runs: follows a change of the engine's speed within seconds, but not a single long run.
+constexpr double k_weight = 0.05;
+
+void average(double& value, double sample) {
+  value = value > 0 ? value + k_weight * (sample - value) : sample;
+}
+
+}  // namespace
+
+void run_time_estimator::on_first_token(double elapsed_s) {
+  average(m_first_token_s, elapsed_s);
+}
+
+void run_time_estimator::on_finished(double elapsed_s, std::uint32_t expected_tokens) {
+  average(m_token_s, elapsed_s / std::max(expected_tokens, 1U));
+}
+
+}  // namespace cuminpath::scheduling
--- a/source/core/scheduling/scheduler.h
+++ b/source/core/scheduling/scheduler.h
@@ -48,8 +48,31 @@
 };
 using decision = std::variant<start_job, preempt_job, refuse_job>;
 
+// How urgent work gets a slot when work of lower classes runs in all of them.
+
+// Runs of lower classes are cancelled and resumed later at the next token.
+struct preempt_running {
+  // A run is left alone until it has used its slot for this long since its start, so that preemption does
+  // not spend more on restarts than it gains.
+  milliseconds min_run{0};
+  // The first job in the queue waits for this share of its class's first-token target before it preempts.
+  double patience = 0.1;
+  // A workspace below its share of the runs of a class may also preempt one above its share.
+  bool between_workspaces = true;
+};
+// Lower classes leave this share of the slots free for the most urgent class.
+struct reserve_slots {
+  double share = 0.25;
+};
+struct wait_for_slot {};
+using urgent_policy = std::variant<preempt_running, reserve_slots, wait_for_slot>;
+
 struct scheduler_options {
   std::uint32_t max_queued = 10000;
+  urgent_policy urgent = preempt_running{};
+  bool floors = true;
+  bool fair_queueing = true;  // Off: first come, first served inside a class.
+  bool feasibility = true;    // Off: everything is admitted up to max_queued.
 };
 
 class scheduler {
