emulator: add a caller that judges responses and the load generator

Checks on outcomes need the text that belongs to a prompt; the caller compares it, so that a lost, duplicated or misdelivered token is seen. cuminpath-load sends shares of the load at a stated rate for a bounded time and prints outcomes and latency quantiles.

--- /dev/null
+++ b/source/emulator/caller.cpp
@@ -0,0 +1,236 @@
+#include "emulator/caller.h"
+
+#include <memory>
+
+#include "emulator/batch.h"
+
+namespace cuminpath::emulator {
+namespace {
+
+using outcome = call_outcome::kind;
+
+// A call in progress. Judges the parts of the response as they arrive.
+class open_call {
+public:
+  open_call(call_order order, std::function<void(call_outcome)> done)
+      : m_order(std::move(order)), m_done(std::move(done)), m_started(clock::now()) {}
+
+  void on_head(int status, http::header_list headers) {
+    m_outcome.status = status;
+    m_outcome.headers = std::move(headers);
+    m_outcome.first_ms = elapsed_ms();
+  }
+
+  void on_data(const std::string& data) {
+    m_body += data;
+    if (!is_event_stream()) {
+      return;
+    }
+    for (auto end = m_body.find("\n\n"); end != std::string::npos; end = m_body.find("\n\n")) {
+      on_event(std::string_view(m_body).substr(0, end));
+      m_body.erase(0, end + 2);
+    }
+  }
+
+  void on_end() {
+    if (m_outcome.status != 200) {
+      judge_refusal();
+    } else if (is_event_stream()) {
+      judge_stream();
+    } else if (m_order.what == call_order::kind::service) {
+      m_outcome.text = m_body;
+      finish(outcome::complete, "");
+    } else {
+      judge_whole_response();
+    }
+  }
+
+  void on_failure(const http::call_failure& failure) { finish(outcome::broken, failure.message); }
+
+private:
+  [[nodiscard]] double elapsed_ms() const {
+    return std::chrono::duration<double, std::milli>(clock::now() - m_started).count();
+  }
+
+  [[nodiscard]] bool is_event_stream() const {
+    const auto type = http::find_header(m_outcome.headers, "Content-Type");
+    return m_outcome.status == 200 && type && type->starts_with("text/event-stream");
+  }
+
+  void on_event(std::string_view event) {
+    const bool is_error = event.starts_with("event: error");
+    const auto start = event.find("data: ");
+    if (start == std::string_view::npos) {
+      return;  // A comment.
+    }
+    const auto data = event.substr(start + 6);
+    if (data == "[DONE]") {
+      m_done_events += 1;
+      return;
+    }
+    const auto parsed = parse_json(data);
+    if (!parsed) {
+      m_wrong = "malformed event";
+    } else if (is_error) {
+      m_outcome.problem = parsed.value();
+      m_error_event = true;
+    } else {
+      on_token(parsed.value());
+    }
+  }
+
+  void on_token(const json& event) {
+    try {
+      const auto& choice = event.at("choices").at(0);
+      const auto text = m_order.what == call_order::kind::chat_completion
+                            ? choice.at("delta").value("content", std::string())
+                            : choice.at("text").get<std::string>();
+      if (event.contains("index") && event["index"] != m_outcome.tokens) {
+        m_wrong = "index " + event["index"].dump() + " instead of " + std::to_string(m_outcome.tokens);
+      }
+      if (m_outcome.tokens == 0) {
+        m_outcome.first_ms = elapsed_ms();
+      }
+      ++m_outcome.tokens;
+      m_outcome.text += text;
+    } catch (const json::exception& failure) {
+      m_wrong = failure.what();
+    }
+  }
+
+  void judge_refusal() {
+    const auto parsed = parse_json(m_body);
+    m_outcome.problem = parsed ? parsed.value() : json(m_body);
+    const auto execution =
+        m_outcome.problem.is_object() ? m_outcome.problem.value("execution", json()) : json();
+    if (execution == "not_run") {
+      finish(outcome::not_run, "");
+    } else if (execution == "unknown") {
+      finish(outcome::unknown, "");
+    } else {
+      finish(outcome::refused, "no statement on execution");
+    }
+  }
+
+  void judge_stream() {
+    if (!m_wrong.empty()) {
+      finish(outcome::wrong, m_wrong);
+    } else if (m_error_event) {
+      finish(m_done_events == 0 ? outcome::failed : outcome::wrong, "error event");
+    } else if (m_done_events != 1) {
+      finish(outcome::wrong, std::to_string(m_done_events) + " final events");
+    } else {
+      compare_text();
+    }
+  }
+
+  void judge_whole_response() {
+    const auto parsed = parse_json(m_body);
+    try {
+      const auto body = parsed ? parsed.value() : json();
+      const auto& choice = body.at("choices").at(0);
+      m_outcome.text = m_order.what == call_order::kind::chat_completion
+                           ? choice.at("message").at("content").get<std::string>()
+                           : choice.at("text").get<std::string>();
+      compare_text();
+    } catch (const json::exception& failure) {
+      finish(outcome::wrong, failure.what());
+    }
+  }
+
+  void compare_text() {
+    // An emulated engine joins the contents of chat messages, each with a line feed.
+    const bool chat = m_order.what == call_order::kind::chat_completion;
+    const auto expected = text_before(chat ? m_order.prompt + "\n" : m_order.prompt, m_order.max_tokens);
+    if (m_outcome.text == expected) {
+      finish(outcome::complete, "");
+    } else {
+      finish(outcome::wrong, "another text than the one to this prompt: " + m_outcome.text);
+    }
+  }
+
+  void finish(outcome what, std::string detail) {
+    m_outcome.what = what;
+    m_outcome.detail = std::move(detail);
+    m_outcome.total_ms = elapsed_ms();
+    m_done(std::move(m_outcome));
+  }
+
+  call_order m_order;
+  std::function<void(call_outcome)> m_done;
+  time_point m_started;
+  call_outcome m_outcome;
+  std::string m_body;  // Of a stream: what follows the last whole event.
+  std::string m_wrong;
+  bool m_error_event = false;
+  std::uint32_t m_done_events = 0;
+};
+
+http::request to_request(const call_order& order) {
+  http::request request;
+  const auto add = [&request](const char* name, const std::string& value) {
+    if (!value.empty()) {
+      request.headers.emplace_back(name, value);
+    }
+  };
+  add("Authorization", order.key.empty() ? "" : "Bearer " + order.key);
+  add("Idempotency-Key", order.idempotency_key);
+  add("X-Priority", order.priority_class);
+  add("X-Request-Id", order.request_id);
+  add("X-Request-Timeout-Ms", order.deadline_ms == 0 ? "" : std::to_string(order.deadline_ms));
+  if (order.what == call_order::kind::service) {
+    request.method = order.method;
+    request.target = order.path;
+    request.body = order.body;
+    add("Content-Type", order.body.empty() ? "" : "application/json");
+    return request;
+  }
+  request.method = "POST";
+  json body = {{"model", order.model}, {"max_tokens", order.max_tokens}, {"stream", order.stream}};
+  if (order.what == call_order::kind::chat_completion) {
+    request.target = "/v1/chat/completions";
+    body["messages"] = {{{"role", "user"}, {"content", order.prompt}}};
+  } else {
+    request.target = "/v1/completions";
+    body["prompt"] = order.prompt;
+  }
+  add("Content-Type", "application/json");
+  request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return request;
+}
+
+}  // namespace
+
+const char* to_string(call_outcome::kind value) {
+  switch (value) {
+    case outcome::complete:
+      return "complete";
+    case outcome::not_run:
+      return "not_run";
+    case outcome::unknown:
+      return "unknown";
+    case outcome::refused:
+      return "refused";
+    case outcome::failed:
+      return "failed";
+    case outcome::broken:
+      return "broken";
+    case outcome::wrong:
+      return "wrong";
+  }
+  return "";
+}
+
+http::call_id send_call(http::client& client, const call_order& order,
+                        std::function<void(call_outcome)> done) {
+  const auto call = std::make_shared<open_call>(order, std::move(done));
+  // libcurl must not repeat a request by itself: the runs of each request are counted.
+  return client.stream(
+      order.url, to_request(order), {.timeout = order.timeout, .never_reuse_connection = true},
+      {.head = [call](int status, http::header_list headers) { call->on_head(status, std::move(headers)); },
+       .data = [call](const std::string& data) { call->on_data(data); },
+       .end = [call] { call->on_end(); },
+       .failure = [call](const http::call_failure& failure) { call->on_failure(failure); }});
+}
+
+}  // namespace cuminpath::emulator
--- /dev/null
+++ b/source/emulator/load_generator.h
@@ -0,0 +1,74 @@
+// Sends requests at a stated rate for a bounded time and summarizes how they ended.
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/common/random.h"
+#include "emulator/caller.h"
+
+namespace cuminpath::emulator {
+
+struct load_share {
+  call_order order;  // Each request gets the base URL of an entry and a prompt of its own.
+  std::string name;  // Under which the outcomes are summarized.
+  double weight = 1.0;
+};
+
+struct load_options {
+  std::vector<std::string> entry_urls;  // Used in turn.
+  std::vector<load_share> shares;
+  double requests_per_second = 10;
+  milliseconds time{1000};
+  std::uint32_t max_in_flight = 2000;  // Requests beyond it are counted as skipped, not sent.
+  std::uint64_t seed = 1;
+};
+
+class load_generator {
+public:
+  load_generator(asio::io_context& context, http::client& client, load_options options);
+  load_generator(const load_generator&) = delete;
+  load_generator& operator=(const load_generator&) = delete;
+
+  void start();
+  // No further requests; those in flight end by themselves.
+  void stop() { m_stopped = true; }
+  // True when all requests have been sent and have ended.
+  [[nodiscard]] bool done() const { return m_stopped && m_in_flight == 0; }
+  // {"sent","skipped","in_flight","shares":{NAME:{"sent","outcomes":{KIND:N},"statuses":{CODE:N},
+  //  "first_ms":{"p50","p95","p99"},"total_ms":{...}}},"problems":[...]}; latencies are of complete
+  // requests; problems are the first details of broken and wrong ones.
+  [[nodiscard]] json summary() const;
+
+private:
+  struct share_result {
+    std::uint64_t sent = 0;
+    std::map<std::string, std::uint64_t> outcomes;
+    std::map<std::string, std::uint64_t> statuses;
+    std::vector<double> first_ms;
+    std::vector<double> total_ms;
+  };
+
+  void schedule();
+  void send_due();
+  void send_one();
+  void on_done(const std::string& share, const call_outcome& outcome);
+
+  http::client& m_client;
+  load_options m_options;
+  random_source m_random;
+  asio::steady_timer m_timer;
+  time_point m_started;
+  std::string m_run_id;  // Keeps prompts and keys of different runs apart.
+  bool m_stopped = false;
+  std::uint64_t m_due = 0;
+  std::uint64_t m_sent = 0;
+  std::uint64_t m_skipped = 0;
+  std::uint32_t m_in_flight = 0;
+  std::map<std::string, share_result> m_results;
+  std::vector<std::string> m_problems;
+};
+
+}  // namespace cuminpath::emulator
