bench, scheduling: measure floods and fair shares, correct four faults

Cause: runs on virtual time showed (1) an abort when a victim of the same class came before the job it made room for, (2) a floor of 0.10 that got 0.077 of the slot time, because slot time that nobody else wanted was held against the class, (3) estimates ruined by resumed runs, whose announced rest can be one token, (4) a small workspace's first-token p99 of 3.2 times its value without large ones.

Change: start the waiting job before the victim is queued again; charge the floor's account only for starts that take a slot from a more urgent class; learn decode rate, length ratio and first token separately; a workspace clearly below its share may preempt inside its class, whatever its place in the order.

--- /dev/null
+++ b/source/bench/experiments.h
@@ -0,0 +1,51 @@
+// The experiments of scripts/bench, and the runs of them that the unit tests gate.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "bench/agent_run.h"
+#include "bench/report.h"
+
+namespace cuminpath::bench {
+
+inline constexpr std::uint64_t k_seeds[] = {11, 12, 13, 14, 15};
+
+// The three classes of the users, with targets, worth and floors.
+std::vector<config::priority_class> sample_classes();
+
+struct flood_summary {
+  std::map<std::string, double> within;      // Share of the arrivals of the flood served within target.
+  std::map<std::string, double> slot_share;  // Share of the slot time of the flood.
+  std::map<std::string, double> demand;      // Share of the slot time that the arrivals ask for.
+  double worth = 0;                          // Worth served over worth arrived, in percent.
+  double preemptions = 0;                    // For each second of the flood.
+};
+
+// Tenfold flood of the lowest class.
+flood_summary low_flood(const agent_policy& policy, std::span<const std::uint64_t> seeds);
+// Flood of the lowest class that has filled every slot, followed by a flood of the most urgent class that
+// asks for `urgent_load` of the slot time.
+flood_summary low_then_urgent_flood(const agent_policy& policy, double urgent_load,
+                                    std::span<const std::uint64_t> seeds);
+std::vector<table> flood_experiment();
+
+struct fairness_summary {
+  double first_token_p99_s = 0;  // Of the small workspace.
+  double total_p99_s = 0;
+  double served = 0;  // Share of its requests.
+};
+fairness_summary small_workspace(const agent_policy& policy, bool with_large,
+                                 std::span<const std::uint64_t> seeds);
+std::vector<table> fairness_experiment();
+
+std::vector<table> choice_experiment();
+std::vector<table> retry_experiment();
+std::vector<table> overload_experiment();
+std::vector<table> ejection_experiment();
+std::vector<table> cost_experiment();
+
+}  // namespace cuminpath::bench
--- a/source/core/scheduling/admission.cpp
+++ b/source/core/scheduling/admission.cpp
@@ -27,8 +27,10 @@
     const class_state& value = classes.at(other);
     if (value.declared.rank < own.declared.rank) {
       share -= value.usage;
-    } else if (value.queue.queued() > 0) {
-      share -= value.declared.floor;
+    } else {
+      // A class with a floor takes it even if its queue is empty at this moment.
+      const double used = value.queue.queued() > 0 ? value.declared.floor : value.usage;
+      share -= std::min(used, value.declared.floor);
     }
   }
   const double least = std::max(own.declared.floor, 0.5 / classes.slots());
@@ -36,13 +38,14 @@
 }
 
 double higher_queued_s(const load_view& view, class_index row) {
-  double tokens = 0;
+  double seconds = 0;
   for (const class_index other : view.classes.order()) {
     if (view.classes.at(other).declared.rank < view.classes.at(row).declared.rank) {
-      tokens += static_cast<double>(view.classes.at(other).queue.queued_tokens());
+      const fair_queue& queue = view.classes.at(other).queue;
+      seconds += view.times.run_s(queue.queued(), static_cast<double>(queue.queued_tokens()));
     }
   }
-  return view.times.run_s(tokens);
+  return seconds;
 }
 
 struct shortfall {
@@ -53,7 +56,7 @@
 shortfall measure(time_point now, const load_view& view, const job& value, class_index row, double wait_s) {
   const config::priority_class& declared = view.classes.at(row).declared;
   const double first_token_s = view.times.first_token_s();
-  const double run_s = std::max(view.times.run_s(value.expected_tokens), first_token_s);
+  const double run_s = view.times.run_s(1, value.expected_tokens);
   shortfall result;
   // Targets are not applied to a job that starts at once: to serve it late is better than never, and the
   // run corrects an estimate that has become too high.
@@ -77,34 +80,40 @@
     return 0;
   }
   double least = std::numeric_limits<double>::max();
+  double rate = 0;  // Of ends of runs, if each were at a random point of its time.
   for (const class_index row : classes.order()) {
     for (const job_id id : classes.at(row).running) {
       const job_state& state = jobs.at(id);
-      const double left = times.run_s(state.expected_tokens) - seconds_of(now - state.started_at);
+      const double run_s = times.run_s(1, state.run_tokens);
+      const double left = run_s - seconds_of(now - state.started_at);
+      rate += run_s > 0 ? 1 / run_s : 0;
       least = std::min(least, std::max(left, 0.0));
     }
   }
-  return least;
+  // Runs longer than announced would make `least` 0 most of the time.
+  return rate > 0 ? std::max(least, 1 / rate) : least;
 }
 
 wait_estimate estimate_wait(const load_view& view, class_index row, const flow* own, double share) {
   const class_state& state = view.classes.at(row);
-  const auto own_tokens = own == nullptr ? 0.0 : static_cast<double>(own->queued_tokens);
-  const auto all_tokens = static_cast<double>(state.queue.queued_tokens());
+  const double own_s =
+      own == nullptr ? 0 : view.times.run_s(own->queued, static_cast<double>(own->queued_tokens));
+  const double all_s =
+      view.times.run_s(state.queue.queued(), static_cast<double>(state.queue.queued_tokens()));
   const bool active = own != nullptr && (own->queued > 0 || own->running > 0);
   const double shares = state.queue.active_share() + (active ? 0 : share);
   // Fair queueing serves the workspace at its share of the class, and never later than the whole queue.
-  const double ahead_tokens = std::min(all_tokens, own_tokens * shares / share);
+  const double ahead_s = std::min(all_s, own_s * shares / share);
   const double slots = slots_for(view.classes, row);
   const double higher_s = higher_queued_s(view, row) / view.classes.slots();
-  const auto wait = [&](double tokens) {
-    double queue_s = higher_s + view.times.run_s(tokens) / slots;
+  const auto wait = [&](double work_s) {
+    double queue_s = higher_s + work_s / slots;
     if (state.declared.floor > 0) {
-      queue_s = std::min(queue_s, view.times.run_s(tokens) / (state.declared.floor * view.classes.slots()));
+      queue_s = std::min(queue_s, work_s / (state.declared.floor * view.classes.slots()));
     }
-    return queue_s > 0 ? view.next_slot_s + queue_s : view.next_slot_s;
+    return view.next_slot_s + queue_s;
   };
-  return {wait(ahead_tokens), wait(0)};
+  return {wait(ahead_s), wait(0)};
 }
 
 admission judge(time_point now, const load_view& view, const job& value, class_index row, const flow* own,
--- a/source/core/scheduling/class_table.cpp
+++ b/source/core/scheduling/class_table.cpp
@@ -70,7 +70,8 @@
     const double owed = row.declared.floor * m_slots;
     const double debt = -std::max(owed * k_debt_s, 2 * k_quantum);
     const double claim = has_jobs(row) ? owed * k_claim_s : 0;
-    row.credit = std::clamp(row.credit + (owed - used) * elapsed, debt, claim);
+    const double change = std::max(owed - used, -static_cast<double>(row.running_on_credit));
+    row.credit = std::clamp(row.credit + change * elapsed, debt, claim);
     row.usage += weight * (used / m_slots - row.usage);
   }
 }
@@ -92,7 +93,9 @@
 }
 
 bool class_table::protected_by_floor(class_index row) const {
-  return at(row).declared.floor > 0 && at(row).credit > -k_quantum;
+  const class_state& state = at(row);
+  return static_cast<double>(state.running.size()) <= std::ceil(state.declared.floor * m_slots) &&
+         state.credit > -k_quantum;
 }
 
 }  // namespace cuminpath::scheduling
--- a/source/core/scheduling/class_table.h
+++ b/source/core/scheduling/class_table.h
@@ -17,8 +17,10 @@
   config::priority_class declared;
   fair_queue queue;
   std::vector<job_id> running;
-  // Slot-seconds that the class may claim before more urgent classes. Grows by the floor while the class
-  // has jobs, shrinks by the slots that it uses.
+  std::size_t running_on_credit = 0;  // Runs that were started on the floor's account.
+  // Slot-seconds that the class may claim before more urgent classes. Grows by what the class gets less than
+  // its floor while it has jobs; shrinks only by runs that were started on it, so that slot time which
+  // nobody else wanted is not held against the class when a flood of another class begins.
   double credit = 0;
   double usage = 0;  // Moving average of the share of the slots in use.
 };
@@ -39,7 +41,7 @@
   [[nodiscard]] std::uint32_t slots() const { return m_slots; }
   [[nodiscard]] std::uint32_t running() const;
   [[nodiscard]] std::uint32_t queued() const;
-  // The class has used less than its floor and its current run a short time: it is not preempted.
+  // The class runs no more than its floor: it is not preempted.
   [[nodiscard]] bool protected_by_floor(class_index row) const;
 
 private:
--- a/source/core/scheduling/fair_queue.cpp
+++ b/source/core/scheduling/fair_queue.cpp
@@ -63,7 +63,6 @@
 void fair_queue::push_front(job_id id, const job_state& value, double share) {
   flow& target = open(value.workspace_row, share);
   target.jobs.emplace_front(id, value.sequence);
-  target.finish_tag -= remaining_tokens(value) / target.share;
   ++target.queued;
   target.queued_tokens += remaining_tokens(value);
   ++m_queued;
@@ -94,14 +93,34 @@
   return std::nullopt;
 }
 
-void fair_queue::start_front(const job_table& jobs) {
-  const workspace_index workspace = m_order.begin()->second;
+std::optional<job_id> fair_queue::find_first(const job_table& jobs, std::size_t limit,
+                                             const std::function<bool(const flow&)>& accept) {
+  for (auto place = m_order.begin(); place != m_order.end() && limit > 0; --limit) {
+    flow& value = m_flows.at(place->second);
+    drop_dead(jobs, value);
+    if (value.jobs.empty()) {
+      place = m_order.erase(place);
+      continue;
+    }
+    if (accept(value)) {
+      return value.jobs.front().first;
+    }
+    ++place;
+  }
+  return std::nullopt;
+}
+
+void fair_queue::start(const job_table& jobs, workspace_index workspace) {
   flow& value = m_flows.at(workspace);
   const job_state& started = jobs.at(value.jobs.front().first);
-  m_virtual_time = std::max(m_virtual_time, value.start_tag);
-  m_order.erase(m_order.begin());
+  // Only the regular order moves the virtual time: a job that is preferred runs ahead of it.
+  if (m_order.begin()->second == workspace) {
+    m_virtual_time = std::max(m_virtual_time, value.start_tag);
+  }
+  m_order.erase({value.start_tag, workspace});
   value.jobs.pop_front();
-  value.finish_tag = value.start_tag + remaining_tokens(started) / value.share;
+  const double charged = started.has_run ? 0 : remaining_tokens(started) / value.share;
+  value.finish_tag = std::max(value.start_tag, value.finish_tag) + charged;
   --value.queued;
   value.queued_tokens -= remaining_tokens(started);
   ++value.running;
--- a/source/core/scheduling/fair_queue.h
+++ b/source/core/scheduling/fair_queue.h
@@ -27,12 +27,15 @@
 class fair_queue {
 public:
   void push_back(job_id id, const job_state& value, double share);
-  // A preempted job comes first in its workspace. Its unused tokens are given back.
+  // A preempted job comes first in its workspace. It is not charged again when it is resumed.
   void push_front(job_id id, const job_state& value, double share);
   // The job that is due, without removing it.
   std::optional<job_id> front(const job_table& jobs);
-  // Removes the job that front() returned and charges its tokens.
-  void start_front(const job_table& jobs);
+  // The first job of the first workspace in order whose flow `accept` takes, among the first `limit`.
+  std::optional<job_id> find_first(const job_table& jobs, std::size_t limit,
+                                   const std::function<bool(const flow&)>& accept);
+  // Removes the first job of a workspace and charges its tokens.
+  void start(const job_table& jobs, workspace_index workspace);
   // Accounts for a queued job that is cancelled; its entry is dropped when it comes to the front.
   void on_cancelled(const job_state& value);
   void on_run_ended(const job_state& value);
--- a/source/core/scheduling/job_table.h
+++ b/source/core/scheduling/job_table.h
@@ -21,10 +21,14 @@
   std::uint64_t sequence = 0;
   time_point deadline{};
   time_point queued_at{};
-  time_point started_at{};
+  time_point started_at{};       // Of the present run.
+  time_point first_token_at{};   // Of the present run, if it has produced tokens.
+  std::uint32_t run_tokens = 0;  // Announced for the present run.
+  std::uint32_t run_produced = 0;
   bool preemptible = false;
   bool running = false;
   bool has_run = false;
+  bool on_credit = false;  // The present run was started on the floor's account.
 };
 
 // Tokens that the next run is expected to need.
--- a/source/core/scheduling/preemption.cpp
+++ b/source/core/scheduling/preemption.cpp
@@ -2,25 +2,44 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace cuminpath::scheduling {
 namespace {
 
-// Runs of a workspace above its share of the runs of its class.
-double excess(const class_state& state, const flow& value) {
-  const double share = value.share / std::max(state.queue.active_share(), value.share);
-  return value.running - share * static_cast<double>(state.running.size());
+// Part of its share below which a workspace may preempt. 0.5 left a small workspace with two runs waiting.
+constexpr double k_clearly_below = 0.75;
+
+double entitled(const class_state& state, const flow& value) {
+  const bool active = value.queued > 0 || value.running > 0;
+  const double shares = state.queue.active_share() + (active ? 0 : value.share);
+  return value.share / std::max(shares, value.share) * static_cast<double>(state.running.size());
 }
 
-// Whether the waiting job's workspace is below its share by a run that the victim's workspace has too much.
-bool unfair(const class_state& state, const job_state& waiting, const job_state& running) {
-  const flow& gains = *state.queue.find(waiting.workspace_row);
-  const flow& loses = *state.queue.find(running.workspace_row);
-  return excess(state, gains) <= -1 && excess(state, loses) >= 1;
+std::optional<job_id> choose_in(time_point now, const preempt_running& policy, const class_state& state,
+                                const job_table& jobs, double min_excess) {
+  std::optional<job_id> best;
+  std::pair<double, time_point> best_key;
+  for (const job_id id : state.running) {
+    const job_state& candidate = jobs.at(id);
+    const flow& owner = *state.queue.find(candidate.workspace_row);
+    const double over = owner.running - entitled(state, owner);
+    const std::pair key(over, candidate.started_at);
+    if (candidate.preemptible && now - candidate.started_at >= policy.min_run && over >= min_excess &&
+        (!best || key > best_key)) {
+      best = id;
+      best_key = key;
+    }
+  }
+  return best;
 }
 
 }  // namespace
 
+bool clearly_below_share(const class_state& state, const flow& own) {
+  return own.running + 1 <= k_clearly_below * entitled(state, own);
+}
+
 bool may_preempt(time_point now, const preempt_running& policy, const config::priority_class& declared,
                  const job_state& waiting) {
   const milliseconds target =
@@ -29,37 +48,28 @@
   return target.count() > 0 && now - waiting.queued_at >= patience;
 }
 
-std::optional<job_id> choose_victim(time_point now, const preempt_running& policy, const class_table& classes,
-                                    const job_table& jobs, const job_state& waiting) {
-  const std::uint32_t rank = classes.at(waiting.class_row).declared.rank;
-  for (const class_index row : std::views::reverse(classes.order())) {
-    const class_state& state = classes.at(row);
-    const bool same = row == waiting.class_row;
-    if (state.declared.rank < rank || (same && !policy.between_workspaces)) {
+std::optional<job_id> choose_victim_below(time_point now, const preempt_running& policy,
+                                          const class_table& classes, const job_table& jobs,
+                                          class_index row) {
+  constexpr double k_any = -1e9;
+  for (const class_index other : std::views::reverse(classes.order())) {
+    const class_state& state = classes.at(other);
+    if (state.declared.rank <= classes.at(row).declared.rank) {
       return std::nullopt;
     }
-    if (!same && (state.declared.rank == rank || classes.protected_by_floor(row))) {
+    if (classes.protected_by_floor(other)) {
       continue;
     }
-    std::optional<job_id> best;
-    for (const job_id id : state.running) {
-      const job_state& candidate = jobs.at(id);
-      if (!candidate.preemptible || now - candidate.started_at < policy.min_run ||
-          (same && !unfair(state, waiting, candidate))) {
-        continue;
-      }
-      const auto key = [&](const job_state& value) {
-        return std::pair(excess(state, *state.queue.find(value.workspace_row)), value.started_at);
-      };
-      if (!best || key(candidate) > key(jobs.at(*best))) {
-        best = id;
-      }
-    }
-    if (best) {
-      return best;
+    if (const auto victim = choose_in(now, policy, state, jobs, k_any)) {
+      return victim;
     }
   }
   return std::nullopt;
 }
 
+std::optional<job_id> choose_victim_in_class(time_point now, const preempt_running& policy,
+                                             const class_state& state, const job_table& jobs) {
+  return policy.between_workspaces ? choose_in(now, policy, state, jobs, 1) : std::nullopt;
+}
+
 }  // namespace cuminpath::scheduling
--- a/source/core/scheduling/preemption.h
+++ b/source/core/scheduling/preemption.h
@@ -8,12 +8,22 @@
 
 namespace cuminpath::scheduling {
 
-// Whether the first job of the class has waited long enough to preempt.
+// Whether the first job of the class has waited long enough to preempt a run of a lower class.
 bool may_preempt(time_point now, const preempt_running& policy, const config::priority_class& declared,
                  const job_state& waiting);
 
-// The run of the least urgent class, of its workspace that is furthest above its share, that started last.
-std::optional<job_id> choose_victim(time_point now, const preempt_running& policy, const class_table& classes,
-                                    const job_table& jobs, const job_state& waiting);
+// A run of the least urgent class below `row`, of the workspace that is furthest above its share, the last
+// one that started. Runs that a class's floor protects are left alone.
+std::optional<job_id> choose_victim_below(time_point now, const preempt_running& policy,
+                                          const class_table& classes, const job_table& jobs, class_index row);
+
+// Whether a workspace with one run more still has clearly less than its share. Smaller differences are left
+// to the queue: between equal workspaces they come and go, and each exchange costs a restart.
+bool clearly_below_share(const class_state& state, const flow& own);
+
+// A run of the same class whose workspace is above its share by at least a run. For a job of a workspace
+// that is clearly below its share.
+std::optional<job_id> choose_victim_in_class(time_point now, const preempt_running& policy,
+                                             const class_state& state, const job_table& jobs);
 
 }  // namespace cuminpath::scheduling
--- a/source/core/scheduling/run_time_estimator.cpp
+++ b/source/core/scheduling/run_time_estimator.cpp
@@ -18,8 +18,12 @@
   average(m_first_token_s, elapsed_s);
 }
 
-void run_time_estimator::on_finished(double elapsed_s, std::uint32_t expected_tokens) {
-  average(m_token_s, elapsed_s / std::max(expected_tokens, 1U));
+void run_time_estimator::on_decoded(double elapsed_s, std::uint32_t tokens) {
+  average(m_token_s, elapsed_s / std::max(tokens, 1U));
+}
+
+void run_time_estimator::on_length(std::uint32_t tokens, std::uint32_t announced) {
+  average(m_length_ratio, static_cast<double>(tokens) / std::max(announced, 1U));
 }
 
 }  // namespace cuminpath::scheduling
--- a/source/core/scheduling/scheduler.cpp
+++ b/source/core/scheduling/scheduler.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr seconds k_prune_interval{1};
+// Workspaces in the order of the queue that are looked at for one that is clearly below its share. Bounds
+// the cost of a tick; such a workspace is near the front, because it has used little.
+constexpr std::size_t k_preference_depth = 8;
 
 struct queued_deadline {
   time_point at{};
@@ -57,7 +60,7 @@
 
   workspace_index workspace_row(const std::string& name);
   [[nodiscard]] double share_of(workspace_index row) const;
-  [[nodiscard]] double slot_wait_s(time_point now, class_index row) const;
+  [[nodiscard]] double slot_wait_s(time_point now, class_index row, const flow* own, double share) const;
   [[nodiscard]] std::uint32_t slots_open_to(class_index row) const;
   [[nodiscard]] std::optional<milliseconds> over_queue_limit(const class_state& row, const flow* own,
                                                              const load_view& view, class_index index) const;
@@ -65,7 +68,7 @@
   void remove_running(const job_state& state, job_id id);
   void expire(time_point now, std::vector<decision>& decisions);
   bool start_next(time_point now, std::vector<decision>& decisions);
-  void start(time_point now, class_index row, job_id id, std::vector<decision>& decisions);
+  void start(time_point now, class_index row, job_id id, bool on_credit, std::vector<decision>& decisions);
   bool preempt_next(time_point now, const preempt_running& policy, std::vector<decision>& decisions);
 
   scheduler_options m_options;
@@ -113,16 +116,21 @@
 }
 
 // Seconds until a job of the class gets a slot if it is the first in the queue.
-double scheduler::impl::slot_wait_s(time_point now, class_index row) const {
+double scheduler::impl::slot_wait_s(time_point now, class_index row, const flow* own, double share) const {
   const double natural = next_slot_s(now, m_classes, m_jobs, m_times);
   const auto* policy = std::get_if<preempt_running>(&m_options.urgent);
   if (policy == nullptr || natural == 0) {
     return natural;
   }
-  const job_state probe{.class_row = row};
-  const preempt_running across{policy->min_run, policy->patience, false};
-  const config::priority_class& declared = m_classes.at(row).declared;
-  if (!choose_victim(now, across, m_classes, m_jobs, probe)) {
+  const class_state& state = m_classes.at(row);
+  flow fresh;
+  fresh.share = share;
+  if (clearly_below_share(state, own == nullptr ? fresh : *own) &&
+      choose_victim_in_class(now, *policy, state, m_jobs)) {
+    return 0;
+  }
+  const config::priority_class& declared = state.declared;
+  if (!choose_victim_below(now, *policy, m_classes, m_jobs, row)) {
     return natural;
   }
   const milliseconds target =
@@ -155,7 +163,7 @@
   const workspace_index workspace =
       m_options.fair_queueing ? workspace_row(value.workspace) : workspace_row(std::string());
   const flow* own = m_classes.at(row).queue.find(workspace);
-  const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row)};
+  const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row, own, share_of(workspace))};
   if (const auto retry_after = over_queue_limit(m_classes.at(row), own, view, row)) {
     return refused{wire::refusal_reason::queue_full, *retry_after};
   }
@@ -204,14 +212,19 @@
   }
 }
 
-void scheduler::impl::start(time_point now, class_index row, job_id id, std::vector<decision>& decisions) {
+void scheduler::impl::start(time_point now, class_index row, job_id id, bool on_credit,
+                            std::vector<decision>& decisions) {
   class_state& state = m_classes.at(row);
-  state.queue.start_front(m_jobs);
   job_state& started = m_jobs.at(id);
+  state.queue.start(m_jobs, started.workspace_row);
   started.running = true;
   started.started_at = now;
   started.sequence = ++m_sequence;
+  started.run_tokens = remaining_tokens(started);
+  started.run_produced = 0;
+  started.on_credit = on_credit;
   state.running.push_back(id);
+  state.running_on_credit += on_credit ? 1 : 0;
   decisions.emplace_back(start_job{id, started.has_run});
   started.has_run = true;
 }
@@ -221,38 +234,48 @@
   const auto startable = [&](class_index row) {
     return running < slots_open_to(row) && m_classes.at(row).queue.queued() > 0;
   };
-  const auto try_start = [&](class_index row) {
+  const auto try_start = [&](class_index row, bool on_credit) {
     const auto id = m_classes.at(row).queue.front(m_jobs);
     if (id) {
-      start(now, row, *id, decisions);
+      start(now, row, *id, on_credit, decisions);
     }
     return id.has_value();
   };
   if (m_options.floors) {
+    // A start that takes the slot from nobody is not charged to the floor's account.
+    bool more_urgent_waits = false;
     for (const class_index row : m_classes.order()) {
-      if (startable(row) && m_classes.at(row).credit > 0 && try_start(row)) {
+      if (startable(row) && m_classes.at(row).credit > 0 && try_start(row, more_urgent_waits)) {
         return true;
       }
+      more_urgent_waits = more_urgent_waits || m_classes.at(row).queue.queued() > 0;
     }
   }
   return std::any_of(m_classes.order().begin(), m_classes.order().end(),
-                     [&](class_index row) { return startable(row) && try_start(row); });
+                     [&](class_index row) { return startable(row) && try_start(row, false); });
 }
 
 bool scheduler::impl::preempt_next(time_point now, const preempt_running& policy,
                                    std::vector<decision>& decisions) {
   for (const class_index row : m_classes.order()) {
-    const auto waiting = m_classes.at(row).queue.front(m_jobs);
-    if (!waiting || !may_preempt(now, policy, m_classes.at(row).declared, m_jobs.at(*waiting))) {
-      continue;
+    class_state& state_of_class = m_classes.at(row);
+    auto waiting = state_of_class.queue.find_first(m_jobs, k_preference_depth, [&](const flow& own) {
+      return clearly_below_share(state_of_class, own);
+    });
+    auto victim = waiting ? choose_victim_in_class(now, policy, state_of_class, m_jobs) : std::nullopt;
+    if (!victim) {
+      waiting = state_of_class.queue.front(m_jobs);
+      if (waiting && may_preempt(now, policy, state_of_class.declared, m_jobs.at(*waiting))) {
+        victim = choose_victim_below(now, policy, m_classes, m_jobs, row);
+      }
     }
-    const auto victim = choose_victim(now, policy, m_classes, m_jobs, m_jobs.at(*waiting));
     if (victim) {
+      decisions.emplace_back(preempt_job{*victim});
+      // In this order, because the victim may come before the waiting job once it is queued again.
+      start(now, row, *waiting, false, decisions);
       job_state& state = m_jobs.at(*victim);
       remove_running(state, *victim);
       enqueue(*victim, state, true);
-      decisions.emplace_back(preempt_job{*victim});
-      start(now, row, *waiting, decisions);
       return true;
     }
   }
@@ -282,9 +305,11 @@
     return;
   }
   job_state& state = found->second;
-  if (state.produced_tokens == 0) {
+  if (state.run_produced == 0) {
+    state.first_token_at = now;
     m_times.on_first_token(seconds_of(now - state.started_at));
   }
+  state.run_produced += count;
   const std::uint32_t before = std::max(state.produced_tokens, state.expected_tokens);
   state.produced_tokens += count;
   if (state.produced_tokens > before) {
@@ -295,6 +320,7 @@
 void scheduler::impl::remove_running(const job_state& state, job_id id) {
   class_state& row = m_classes.at(state.class_row);
   std::erase(row.running, id);
+  row.running_on_credit -= state.on_credit ? 1 : 0;
   row.queue.on_run_ended(state);
 }
 
@@ -305,7 +331,12 @@
     return;
   }
   const job_state& state = found->second;
-  m_times.on_finished(seconds_of(now - state.started_at), state.expected_tokens);
+  if (state.run_produced > 0) {
+    m_times.on_decoded(seconds_of(now - state.first_token_at), state.run_produced);
+    m_times.on_length(state.produced_tokens, state.expected_tokens);
+  } else {
+    m_times.on_first_token(seconds_of(now - state.started_at));
+  }
   remove_running(state, id);
   m_jobs.erase(found);
 }
@@ -344,9 +375,12 @@
   std::vector<wire::class_load> result;
   for (const class_index row : m_classes.order()) {
     const class_state& state = m_classes.at(row);
-    const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row)};
+    // The wait of a workspace that has used its share and queues behind the whole class.
     flow whole;
+    whole.queued = state.queue.queued();
     whole.queued_tokens = state.queue.queued_tokens();
+    whole.running = static_cast<std::uint32_t>(state.running.size());
+    const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row, &whole, 1)};
     const double wait_s = estimate_wait(view, row, &whole, 1).wait_s;
     result.push_back({state.declared.name, state.queue.queued(),
                       static_cast<std::uint32_t>(state.running.size()),
