--- /dev/null
+++ b/source/core/agent/agent_admin.h
@@ -0,0 +1,27 @@
+// The agent's interface for operators (section 10 of the design).
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/agent/agent_core.h"
+#include "core/http/message.h"
+#include "core/telemetry/metrics.h"
+#include "core/telemetry/timeline.h"
+#include "core/transport/mailbox.h"
+
+namespace cuminpath::agent {
+
+struct admin_view {
+  const std::string& name;
+  const std::string& operator_key_sha256;
+  const agent_core& core;
+  const telemetry::metrics& metrics;
+  const telemetry::timeline& timeline;
+  transport::mailbox_counters links;
+  std::function<void()> drain;
+};
+
+http::response respond_to_operator(time_point now, const http::request& request, const admin_view& view);
+
+}  // namespace cuminpath::agent
--- /dev/null
+++ b/source/core/agent/agent_process.cpp
@@ -0,0 +1,519 @@
+#include "core/agent/agent_process.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <unordered_map>
+
+#include "core/agent/agent_admin.h"
+#include "core/agent/agent_core.h"
+#include "core/common/hash.h"
+#include "core/http/client.h"
+#include "core/http/server.h"
+#include "core/membership/member_table.h"
+#include "core/platform/host_list_client.h"
+#include "core/platform/object_client.h"
+#include "core/rollout/rollout.h"
+#include "core/telemetry/log.h"
+#include "core/transport/mailbox.h"
+
+namespace cuminpath::agent {
+namespace {
+
+constexpr milliseconds k_tick_interval{10};
+constexpr std::size_t k_timeline_events = 2000;
+constexpr milliseconds k_probe_interval{1000};
+constexpr milliseconds k_probe_timeout{900};
+// One failed probe may be a delay on a busy host.
+constexpr int k_failed_probes = 2;
+// Without a configuration the agent needs the addresses of peers soon. Afterwards the whole list, about
+// 2.6 MB at 13,200 hosts, is fetched so rarely that it costs under 1.5 KB a second.
+constexpr seconds k_host_list_retry{2};
+constexpr std::chrono::minutes k_host_list_interval{30};
+constexpr std::size_t k_max_configuration_peers = 16;
+// Entries stop choosing a leaving upstream within 3 s (invariant 5). Until then attempts may still arrive,
+// and an answer of "not run" tells their entries that they can go elsewhere.
+constexpr seconds k_min_drain{3};
+// nng has handed the last messages to the socket by then; closing earlier would drop them.
+constexpr milliseconds k_linger{500};
+
+std::uint64_t wall_ms() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+std::uint64_t random_seed() {
+  constexpr unsigned k_half = 32;
+  std::random_device source;  // Gives 32 bits at a time.
+  return (std::uint64_t{source()} << k_half) | source();
+}
+
+std::string_view name_of(wire::refusal_reason reason) {
+  switch (reason) {
+    case wire::refusal_reason::draining:
+      return "draining";
+    case wire::refusal_reason::stale_configuration:
+      return "stale_configuration";
+    case wire::refusal_reason::infeasible:
+      return "infeasible";
+    case wire::refusal_reason::queue_full:
+      return "queue_full";
+    case wire::refusal_reason::over_share:
+      return "over_share";
+    case wire::refusal_reason::deadline_passed:
+      return "deadline_passed";
+    case wire::refusal_reason::duplicate_attempt:
+      return "duplicate_attempt";
+    case wire::refusal_reason::upstream_failed:
+      return "upstream_failed";
+    case wire::refusal_reason::unknown_upstream:
+      return "unknown_upstream";
+    case wire::refusal_reason::cancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+telemetry::log_level level_of(std::string_view name) {
+  using telemetry::log_level;
+  for (const auto& [known, level] :
+       {std::pair("trace", log_level::trace), std::pair("debug", log_level::debug),
+        std::pair("warning", log_level::warning), std::pair("error", log_level::error)}) {
+    if (name == known) {
+      return level;
+    }
+  }
+  return log_level::info;
+}
+
+// All functions run on the thread of the io_context.
+class agent_process {
+public:
+  explicit agent_process(const config::daemon_settings& settings)
+      : m_settings(settings),
+        m_random(random_seed()),
+        m_incarnation(incarnation{m_random()}),
+        m_timeline(settings.name, k_timeline_events),
+        m_client(m_context),
+        m_objects(m_client, settings.platform.objects),
+        m_hosts(m_client, settings.platform.hosts),
+        m_core({.host = settings.host, .max_queued = settings.agent.max_queued, .attempts = {}}),
+        m_members({.name = settings.host,
+                   .role = platform::host_role::agent,
+                   .availability_zone = settings.availability_zone,
+                   .number = m_incarnation}),
+        m_rollout(
+            {.name = settings.host, .availability_zone = settings.availability_zone, .may_poll = false}),
+        m_signals(m_context, SIGTERM, SIGINT),
+        m_timer(m_context) {}
+
+  int run() {
+    if (!listen()) {
+      return EXIT_FAILURE;
+    }
+    m_rollout.set_peers(m_settings.seed_peers);
+    wait_for_signal();
+    m_next_tick = clock::now();
+    on_timer();
+    m_context.run();
+    telemetry::log(telemetry::log_level::info, "agent", "drained");
+    return EXIT_SUCCESS;
+  }
+
+private:
+  bool listen() {
+    auto box = transport::mailbox::open(
+        m_context, {.name = m_settings.name, .address = m_settings.peer_address, .number = m_incarnation},
+        {.received = [this](wire::envelope value) { on_envelope(std::move(value)); },
+         .lost = [this](std::string_view peer,
+                        transport::link_loss loss) { on_link_lost(std::string(peer), loss); }});
+    if (!box) {
+      telemetry::log(telemetry::log_level::error, "agent", box.error().message);
+      return false;
+    }
+    m_mailbox = std::move(box.value());
+    auto admin = http::server::start(m_context, {.address = m_settings.admin_address},
+                                     [this](const http::request& request, const auto& responder) {
+                                       responder->respond(respond_to_operator(clock::now(), request, view()));
+                                     });
+    if (!admin) {
+      telemetry::log(telemetry::log_level::error, "agent", admin.error().message);
+      return false;
+    }
+    m_admin = std::move(admin.value());
+    telemetry::log(telemetry::log_level::info, "agent", "listening",
+                   {{"peer_address", m_mailbox->address()}, {"admin_address", m_admin->address()}});
+    return true;
+  }
+
+  admin_view view() {
+    return {.name = m_settings.name,
+            .operator_key_sha256 = m_settings.operator_key_sha256,
+            .core = m_core,
+            .metrics = m_metrics,
+            .timeline = m_timeline,
+            .links = m_mailbox->counters(),
+            .drain = [this] { start_drain(); }};
+  }
+
+  void wait_for_signal() {
+    m_signals.async_wait([this](const std::error_code& code, int) {
+      if (code) {
+        return;
+      }
+      if (m_signalled) {
+        std::_Exit(EXIT_FAILURE);
+      }
+      m_signalled = true;
+      start_drain();
+      wait_for_signal();
+    });
+  }
+
+  void start_drain() {
+    const auto now = clock::now();
+    if (m_core.draining()) {
+      return;
+    }
+    telemetry::log(telemetry::log_level::info, "agent", "drain started");
+    m_drain_started = now;
+    m_members.leave(now);
+    std::vector<action> actions;
+    m_core.drain(now, actions);
+    execute(actions);
+  }
+
+  // --- Messages ---
+
+  void on_envelope(wire::envelope value) {
+    const auto now = clock::now();
+    m_hybrid_clock.receive(wall_ms(), value.logical_time);
+    m_members.on_message(now, value.sender_address, value.sender_incarnation);
+    std::vector<rollout::action> rollout_actions;
+    m_rollout.on_peer_version(now, value.sender_address, value.version, rollout_actions);
+    std::vector<action> actions;
+    const message_source from{.address = value.sender_address, .version = value.version};
+    for (auto& item : value.messages) {
+      if (const auto* heartbeat = std::get_if<wire::heartbeat>(&item)) {
+        m_members.on_heartbeat(now, value.sender_address, value.sender_incarnation, *heartbeat);
+      } else if (const auto* fetch = std::get_if<wire::configuration_fetch>(&item)) {
+        m_rollout.on_fetch(now, value.sender_address, *fetch, rollout_actions);
+      } else if (const auto* sections = std::get_if<wire::configuration_sections>(&item)) {
+        m_rollout.on_sections(now, value.sender_address, *sections, rollout_actions);
+      } else {
+        m_core.on_message(now, from, std::move(item), actions);
+      }
+    }
+    execute(rollout_actions);
+    execute(actions);
+  }
+
+  void on_link_lost(const std::string& peer, transport::link_loss loss) {
+    const auto now = clock::now();
+    telemetry::log(telemetry::log_level::info, "agent", "link lost",
+                   {{"peer", peer}, {"loss", static_cast<std::int64_t>(loss)}});
+    m_metrics.add("cuminpath_links_lost_total");
+    m_members.on_link_lost(now, peer);
+    std::vector<action> actions;
+    m_core.on_peer_lost(now, peer, actions);
+    execute(actions);
+  }
+
+  void send(std::string_view peer, wire::message message) {
+    m_mailbox->send(peer, std::move(message));
+    request_flush();
+  }
+
+  // Everything that the handlers ready at this moment send to a peer shares an envelope; waiting for the next
+  // tick would add up to 10 ms to each token.
+  void request_flush() {
+    if (m_flush_requested) {
+      return;
+    }
+    m_flush_requested = true;
+    asio::post(m_context, [this] {
+      m_flush_requested = false;
+      m_mailbox->flush(m_core.version(), m_hybrid_clock.tick(wall_ms()));
+    });
+  }
+
+  // --- Actions of the core ---
+
+  void execute(std::vector<action>& actions) {
+    for (auto& item : actions) {
+      std::visit([this](auto& value) { execute_one(value); }, item);
+    }
+  }
+
+  void execute_one(send_message& value) {
+    count(value.message);
+    send(value.peer_address, std::move(value.message));
+  }
+
+  void execute_one(start_run& value) {
+    const auto run = value.id;
+    m_metrics.add("cuminpath_agent_runs_total");
+    // The process may have been paused since the core checked the time.
+    if (clock::now() >= value.deadline) {
+      asio::post(m_context, [this, run] {
+        report([run](agent_core& core, time_point now, auto& actions) {
+          core.on_run_failed(now, run, {error_code::timed_out, "the deadline passed before the start", false},
+                             actions);
+        });
+      });
+      return;
+    }
+    const auto call = m_client.stream(m_settings.agent.upstream_url, std::move(value.request), value.options,
+                                      handler_of(run));
+    m_calls.emplace(run, call);
+  }
+
+  http::stream_handler handler_of(run_id run) {
+    return {.head =
+                [this, run](int status, const http::header_list& headers) {
+                  report([&](agent_core& core, time_point now, auto& actions) {
+                    core.on_run_head(now, run, status, headers, actions);
+                  });
+                },
+            .data =
+                [this, run](const std::string& data) {
+                  report([&](agent_core& core, time_point now, auto& actions) {
+                    core.on_run_data(now, run, data, actions);
+                  });
+                },
+            .end =
+                [this, run] {
+                  m_calls.erase(run);
+                  report([&](agent_core& core, time_point now, auto& actions) {
+                    core.on_run_end(now, run, actions);
+                  });
+                },
+            .failure =
+                [this, run](const http::call_failure& failure) {
+                  m_calls.erase(run);
+                  report([&](agent_core& core, time_point now, auto& actions) {
+                    core.on_run_failed(now, run, failure, actions);
+                  });
+                }};
+  }
+
+  void execute_one(const cancel_run& value) {
+    if (const auto found = m_calls.find(value.id); found != m_calls.end()) {
+      m_client.cancel(found->second);
+      m_calls.erase(found);
+    }
+  }
+
+  void execute_one(record_event& value) {
+    m_timeline.record(m_hybrid_clock.tick(wall_ms()), value.kind, std::move(value.detail));
+  }
+
+  // The group switch participant and coordinator handle these messages once they exist; until then a peer
+  // that sends one gets no response.
+  void execute_one(const pass_group_message& value) {
+    m_metrics.add("cuminpath_agent_group_messages_dropped_total");
+    telemetry::log(telemetry::log_level::debug, "agent", "no handler for a group message",
+                   {{"peer", value.peer_address}});
+  }
+
+  template <class function>
+  void report(function event) {
+    std::vector<action> actions;
+    event(m_core, clock::now(), actions);
+    execute(actions);
+  }
+
+  void count(const wire::message& message) {
+    if (const auto* refusal = std::get_if<wire::refusal>(&message)) {
+      const bool not_run = refusal->ran == wire::execution::not_run;
+      m_metrics.add("cuminpath_agent_refusals_total", {{"reason", std::string(name_of(refusal->reason))},
+                                                       {"execution", not_run ? "not_run" : "unknown"}});
+    } else if (const auto* chunk = std::get_if<wire::answer_chunk>(&message)) {
+      m_metrics.add("cuminpath_agent_tokens_total", {}, chunk->tokens);
+    } else if (std::holds_alternative<wire::answer_end>(message)) {
+      m_metrics.add("cuminpath_agent_answers_total");
+    }
+  }
+
+  // --- Configuration ---
+
+  void execute(std::vector<rollout::action>& actions) {
+    for (auto& item : actions) {
+      std::visit([this](auto& value) { execute_one(value); }, item);
+    }
+  }
+
+  void execute_one(const rollout::poll_head&) {}  // Agents do not poll.
+
+  void execute_one(rollout::fetch_object& value) {
+    m_objects.fetch(value.digest, [this, digest = value.digest](result<std::string> content) {
+      std::vector<rollout::action> actions;
+      if (content) {
+        m_rollout.on_object(clock::now(), digest, std::move(content.value()), actions);
+      } else {
+        m_rollout.on_object_failed(clock::now(), digest, actions);
+      }
+      execute(actions);
+    });
+  }
+
+  void execute_one(rollout::send_message& value) { send(value.peer_address, std::move(value.message)); }
+
+  void execute_one(rollout::configuration_in_force& value) {
+    const auto now = clock::now();
+    const auto version = to_integer(value.version);
+    m_timeline.record(m_hybrid_clock.tick(wall_ms()), "configuration_applied", std::to_string(version));
+    telemetry::log(telemetry::log_level::info, "agent", "configuration in force",
+                   {{"version", static_cast<std::int64_t>(version)}});
+    std::vector<action> actions;
+    m_core.on_configuration(now, value.version, std::move(value.manifest), actions);
+    execute(actions);
+  }
+
+  void fetch_host_list(time_point now) {
+    if (m_settings.platform.hosts.empty() || now < m_next_host_list) {
+      return;
+    }
+    m_next_host_list = now + k_host_list_retry;
+    m_hosts.fetch([this](const result<platform::host_list>& hosts) {
+      if (!hosts) {
+        return;
+      }
+      const auto received = clock::now();
+      if (m_core.version() != configuration_version{}) {
+        // Spread over the interval, so that the hosts of a fleet that starts at once do not ask together.
+        m_next_host_list = received + k_host_list_interval / 2 +
+                           milliseconds(random_index(m_random, milliseconds(k_host_list_interval).count()));
+      }
+      m_members.on_host_list(received, hosts.value());
+      m_rollout.set_peers(configuration_peers());
+    });
+  }
+
+  // Entries of the own availability zone first: they hear of a new configuration soonest.
+  std::vector<std::string> configuration_peers() {
+    auto entries = m_members.members(platform::host_role::entry);
+    std::shuffle(entries.begin(), entries.end(), m_random);
+    std::stable_partition(entries.begin(), entries.end(), [this](const platform::host_entry& entry) {
+      return entry.availability_zone == m_settings.availability_zone;
+    });
+    std::vector<std::string> peers = m_settings.seed_peers;
+    for (const auto& entry : entries) {
+      if (peers.size() >= k_max_configuration_peers) {
+        break;
+      }
+      peers.push_back(entry.peer_address);
+    }
+    return peers;
+  }
+
+  // --- Time ---
+
+  void on_timer() {
+    const auto now = clock::now();
+    std::vector<action> actions;
+    m_core.tick(now, actions);
+    execute(actions);
+    std::vector<rollout::action> rollout_actions;
+    m_rollout.tick(now, m_random, rollout_actions);
+    execute(rollout_actions);
+    std::vector<membership::send_heartbeat> heartbeats;
+    m_members.tick(now, m_random, heartbeats);
+    for (auto& heartbeat : heartbeats) {
+      send(heartbeat.peer_address, std::move(heartbeat.message));
+    }
+    fetch_host_list(now);
+    probe_upstream(now);
+    if (drain_complete(now)) {
+      m_context.stop();
+      return;
+    }
+    m_next_tick = std::max(m_next_tick + k_tick_interval, now);
+    m_timer.expires_at(m_next_tick);
+    m_timer.async_wait([this](const std::error_code& code) {
+      if (!code) {
+        on_timer();
+      }
+    });
+  }
+
+  bool drain_complete(time_point now) {
+    if (!m_core.drained() || m_mailbox->counters().queued_bytes > 0) {
+      m_drained_since = now;
+      return false;
+    }
+    return now >= m_drain_started + k_min_drain && now >= m_drained_since + k_linger;
+  }
+
+  // An engine reports its load; a service has no such path, so it is only asked whether it responds again
+  // after a call has failed to reach it.
+  void probe_upstream(time_point now) {
+    const auto* upstream = m_core.upstream();
+    if (upstream == nullptr || m_probing || now < m_next_probe) {
+      return;
+    }
+    const bool engine = upstream->kind == config::upstream_kind::engine;
+    if (!engine && m_core.load(now).upstream_healthy) {
+      return;
+    }
+    m_probing = true;
+    m_next_probe = now + k_probe_interval;
+    http::request request{.method = engine ? "GET" : "HEAD", .target = engine ? "/v1/load" : "/"};
+    m_client.call(m_settings.agent.upstream_url, std::move(request), {.timeout = k_probe_timeout},
+                  [this](const http::client::whole_response& response) {
+                    m_probing = false;
+                    m_failed_probes = response.failure ? m_failed_probes + 1 : 0;
+                    if (m_failed_probes == 0 || m_failed_probes >= k_failed_probes) {
+                      report([this](agent_core& core, time_point, auto& actions) {
+                        core.on_upstream_health(m_failed_probes == 0, actions);
+                      });
+                    }
+                  });
+  }
+
+  const config::daemon_settings& m_settings;
+  asio::io_context m_context;
+  random_source m_random;
+  incarnation m_incarnation;
+  telemetry::metrics m_metrics;
+  telemetry::hybrid_clock m_hybrid_clock;
+  telemetry::timeline m_timeline;
+  http::client m_client;
+  platform::object_client m_objects;
+  platform::host_list_client m_hosts;
+  agent_core m_core;
+  membership::member_table m_members;
+  rollout::rollout m_rollout;
+  std::unique_ptr<transport::mailbox> m_mailbox;
+  std::unique_ptr<http::server> m_admin;
+  std::unordered_map<run_id, http::call_id> m_calls;
+  asio::signal_set m_signals;
+  asio::steady_timer m_timer;
+  time_point m_next_tick{};
+  time_point m_next_probe{};
+  time_point m_next_host_list{};
+  time_point m_drain_started{};
+  time_point m_drained_since{};
+  int m_failed_probes = 0;
+  bool m_probing = false;
+  bool m_signalled = false;
+  bool m_flush_requested = false;
+};
+
+}  // namespace
+
+int run(const config::daemon_settings& settings) {
+  telemetry::start_logging(settings.name, level_of(settings.log.level));
+  for (const auto& [subsystem, level] : settings.log.subsystems) {
+    telemetry::set_log_level(subsystem, level_of(level));
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  agent_process process(settings);
+  return process.run();
+}
+
+}  // namespace cuminpath::agent
--- /dev/null
+++ b/source/core/agent/agent_runs.cpp
@@ -0,0 +1,250 @@
+// The part of agent_core that starts runs on the upstream and forwards their events.
+#include <algorithm>
+
+#include "core/agent/agent_core.h"
+#include "core/agent/upstream_request.h"
+#include "core/common/assert.h"
+
+namespace cuminpath::agent {
+namespace {
+
+constexpr std::string_view k_last_event = "[DONE]";
+constexpr int k_status_ok = 200;
+constexpr int k_status_bad_request = 400;
+constexpr int k_status_too_many = 429;
+constexpr int k_status_server_error = 500;
+
+bool is_model(const attempt& value) {
+  return value.request.kind != wire::request_kind::service;
+}
+
+// An engine's statement that the request itself is at fault goes to the caller; any other failure leaves the
+// entry free to try another replica.
+bool passes_to_caller(int status) {
+  return status >= k_status_bad_request && status < k_status_server_error && status != k_status_too_many;
+}
+
+}  // namespace
+
+void agent_core::schedule(time_point now, std::vector<action>& actions) {
+  std::vector<scheduling::decision> decisions;
+  m_scheduler.tick(now, decisions);
+  for (const auto& item : decisions) {
+    std::visit([&](const auto& decision) { apply(now, decision, actions); }, item);
+  }
+}
+
+void agent_core::apply(time_point now, const scheduling::start_job& decision, std::vector<action>& actions) {
+  auto* value = m_attempts.find(decision.id);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->deadline <= now) {
+    break_off(now, *value, wire::refusal_reason::deadline_passed, "", actions);
+    return;
+  }
+  auto request = upstream_request(*value);
+  if (!request) {
+    break_off(now, *value, wire::refusal_reason::unknown_upstream, request.error().message, actions);
+    return;
+  }
+  auto remaining = std::chrono::ceil<milliseconds>(value->deadline - now);
+  if (!value->request.repeatable) {
+    remaining += m_options.unrepeatable_grace;
+  }
+  const auto run = m_attempts.start(*value);
+  actions.emplace_back(
+      start_run{.id = run,
+                .request = std::move(request.value()),
+                .options = {.timeout = remaining, .never_reuse_connection = !value->request.repeatable},
+                .deadline = value->deadline});
+}
+
+void agent_core::apply(time_point now, const scheduling::preempt_job& decision,
+                       std::vector<action>& actions) {
+  auto* value = m_attempts.find(decision.id);
+  if (value == nullptr || value->phase != attempt_phase::running) {
+    return;
+  }
+  CUMINPATH_ASSERT(value->request.repeatable);
+  actions.emplace_back(cancel_run{value->run});
+  actions.emplace_back(record_event{"run_preempted", value->request.request_id});
+  m_attempts.stop(*value);
+  static_cast<void>(now);
+}
+
+void agent_core::apply(time_point now, const scheduling::refuse_job& decision, std::vector<action>& actions) {
+  if (auto* value = m_attempts.find(decision.id)) {
+    break_off(now, *value, decision.reason, "", actions, decision.retry_after);
+  }
+}
+
+result<http::request> agent_core::upstream_request(const attempt& value) const {
+  // A new configuration may have given this upstream another model since the attempt was queued.
+  if (m_upstream == nullptr || m_upstream->model_or_service != value.request.model_or_service) {
+    return make_error(error_code::not_found, "this agent does not serve " + value.request.model_or_service);
+  }
+  if (!is_model(value)) {
+    return service_request(value);
+  }
+  const auto& classes = m_manifest->classes;
+  const auto found = std::find_if(classes.begin(), classes.end(), [&](const auto& item) {
+    return item.name == value.request.priority_class;
+  });
+  return engine_request(value,
+                        found == classes.end() ? static_cast<std::uint32_t>(classes.size()) : found->rank);
+}
+
+void agent_core::on_run_head(time_point now, run_id run, int status, const http::header_list& headers,
+                             std::vector<action>& actions) {
+  auto* value = m_attempts.find(run);
+  if (value == nullptr) {
+    return;
+  }
+  on_upstream_health(true, actions);
+  value->token_stream = is_model(*value) && status == k_status_ok;
+  if (is_model(*value) && !value->token_stream && (value->next_index > 0 || !passes_to_caller(status))) {
+    fail(now, *value, "the engine responded with status " + std::to_string(status), actions);
+    return;
+  }
+  if (value->head_sent) {
+    return;  // Resumed after a preemption.
+  }
+  value->head_sent = true;
+  auto kept = end_to_end_headers(headers);
+  if (!value->request.repeatable) {
+    value->status = static_cast<std::uint16_t>(status);
+    value->headers = kept;
+  }
+  actions.emplace_back(
+      send_message{value->peer_address, wire::answer_head{.request_id = value->request.request_id,
+                                                          .attempt = value->request.attempt,
+                                                          .status = static_cast<std::uint16_t>(status),
+                                                          .headers = std::move(kept)}});
+}
+
+void agent_core::on_run_data(time_point now, run_id run, std::string_view data,
+                             std::vector<action>& actions) {
+  auto* value = m_attempts.find(run);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->token_stream) {
+    forward_events(now, *value, data, actions);
+  } else {
+    forward_bytes(now, *value, data, actions);
+  }
+}
+
+void agent_core::forward_bytes(time_point, attempt& value, std::string_view data,
+                               std::vector<action>& actions) {
+  actions.emplace_back(
+      send_message{value.peer_address, wire::answer_chunk{.request_id = value.request.request_id,
+                                                          .attempt = value.request.attempt,
+                                                          .index = value.next_index,
+                                                          .tokens = 0,
+                                                          .data = std::string(data)}});
+  value.next_index += data.size();
+  if (value.request.repeatable) {
+    return;
+  }
+  if (value.body.size() + data.size() > m_options.attempts.max_answer_bytes) {
+    value.answer_too_large = true;
+    value.body = {};
+  }
+  if (!value.answer_too_large) {
+    value.body += data;
+  }
+}
+
+void agent_core::forward_events(time_point now, attempt& value, std::string_view data,
+                                std::vector<action>& actions) {
+  std::vector<stream_event> events;
+  std::string problem = value.events.feed(data, events) ? "" : "the engine sent an event that is too large";
+  bool done = false;
+  wire::answer_chunk chunk{.request_id = value.request.request_id,
+                           .attempt = value.request.attempt,
+                           .index = value.next_index,
+                           .tokens = 0,
+                           .data = {}};
+  for (auto& event : events) {
+    if (event.data == k_last_event) {
+      done = true;
+      break;
+    }
+    if (!event.type.empty() || token_index(event.data) != value.next_index) {
+      problem = "the engine sent an unexpected event instead of token " + std::to_string(value.next_index);
+      break;
+    }
+    chunk.data.append(chunk.tokens == 0 ? "" : "\n").append(event.data);
+    ++chunk.tokens;
+    ++value.next_index;
+    if (value.request.repeatable) {
+      value.generated.push_back(std::move(event.data));
+    }
+  }
+  if (chunk.tokens > 0) {
+    m_scheduler.on_tokens(now, value.job, chunk.tokens);
+    actions.emplace_back(send_message{value.peer_address, std::move(chunk)});
+  }
+  if (!problem.empty()) {
+    fail(now, value, std::move(problem), actions);
+  } else if (done) {
+    finish(now, value, actions);
+  }
+}
+
+void agent_core::on_run_end(time_point now, run_id run, std::vector<action>& actions) {
+  auto* value = m_attempts.find(run);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->token_stream) {
+    fail(now, *value, "the engine's stream ended without its last event", actions);
+  } else {
+    finish(now, *value, actions);
+  }
+}
+
+void agent_core::on_run_failed(time_point now, run_id run, const http::call_failure& failure,
+                               std::vector<action>& actions) {
+  auto* value = m_attempts.find(run);
+  if (value == nullptr) {
+    return;
+  }
+  if (!failure.sent) {
+    m_attempts.withdraw(*value);
+    if (failure.code == error_code::unreachable) {
+      on_upstream_health(false, actions);
+    }
+  }
+  fail(now, *value, failure.message, actions);
+}
+
+void agent_core::on_upstream_health(bool healthy, std::vector<action>& actions) {
+  if (m_upstream_healthy == healthy) {
+    return;
+  }
+  m_upstream_healthy = healthy;
+  actions.emplace_back(record_event{healthy ? "upstream_healthy" : "upstream_unhealthy", ""});
+  m_subscriptions.expedite();
+}
+
+void agent_core::finish(time_point now, attempt& value, std::vector<action>& actions) {
+  actions.emplace_back(
+      send_message{value.peer_address, wire::answer_end{.request_id = value.request.request_id,
+                                                        .attempt = value.request.attempt,
+                                                        .length = value.next_index}});
+  m_scheduler.on_finished(now, value.job);
+  m_attempts.end(now, value, ended_state::finished);
+  schedule(now, actions);
+}
+
+void agent_core::fail(time_point now, attempt& value, std::string detail, std::vector<action>& actions) {
+  const auto reason =
+      value.deadline <= now ? wire::refusal_reason::deadline_passed : wire::refusal_reason::upstream_failed;
+  break_off(now, value, reason, std::move(detail), actions);
+  schedule(now, actions);
+}
+
+}  // namespace cuminpath::agent
--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -121,6 +121,9 @@
   [[nodiscard]] mailbox_counters counters() const {
     auto value = m_counters;
     value.peers = m_links.size();
+    for (const auto& [peer, target] : m_links) {
+      value.queued_bytes += target->queued_bytes + target->pending_bytes;
+    }
     return value;
   }
 
--- a/source/core/transport/mailbox.h
+++ b/source/core/transport/mailbox.h
@@ -46,6 +46,7 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t malformed = 0;
   std::uint64_t peers = 0;
+  std::uint64_t queued_bytes = 0;  // Not handed to nng yet, for all peers.
 };
 
 class mailbox {
