entry: add the core, the process shell and the daemon program

The core decides what becomes of each request without sockets or clocks; the shell owns them. Retry budgets are kept for each priority class, because refusals during a flood of one class would otherwise use up the retries of the others. A body is forwarded only after all checks, and service responses only when whole.

--- /dev/null
+++ b/source/core/entry/attempts.cpp
@@ -0,0 +1,215 @@
+// Attempts: start, end, retry, failure and deadline.
+#include <algorithm>
+#include <utility>
+
+#include "core/entry/entry_core.h"
+
+namespace cuminpath::entry {
+namespace {
+
+// Bounds the load that one request can cause when the budget is full.
+constexpr std::uint32_t k_max_counted_attempts = 4;
+// A refusal by a draining agent costs one message; more of them than this point to another fault.
+constexpr std::uint32_t k_max_free_retries = 40;
+// A started stream waits this long for an upstream before it ends with an error.
+constexpr milliseconds k_max_stream_gap{10000};
+constexpr milliseconds k_upstream_poll{100};
+constexpr milliseconds k_retry_after{1000};
+
+problem not_run(int status, std::string detail, milliseconds retry_after = milliseconds(0)) {
+  return problem{status, wire::execution::not_run, std::move(detail), retry_after};
+}
+
+}  // namespace
+
+std::optional<routing::upstream_id> entry_core::choose(step& step, request& value) {
+  routing::route_request route;
+  route.model_or_service = value.accepted.model_or_service;
+  route.prefix_hash = value.accepted.prefix_hash;
+  route.excluded = value.excluded;
+  auto chosen = m_router.choose(step.now, route, step.random);
+  if (!chosen && !value.excluded.empty()) {
+    // Every upstream has been tried; one of them may have recovered.
+    value.excluded.clear();
+    route.excluded = {};
+    chosen = m_router.choose(step.now, route, step.random);
+  }
+  return chosen;
+}
+
+void entry_core::start_attempt(step& step, request& value) {
+  const auto upstream = choose(step, value);
+  if (upstream) {
+    value.broken_at.reset();
+    send_attempt(step, value, *upstream, attempt_number{to_integer(value.last_attempt) + 1});
+    return;
+  }
+  if (!m_router.knows(value.accepted.model_or_service)) {
+    fail(step, value, not_run(503, "no upstream is configured for it", k_retry_after));
+    return;
+  }
+  if (value.stream_begun) {
+    value.broken_at = value.broken_at.value_or(step.now);
+    if (step.now - *value.broken_at < k_max_stream_gap) {
+      value.retry_at = step.now + k_upstream_poll;
+      return;
+    }
+  }
+  fail(step, value,
+       value.last_attempt == attempt_number{} ? not_run(503, "no upstream is available", k_retry_after)
+                                              : value.last_refusal);
+}
+
+void entry_core::send_attempt(step& step, request& value, routing::upstream_id upstream,
+                              attempt_number number) {
+  if (value.last_attempt == attempt_number{}) {
+    ++m_counters.first_attempts;
+    m_budgets[value.accepted.priority_class].on_first_attempt();
+  }
+  value.last_attempt = number;
+  value.head_received = false;
+  value.stale_configuration = false;
+  value.body.clear();
+  value.headers.clear();
+  value.attempt = open_attempt{number, upstream, m_router.upstream(upstream).peer_address, step.now, {}};
+  m_router.on_attempt_started(step.now, upstream);
+
+  const accepted_request& accepted = value.accepted;
+  wire::submit_request message;
+  message.request_id = value.wire_id;
+  message.attempt = number;
+  message.kind = accepted.kind;
+  message.workspace = accepted.workspace;
+  message.priority_class = accepted.priority_class;
+  message.model_or_service = accepted.model_or_service;
+  message.method = accepted.method;
+  message.path = accepted.path;
+  message.headers = accepted.headers;
+  message.body = accepted.body;
+  const auto remaining = std::chrono::floor<milliseconds>(value.deadline - step.now).count();
+  message.remaining_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(remaining, 1));
+  message.expected_tokens = accepted.expected_tokens;
+  message.resume_index = value.answer.next_index;
+  message.resume_text = value.answer.text;
+  message.repeatable = accepted.repeatable;
+  if (message.resume_index > 0) {
+    ++m_counters.resumed_streams;
+  }
+  step.actions.emplace_back(send_message{value.attempt->peer_address, std::move(message)});
+}
+
+void entry_core::close_attempt(step& step, request& value, routing::attempt_outcome outcome, bool cancel) {
+  if (!value.attempt) {
+    return;
+  }
+  m_router.on_attempt_finished(step.now, value.attempt->upstream, outcome, value.attempt->first_token);
+  if (cancel) {
+    step.actions.emplace_back(send_message{value.attempt->peer_address,
+                                           wire::cancel_request{value.wire_id, value.attempt->number}});
+  }
+  if (outcome != routing::attempt_outcome::succeeded) {
+    value.excluded.push_back(value.attempt->upstream);
+  }
+  value.attempt.reset();
+}
+
+bool entry_core::take_retry(request& value, retry_cost cost) {
+  if (cost == retry_cost::free) {
+    if (value.free_retries >= k_max_free_retries) {
+      return false;
+    }
+    ++value.free_retries;
+    ++m_counters.free_retries;
+    return true;
+  }
+  if (value.counted_attempts + 1 >= k_max_counted_attempts ||
+      !m_budgets[value.accepted.priority_class].try_take()) {
+    ++m_counters.retries_denied;
+    return false;
+  }
+  ++value.counted_attempts;
+  ++m_counters.retries;
+  return true;
+}
+
+void entry_core::retry(step& step, request& value, retry_cost cost, milliseconds pause) {
+  if (step.now >= value.deadline) {
+    expire(step, value);
+    return;
+  }
+  if (!take_retry(value, cost)) {
+    fail(step, value, value.last_refusal);
+    return;
+  }
+  if (pause > milliseconds(0)) {
+    value.retry_at = step.now + pause;
+    return;
+  }
+  start_attempt(step, value);
+}
+
+void entry_core::attempt_broken(step& step, request& value, std::string_view cause) {
+  if (value.claim) {
+    std::vector<idempotency::action> actions;
+    value.claim->on_attempt_lost(step.now, actions);
+    run_claim(step, value, std::move(actions));
+    return;
+  }
+  value.may_have_run = true;
+  value.last_refusal = problem{502, wire::execution::unknown, std::string(cause), milliseconds(0)};
+  close_attempt(step, value, routing::attempt_outcome::failed, true);
+  retry(step, value, retry_cost::budget, milliseconds(0));
+}
+
+void entry_core::expire(step& step, request& value) {
+  if (value.claim) {
+    std::vector<idempotency::action> actions;
+    value.claim->expire(actions);
+    run_claim(step, value, std::move(actions));
+    return;
+  }
+  value.may_have_run = value.may_have_run || value.attempt.has_value();
+  close_attempt(step, value, routing::attempt_outcome::abandoned, true);
+  fail(step, value, not_run(504, "the deadline has passed"));
+}
+
+void entry_core::fail(step& step, request& value, problem failure) {
+  if (value.may_have_run) {
+    failure.execution = wire::execution::unknown;
+    // 429 and 503 would invite a retry of a request that may have run.
+    if (failure.status == 429 || failure.status == 503) {
+      failure.status = 502;
+    }
+  }
+  if (!value.stream_begun) {
+    respond_to(step, value, problem_response(failure, value.request_id));
+    return;
+  }
+  step.actions.emplace_back(
+      write_stream{value.caller, "event: error\ndata: " + problem_json(failure) + "\n\n"});
+  step.actions.emplace_back(end_stream{value.caller});
+  end_request(step, value, failure.status);
+}
+
+void entry_core::respond_to(step& step, request& value, http::response response) {
+  const int status = response.status;
+  if (!value.caller_gone) {
+    step.actions.emplace_back(respond{value.caller, std::move(response)});
+  }
+  end_request(step, value, status);
+}
+
+void entry_core::end_request(step& step, request& value, int status) {
+  step.actions.emplace_back(request_ended{value.accepted.priority_class, status, step.now - value.arrival});
+  if (!value.settling.empty()) {
+    const auto [first, last] = m_settlements.equal_range(value.settling);
+    const auto own =
+        std::find_if(first, last, [&](const auto& entry) { return entry.second == value.caller; });
+    if (own != last) {
+      m_settlements.erase(own);
+    }
+  }
+  m_requests.finish(value);
+}
+
+}  // namespace cuminpath::entry
--- /dev/null
+++ b/source/core/entry/entry_core.cpp
@@ -0,0 +1,276 @@
+#include "core/entry/entry_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminpath::entry {
+namespace {
+
+constexpr milliseconds k_load_lease{10000};
+constexpr milliseconds k_subscribe_interval{4000};
+// A silent agent may have lost its subscription in a restart, so it is asked again before the lease ends.
+constexpr milliseconds k_silence{1500};
+constexpr milliseconds k_resubscribe_interval{500};
+constexpr milliseconds k_peer_update_interval{500};
+// Keeps room for the most urgent class when other classes flood the entry.
+constexpr double k_other_classes_limit = 0.8;
+// Below this share of the limit a workspace may use the room that others leave.
+constexpr double k_crowded = 0.5;
+constexpr std::size_t k_min_workspace_limit = 16;
+// The agent starts its clock a transit later than the entry and refuses by it. Waiting that long lets a
+// truthful `not_run` arrive instead of `unknown`.
+constexpr milliseconds k_deadline_grace{50};
+
+}  // namespace
+
+entry_core::entry_core(entry_options options)
+    : m_options(std::move(options)),
+      m_router(routing::router_options{m_options.name, m_options.availability_zone, m_options.region}) {}
+
+void entry_core::on_configuration(step& step, configuration_version version,
+                                  std::shared_ptr<const config::manifest> manifest) {
+  if (m_directory.ready() && version <= m_directory.version()) {
+    return;
+  }
+  m_directory = directory(version, std::move(manifest));
+  update_upstreams(step);
+  m_requests.for_each([&](request& value) {
+    if (value.stale_configuration && value.retry_at) {
+      value.retry_at = step.now;
+    }
+  });
+}
+
+void entry_core::on_hosts(step& step, std::span<const host_location> agents) {
+  m_hosts.clear();
+  for (const auto& agent : agents) {
+    m_hosts.emplace(agent.name, agent);
+  }
+  update_upstreams(step);
+}
+
+void entry_core::update_upstreams(step& step) {
+  if (!m_directory.ready()) {
+    return;
+  }
+  std::vector<routing::upstream_info> upstreams;
+  upstreams.reserve(m_directory.manifest().upstreams.size());
+  for (const auto& upstream : m_directory.manifest().upstreams) {
+    routing::upstream_info info;
+    info.name = upstream.name;
+    info.model_or_service = upstream.model_or_service;
+    info.slots = upstream.slots;
+    if (const auto host = m_hosts.find(upstream.host); host != m_hosts.end()) {
+      info.availability_zone = host->second.availability_zone;
+      info.region = host->second.region;
+      info.peer_address = host->second.peer_address;
+    }
+    upstreams.push_back(std::move(info));
+  }
+  m_router.set_upstreams(step.now, upstreams);
+  m_next_peer_update = step.now;
+}
+
+void entry_core::subscribe(step& step) {
+  if (step.now >= m_next_peer_update) {
+    m_next_peer_update = step.now + k_peer_update_interval;
+    std::unordered_map<std::string, peer> kept;
+    for (const auto id : m_router.subset()) {
+      const std::string& address = m_router.upstream(id).peer_address;
+      if (!address.empty() && !kept.contains(address)) {
+        const auto known = m_peers.find(address);
+        kept.emplace(address, known == m_peers.end() ? peer{} : known->second);
+      }
+    }
+    m_requests.for_each([&](const request& value) {
+      if (value.attempt && !kept.contains(value.attempt->peer_address)) {
+        const auto known = m_peers.find(value.attempt->peer_address);
+        kept.emplace(value.attempt->peer_address, known == m_peers.end() ? peer{} : known->second);
+      }
+    });
+    for (const auto& [address, agent] : m_peers) {
+      if (!kept.contains(address)) {
+        step.actions.emplace_back(close_link{address});
+      }
+    }
+    m_peers = std::move(kept);
+  }
+  for (auto& [address, agent] : m_peers) {
+    if (step.now < agent.subscribe_at) {
+      continue;
+    }
+    const bool silent = !agent.heard || step.now - agent.last_message > k_silence;
+    agent.subscribe_at = step.now + (silent ? k_resubscribe_interval : k_subscribe_interval);
+    step.actions.emplace_back(
+        send_message{address, wire::subscribe_load{static_cast<std::uint32_t>(k_load_lease.count())}});
+  }
+}
+
+std::optional<problem> entry_core::admit(const accepted_request& accepted) const {
+  const std::size_t total = m_requests.size();
+  const auto limit =
+      static_cast<double>(m_options.max_requests) * (accepted.top_class ? 1.0 : k_other_classes_limit);
+  if (static_cast<double>(total) >= limit) {
+    return problem{503, wire::execution::not_run, "the entry has too many requests in flight", seconds(1)};
+  }
+  if (static_cast<double>(total) < static_cast<double>(m_options.max_requests) * k_crowded) {
+    return std::nullopt;
+  }
+  double shares = 0;
+  double own = 0;
+  for (const auto& workspace : m_directory.manifest().workspaces) {
+    const bool same = workspace.name == accepted.workspace;
+    if (same || m_requests.in_flight(workspace.name) > 0) {
+      shares += workspace.share;
+    }
+    own = same ? workspace.share : own;
+  }
+  const auto fair = static_cast<std::size_t>(shares > 0 ? limit * own / shares : 0);
+  if (m_requests.in_flight(accepted.workspace) >= std::max(fair, k_min_workspace_limit)) {
+    return problem{429, wire::execution::not_run, "the workspace is over its share of the entry", seconds(1)};
+  }
+  return std::nullopt;
+}
+
+void entry_core::on_request(step& step, caller_id caller, http::request value) {
+  ++m_counters.requests;
+  std::string id = caller_request_id(value);
+  if (id.empty()) {
+    id = fmt::format("{:016x}", step.random());
+  }
+  const auto refuse = [&](const problem& failure) {
+    step.actions.emplace_back(respond{caller, problem_response(failure, id)});
+    step.actions.emplace_back(request_ended{"", failure.status, duration(0)});
+  };
+  if (!m_accepting) {
+    refuse(problem{503, wire::execution::not_run, "the entry is leaving", seconds(1)});
+    return;
+  }
+  auto outcome = read_caller_request(std::move(value), m_directory, m_options.limits);
+  if (const auto* failure = std::get_if<problem>(&outcome)) {
+    refuse(*failure);
+    return;
+  }
+  auto& accepted = std::get<accepted_request>(outcome);
+  accepted.caller_id = id;
+  if (const auto failure = admit(accepted)) {
+    refuse(*failure);
+    return;
+  }
+  begin(step, caller, std::move(accepted));
+  m_requests.sweep();
+}
+
+void entry_core::begin(step& step, caller_id caller, accepted_request accepted) {
+  if (m_wire_prefix.empty()) {
+    m_wire_prefix = fmt::format("{:016x}{:016x}", step.random(), step.random());
+  }
+  request value;
+  value.caller = caller;
+  value.request_id = accepted.caller_id;
+  value.arrival = step.now;
+  value.deadline = step.now + accepted.timeout;
+  accepted.headers.emplace_back("x-request-id", value.request_id);
+  if (accepted.repeatable) {
+    value.wire_id = fmt::format("{}-{}", m_wire_prefix, m_next_wire_id++);
+  } else {
+    value.wire_id = fmt::format("{:016x}{:016x}", step.random(), step.random());
+    value.claim.emplace(value.wire_id, accepted.fingerprint);
+    value.claim_key = idempotency::claim_row_key(accepted.workspace, accepted.idempotency_key);
+  }
+  value.accepted = std::move(accepted);
+  request& inserted = m_requests.insert(std::move(value));
+  if (inserted.claim) {
+    begin_claim(step, inserted);
+  } else {
+    start_attempt(step, inserted);
+  }
+}
+
+void entry_core::on_caller_closed(step& step, caller_id caller) {
+  request* value = m_requests.find(caller);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->claim) {
+    // The caller will ask again with the same key; the outcome is stored for that.
+    value->caller_gone = true;
+    return;
+  }
+  close_attempt(step, *value, routing::attempt_outcome::abandoned, true);
+  value->caller_gone = true;
+  end_request(step, *value, 499);
+  m_requests.sweep();
+}
+
+void entry_core::on_caller_stalled(step& step, caller_id caller) {
+  request* value = m_requests.find(caller);
+  if (value == nullptr || !value->stream_begun) {
+    return;
+  }
+  ++m_counters.slow_callers;
+  close_attempt(step, *value, routing::attempt_outcome::abandoned, true);
+  step.actions.emplace_back(abort_stream{caller});
+  step.actions.emplace_back(record_event{"slow_caller", "request " + value->request_id});
+  end_request(step, *value, 499);
+  m_requests.sweep();
+}
+
+void entry_core::on_link_lost(step& step, std::string_view peer_address) {
+  m_router.on_link_lost(step.now, peer_address);
+  if (const auto found = m_peers.find(std::string(peer_address)); found != m_peers.end()) {
+    found->second.heard = false;
+    found->second.number = incarnation{};
+    found->second.subscribe_at = step.now + k_resubscribe_interval;
+  }
+  m_requests.for_each([&](request& value) {
+    if (value.attempt && value.attempt->peer_address == peer_address) {
+      attempt_broken(step, value, "the link to the agent was lost");
+    }
+  });
+  m_requests.sweep();
+}
+
+void entry_core::tick(step& step) {
+  const auto suspected = m_router.tick(step.now);
+  if (!suspected.empty()) {
+    m_requests.for_each([&](request& value) {
+      if (value.attempt &&
+          std::find(suspected.begin(), suspected.end(), value.attempt->upstream) != suspected.end()) {
+        attempt_broken(step, value, "the agent does not respond");
+      }
+    });
+    for (const auto id : suspected) {
+      step.actions.emplace_back(record_event{"upstream_suspected", m_router.upstream(id).name});
+    }
+  }
+  subscribe(step);
+  m_requests.for_each([&](request& value) { tick_request(step, value); });
+  m_requests.sweep();
+}
+
+void entry_core::tick_request(step& step, request& value) {
+  const bool may_refuse = value.attempt && !value.head_received;
+  if (step.now >= value.deadline + (may_refuse ? duration(k_deadline_grace) : duration(0))) {
+    expire(step, value);
+    return;
+  }
+  if (value.claim) {
+    std::vector<idempotency::action> actions;
+    value.claim->tick(step.now, actions);
+    if (value.retry_at && step.now >= *value.retry_at) {
+      value.retry_at.reset();
+      provide_target(step, value, actions);
+    }
+    run_claim(step, value, std::move(actions));
+    return;
+  }
+  if (value.retry_at && step.now >= *value.retry_at) {
+    value.retry_at.reset();
+    start_attempt(step, value);
+  }
+}
+
+}  // namespace cuminpath::entry
--- /dev/null
+++ b/source/core/entry/entry_process.cpp
@@ -0,0 +1,602 @@
+#include "core/entry/entry_process.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "core/entry/entry_core.h"
+#include "core/entry/status_pages.h"
+#include "core/http/client.h"
+#include "core/http/server.h"
+#include "core/membership/member_table.h"
+#include "core/platform/host_list_client.h"
+#include "core/platform/object_client.h"
+#include "core/platform/table_client.h"
+#include "core/rollout/rollout.h"
+#include "core/telemetry/log.h"
+#include "core/telemetry/metrics.h"
+#include "core/telemetry/timeline.h"
+#include "core/transport/mailbox.h"
+
+namespace cuminpath::entry {
+namespace {
+
+using telemetry::log_level;
+
+constexpr milliseconds k_tick_interval{10};
+constexpr std::size_t k_timeline_events = 2000;
+// About 2,500 token events; a caller that is further behind hardly reads any more.
+constexpr std::size_t k_max_unsent_bytes = 256U << 10U;
+constexpr std::size_t k_max_entries_in_response = 16;
+constexpr std::size_t k_max_configuration_peers = 16;
+// Other entries hear that this one is leaving within 3 s (invariant 5) and may name it until then.
+constexpr seconds k_leaving_spreads{3};
+// The connections have sent the last responses by then; stopping earlier would cut them.
+constexpr milliseconds k_linger{500};
+constexpr seconds k_min_host_list_interval{2};
+// A host takes about 200 bytes of the list; fetching is paced to a third of a node's 10 KB a second.
+constexpr std::size_t k_host_list_hosts_per_second = 16;
+constexpr std::string_view k_claims_table = "claims";
+
+std::uint64_t wall_ms() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+// Claim tokens come from this source, so it needs more than one word of seed.
+random_source seeded_source() {
+  std::random_device device;
+  std::array<std::uint32_t, 8> words{};
+  std::generate(words.begin(), words.end(), [&] { return device(); });
+  std::seed_seq seed(words.begin(), words.end());
+  return random_source(seed);
+}
+
+// All functions run on the thread of the io_context.
+class entry_process {
+public:
+  explicit entry_process(const config::daemon_settings& settings)
+      : m_settings(settings),
+        m_random(seeded_source()),
+        m_incarnation(incarnation{m_random()}),
+        m_timeline(settings.name, k_timeline_events),
+        m_client(m_context),
+        m_table(m_client, settings.platform.table),
+        m_objects(m_client, settings.platform.objects),
+        m_hosts(m_client, settings.platform.hosts),
+        m_core(core_options(settings)),
+        m_members({.name = settings.host,
+                   .role = platform::host_role::entry,
+                   .availability_zone = settings.availability_zone,
+                   .number = m_incarnation}),
+        m_rollout({.name = settings.host, .availability_zone = settings.availability_zone, .may_poll = true}),
+        m_signals(m_context, SIGTERM, SIGINT),
+        m_timer(m_context) {}
+
+  int run() {
+    if (!listen()) {
+      return EXIT_FAILURE;
+    }
+    m_rollout.set_peers(m_settings.seed_peers);
+    wait_for_signal();
+    m_next_tick = clock::now();
+    on_timer();
+    m_context.run();
+    telemetry::log(log_level::info, "entry", "drained");
+    return EXIT_SUCCESS;
+  }
+
+private:
+  static entry_options core_options(const config::daemon_settings& settings) {
+    entry_options options;
+    options.name = settings.host;
+    options.availability_zone = settings.availability_zone;
+    options.region = settings.region;
+    options.limits.default_timeout = settings.entry.default_timeout;
+    options.max_requests = settings.entry.max_requests;
+    return options;
+  }
+
+  bool listen() {
+    auto box = transport::mailbox::open(
+        m_context, {.name = m_settings.name, .address = m_settings.peer_address, .number = m_incarnation},
+        {.received = [this](wire::envelope value) { on_envelope(std::move(value)); },
+         .lost = [this](std::string_view peer,
+                        transport::link_loss loss) { on_link_lost(std::string(peer), loss); }});
+    if (!box) {
+      return not_bound(box.error());
+    }
+    m_mailbox = std::move(box).value();
+    auto admin = http::server::start(m_context, {.address = m_settings.admin_address},
+                                     [this](const http::request& request, const auto& responder) {
+                                       export_counters();
+                                       responder->respond(respond_to_operator(request, view()));
+                                     });
+    if (!admin) {
+      return not_bound(admin.error());
+    }
+    m_admin = std::move(admin).value();
+    auto server = http::server::start(
+        m_context, {.address = m_settings.address, .max_body_bytes = m_settings.entry.max_body_bytes},
+        [this](http::request request, std::shared_ptr<http::responder> responder) {
+          on_request(std::move(request), std::move(responder));
+        });
+    if (!server) {
+      return not_bound(server.error());
+    }
+    m_server = std::move(server).value();
+    telemetry::log(log_level::info, "entry", "listening",
+                   {{"address", m_server->address()},
+                    {"peer_address", m_mailbox->address()},
+                    {"admin_address", m_admin->address()}});
+    return true;
+  }
+
+  static bool not_bound(const error& failure) {
+    telemetry::log(log_level::error, "entry", failure.message);
+    return false;
+  }
+
+  admin_view view() {
+    return {.name = m_settings.name,
+            .operator_key_sha256 = m_settings.operator_key_sha256,
+            .core = m_core,
+            .metrics = m_metrics,
+            .timeline = m_timeline,
+            .links = m_mailbox->counters(),
+            .draining = m_draining,
+            .known_entries = m_members.members(platform::host_role::entry).size(),
+            .drain = [this] { start_drain(); }};
+  }
+
+  // --- Callers ---
+
+  void on_request(http::request request, std::shared_ptr<http::responder> responder) {
+    if (request.path() == "/v1/entries") {
+      responder->respond(entries_response(request));
+      return;
+    }
+    const caller_id caller{++m_last_caller};
+    responder->on_closed([this, caller] {
+      // The server may call this from within a function that this process has called.
+      asio::post(m_context, [this, caller] {
+        if (m_callers.erase(caller) > 0) {
+          report([&](step& step) { m_core.on_caller_closed(step, caller); });
+        }
+      });
+    });
+    m_callers.emplace(caller, std::move(responder));
+    report([&](step& step) { m_core.on_request(step, caller, std::move(request)); });
+  }
+
+  http::response entries_response(const http::request& request) {
+    if (request.method != "GET") {
+      return problem_response({405, wire::execution::not_run, "use GET", milliseconds(0)}, "");
+    }
+    json entries = json::array();
+    for (const auto& entry : m_members.entries_for_callers(k_max_entries_in_response)) {
+      entries.push_back({{"address", entry.address}, {"availability_zone", entry.availability_zone}});
+    }
+    if (entries.empty() && !m_draining) {
+      // The host list has not been read yet, or the platform is down.
+      entries.push_back(
+          {{"address", m_server->address()}, {"availability_zone", m_settings.availability_zone}});
+    }
+    const auto ttl = std::chrono::ceil<seconds>(m_settings.entry.entries_ttl).count();
+    return {200,
+            {{"Content-Type", "application/json"}},
+            json{{"entries", std::move(entries)}, {"ttl_s", ttl}}.dump()};
+  }
+
+  // --- Actions of the core ---
+
+  template <class function>
+  void report(function event) {
+    std::vector<action> actions;
+    step present{clock::now(), m_random, actions};
+    event(present);
+    execute(actions);
+  }
+
+  void execute(std::vector<action>& actions) {
+    for (auto& item : actions) {
+      std::visit([this](auto& value) { execute_one(value); }, item);
+    }
+  }
+
+  std::shared_ptr<http::responder> take_caller(caller_id caller) {
+    const auto found = m_callers.find(caller);
+    if (found == m_callers.end()) {
+      return nullptr;
+    }
+    auto responder = std::move(found->second);
+    m_callers.erase(found);
+    return responder;
+  }
+
+  void execute_one(respond& value) {
+    if (const auto responder = take_caller(value.caller)) {
+      responder->respond(std::move(value.response));
+    }
+  }
+
+  void execute_one(const begin_stream& value) {
+    if (const auto found = m_callers.find(value.caller); found != m_callers.end()) {
+      found->second->begin_stream(200, value.headers);
+    }
+  }
+
+  void execute_one(const write_stream& value) {
+    const auto found = m_callers.find(value.caller);
+    if (found == m_callers.end()) {
+      return;
+    }
+    found->second->write(value.data);
+    if (found->second->unsent_bytes() > k_max_unsent_bytes) {
+      asio::post(m_context, [this, caller = value.caller] {
+        report([&](step& step) { m_core.on_caller_stalled(step, caller); });
+      });
+    }
+  }
+
+  void execute_one(const end_stream& value) {
+    if (const auto responder = take_caller(value.caller)) {
+      responder->end_stream();
+    }
+  }
+
+  void execute_one(const abort_stream& value) {
+    if (const auto responder = take_caller(value.caller)) {
+      responder->abort_stream();
+    }
+  }
+
+  void execute_one(send_message& value) { send(value.peer_address, std::move(value.message)); }
+
+  void execute_one(const close_link& value) { m_mailbox->close_link(value.peer_address); }
+
+  void execute_one(const read_claim& value) {
+    m_table.read(k_claims_table, value.key,
+                 [this, caller = value.caller](const result<std::optional<platform::row>>& row) {
+                   report([&](step& step) {
+                     if (!row) {
+                       m_core.on_claim_row_failed(step, caller);
+                     } else if (row.value()) {
+                       m_core.on_claim_row(step, caller, row.value()->version, row.value()->value);
+                     } else {
+                       m_core.on_claim_row(step, caller, 0, nullptr);
+                     }
+                   });
+                 });
+  }
+
+  void execute_one(write_claim& value) {
+    m_table.write(k_claims_table, value.key, std::move(value.value), value.if_version,
+                  [this, caller = value.caller](const result<platform::write_outcome>& outcome) {
+                    report([&](step& step) {
+                      if (outcome) {
+                        const auto& write = outcome.value();
+                        m_core.on_claim_written(step, caller, write.won, write.version, write.current);
+                      } else {
+                        m_core.on_claim_write_unknown(step, caller);
+                      }
+                    });
+                  });
+  }
+
+  void execute_one(const request_ended& value) {
+    m_metrics.add("cuminpath_requests_total",
+                  {{"class", value.priority_class}, {"status", std::to_string(value.status)}});
+    if (!value.priority_class.empty()) {
+      m_metrics.observe("cuminpath_request_seconds", std::chrono::duration<double>(value.total).count(),
+                        {{"class", value.priority_class}});
+    }
+  }
+
+  void execute_one(record_event& value) {
+    telemetry::log(log_level::debug, "entry", value.kind, {{"detail", value.detail}});
+    record(value.kind, std::move(value.detail));
+  }
+
+  void record(std::string_view kind, std::string detail) {
+    m_timeline.record(m_hybrid_clock.tick(wall_ms()), kind, std::move(detail));
+  }
+
+  // --- Messages ---
+
+  void on_envelope(wire::envelope value) {
+    const auto now = clock::now();
+    m_hybrid_clock.receive(wall_ms(), value.logical_time);
+    m_members.on_message(now, value.sender_address, value.sender_incarnation);
+    std::vector<rollout::action> rollout_actions;
+    m_rollout.on_peer_version(now, value.sender_address, value.version, rollout_actions);
+    for (const auto& item : value.messages) {
+      if (const auto* heartbeat = std::get_if<wire::heartbeat>(&item)) {
+        m_members.on_heartbeat(now, value.sender_address, value.sender_incarnation, *heartbeat);
+      } else if (const auto* fetch = std::get_if<wire::configuration_fetch>(&item)) {
+        m_rollout.on_fetch(now, value.sender_address, *fetch, rollout_actions);
+      } else if (const auto* sections = std::get_if<wire::configuration_sections>(&item)) {
+        m_rollout.on_sections(now, value.sender_address, *sections, rollout_actions);
+      } else {
+        report([&](step& step) {
+          m_core.on_message(step, value.sender_address, value.sender_incarnation, item);
+        });
+      }
+    }
+    execute(rollout_actions);
+  }
+
+  void on_link_lost(const std::string& peer, transport::link_loss loss) {
+    telemetry::log(log_level::info, "entry", "link lost",
+                   {{"peer", peer}, {"loss", static_cast<std::int64_t>(loss)}});
+    m_metrics.add("cuminpath_links_lost_total");
+    m_members.on_link_lost(clock::now(), peer);
+    report([&](step& step) { m_core.on_link_lost(step, peer); });
+  }
+
+  void send(std::string_view peer, wire::message message) {
+    m_mailbox->send(peer, std::move(message));
+    if (m_flush_requested) {
+      return;
+    }
+    // Everything that the handlers ready at this moment send to a peer shares an envelope; waiting for the
+    // next tick would add up to 10 ms to each request.
+    m_flush_requested = true;
+    asio::post(m_context, [this] {
+      m_flush_requested = false;
+      m_mailbox->flush(m_rollout.version(), m_hybrid_clock.tick(wall_ms()));
+    });
+  }
+
+  // --- Configuration ---
+
+  void execute(std::vector<rollout::action>& actions) {
+    for (auto& item : actions) {
+      std::visit([this](auto& value) { execute_one(value); }, item);
+    }
+  }
+
+  template <class function>
+  void report_rollout(function event) {
+    std::vector<rollout::action> actions;
+    event(clock::now(), actions);
+    execute(actions);
+  }
+
+  void execute_one(const rollout::poll_head&) {
+    m_table.read("configuration", "head", [this](const result<std::optional<platform::row>>& row) {
+      report_rollout([&](time_point now, auto& actions) {
+        if (const auto head = read_head(row)) {
+          m_rollout.on_head(now, *head, actions);
+        } else {
+          m_rollout.on_head_failed(now, actions);
+        }
+      });
+    });
+  }
+
+  static std::optional<rollout::head> read_head(const result<std::optional<platform::row>>& row) {
+    if (!row || !row.value() || !row.value()->value.is_object()) {
+      return std::nullopt;
+    }
+    const json& value = row.value()->value;
+    const auto version = value.find("version");
+    const auto index = value.find("index");
+    if (version == value.end() || !version->is_number_unsigned() || index == value.end() ||
+        !index->is_string()) {
+      telemetry::log(log_level::error, "entry", "the head row of the configuration is malformed");
+      return std::nullopt;
+    }
+    return rollout::head{configuration_version{version->get<std::uint64_t>()}, index->get<std::string>()};
+  }
+
+  void execute_one(rollout::fetch_object& value) {
+    m_objects.fetch(value.digest, [this, digest = value.digest](result<std::string> content) {
+      report_rollout([&](time_point now, auto& actions) {
+        if (content) {
+          m_rollout.on_object(now, digest, std::move(content).value(), actions);
+        } else {
+          m_rollout.on_object_failed(now, digest, actions);
+        }
+      });
+    });
+  }
+
+  void execute_one(rollout::send_message& value) { send(value.peer_address, std::move(value.message)); }
+
+  void execute_one(rollout::configuration_in_force& value) {
+    const auto version = to_integer(value.version);
+    record("configuration_applied", std::to_string(version));
+    telemetry::log(log_level::info, "entry", "configuration in force",
+                   {{"version", static_cast<std::int64_t>(version)}});
+    report([&](step& step) { m_core.on_configuration(step, value.version, std::move(value.manifest)); });
+  }
+
+  void fetch_host_list(time_point now) {
+    if (m_settings.platform.hosts.empty() || now < m_next_host_list) {
+      return;
+    }
+    m_next_host_list = now + k_min_host_list_interval;
+    m_hosts.fetch([this](const result<platform::host_list>& hosts) {
+      if (!hosts) {
+        return;
+      }
+      const auto received = clock::now();
+      const seconds paced(hosts.value().hosts.size() / k_host_list_hosts_per_second);
+      // Spread, so that the entries of a fleet that starts at once do not ask together.
+      m_next_host_list = received + std::max<duration>(paced, k_min_host_list_interval) +
+                         milliseconds(random_index(m_random, 1000));
+      m_members.on_host_list(received, hosts.value());
+    });
+  }
+
+  void update_members() {
+    if (m_members.generation() == m_member_generation) {
+      return;
+    }
+    m_member_generation = m_members.generation();
+    std::vector<host_location> agents;
+    for (auto& agent : m_members.members(platform::host_role::agent)) {
+      agents.push_back({std::move(agent.name), std::move(agent.availability_zone), std::move(agent.region),
+                        std::move(agent.peer_address)});
+    }
+    report([&](step& step) { m_core.on_hosts(step, agents); });
+
+    std::vector<std::string> zone_entries;
+    std::vector<std::string> peers = m_settings.seed_peers;
+    for (const auto& entry : m_members.members(platform::host_role::entry)) {
+      if (entry.availability_zone == m_settings.availability_zone && !entry.leaving) {
+        zone_entries.push_back(entry.name);
+      }
+      if (entry.name != m_settings.host && peers.size() < k_max_configuration_peers) {
+        peers.push_back(entry.peer_address);
+      }
+    }
+    for (std::size_t i = 0; i < agents.size() && peers.size() < k_max_configuration_peers; ++i) {
+      peers.push_back(agents[i].peer_address);
+    }
+    m_rollout.set_zone_entries(zone_entries);
+    m_rollout.set_peers(peers);
+  }
+
+  // --- Time ---
+
+  void on_timer() {
+    const auto now = clock::now();
+    fetch_host_list(now);
+    update_members();
+    report([&](step& step) { m_core.tick(step); });
+    report_rollout([&](time_point, auto& actions) { m_rollout.tick(now, m_random, actions); });
+    std::vector<membership::send_heartbeat> heartbeats;
+    m_members.tick(now, m_random, heartbeats);
+    for (auto& heartbeat : heartbeats) {
+      send(heartbeat.peer_address, std::move(heartbeat.message));
+    }
+    if (drain_complete(now)) {
+      m_context.stop();
+      return;
+    }
+    m_next_tick = std::max(m_next_tick + k_tick_interval, now);
+    m_timer.expires_at(m_next_tick);
+    m_timer.async_wait([this](const std::error_code& code) {
+      if (!code) {
+        on_timer();
+      }
+    });
+  }
+
+  void wait_for_signal() {
+    m_signals.async_wait([this](const std::error_code& code, int) {
+      if (code) {
+        return;
+      }
+      if (m_signalled) {
+        std::_Exit(EXIT_FAILURE);
+      }
+      m_signalled = true;
+      start_drain();
+      wait_for_signal();
+    });
+  }
+
+  void start_drain() {
+    if (m_draining) {
+      return;
+    }
+    telemetry::log(log_level::info, "entry", "drain started");
+    record("drain_started", "");
+    m_draining = true;
+    const auto now = clock::now();
+    m_members.leave(now);
+    // Callers may hold a list that names this entry until its lifetime has passed.
+    m_accept_until = now + m_settings.entry.entries_ttl + k_leaving_spreads;
+  }
+
+  bool drain_complete(time_point now) {
+    if (!m_draining || now < m_accept_until) {
+      m_idle_since = now;
+      return false;
+    }
+    if (!m_refusing) {
+      m_refusing = true;
+      m_core.stop_accepting();
+      m_server->stop_accepting();
+    }
+    if (m_core.in_flight() > 0) {
+      m_idle_since = now;
+    }
+    return now >= m_idle_since + k_linger;
+  }
+
+  // --- Metrics ---
+
+  void export_counters() {
+    const auto& now = m_core.counters();
+    const auto grow = [&](std::string_view name, std::uint64_t current, std::uint64_t before) {
+      m_metrics.add(name, {}, static_cast<double>(current - before));
+    };
+    grow("cuminpath_first_attempts_total", now.first_attempts, m_exported.first_attempts);
+    grow("cuminpath_retries_total", now.retries, m_exported.retries);
+    grow("cuminpath_free_retries_total", now.free_retries, m_exported.free_retries);
+    grow("cuminpath_retries_denied_total", now.retries_denied, m_exported.retries_denied);
+    grow("cuminpath_resumed_streams_total", now.resumed_streams, m_exported.resumed_streams);
+    grow("cuminpath_late_frames_total", now.late_frames, m_exported.late_frames);
+    grow("cuminpath_tokens_total", now.tokens, m_exported.tokens);
+    grow("cuminpath_slow_callers_total", now.slow_callers, m_exported.slow_callers);
+    m_exported = now;
+    m_metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_core.in_flight()));
+    m_metrics.set("cuminpath_configuration_version",
+                  static_cast<double>(to_integer(m_core.configuration().version())));
+  }
+
+  const config::daemon_settings& m_settings;
+  asio::io_context m_context;
+  random_source m_random;
+  incarnation m_incarnation;
+  telemetry::metrics m_metrics;
+  telemetry::hybrid_clock m_hybrid_clock;
+  telemetry::timeline m_timeline;
+  http::client m_client;
+  platform::table_client m_table;
+  platform::object_client m_objects;
+  platform::host_list_client m_hosts;
+  entry_core m_core;
+  membership::member_table m_members;
+  rollout::rollout m_rollout;
+  std::unique_ptr<transport::mailbox> m_mailbox;
+  std::unique_ptr<http::server> m_admin;
+  std::unique_ptr<http::server> m_server;
+  std::unordered_map<caller_id, std::shared_ptr<http::responder>> m_callers;
+  std::uint64_t m_last_caller = 0;
+  entry_counters m_exported;
+  asio::signal_set m_signals;
+  asio::steady_timer m_timer;
+  time_point m_next_tick{};
+  time_point m_next_host_list{};
+  time_point m_accept_until{};
+  time_point m_idle_since{};
+  std::uint64_t m_member_generation = 0;
+  bool m_draining = false;
+  bool m_refusing = false;
+  bool m_signalled = false;
+  bool m_flush_requested = false;
+};
+
+}  // namespace
+
+int run(const config::daemon_settings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  entry_process process(settings);
+  return process.run();
+}
+
+}  // namespace cuminpath::entry
