--- /dev/null
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -0,0 +1,196 @@
+#include "unit_tests/entry/entry_fixture.h"
+
+namespace cuminpath::entry {
+namespace {
+
+using wire::execution;
+using wire::refusal_reason;
+
+class service_call_test : public entry_fixture {
+protected:
+  // Answers the open claim write as the table would.
+  void win_write() {
+    const auto writes = take<write_claim>();
+    ASSERT_EQ(writes.size(), 1U);
+    row = writes.front().value;
+    call(&entry_core::on_claim_written, writes.front().caller, true, ++version, json());
+  }
+  void lose_write() {
+    const auto writes = take<write_claim>();
+    ASSERT_EQ(writes.size(), 1U);
+    call(&entry_core::on_claim_written, writes.front().caller, false, version, row);
+  }
+  void answer(const submitted& to, const std::string& body) {
+    hear(to.peer, wire::answer_head{to.message.request_id, to.message.attempt, 201, {{"X-Made", "1"}}});
+    hear(to.peer, wire::answer_chunk{to.message.request_id, to.message.attempt, 0, 0, body});
+    answer_end(to, body.size());
+  }
+
+  json row;
+  std::uint64_t version = 0;
+};
+
+// Guards against a call that is sent before its claim is held, or answered before its response is stored.
+TEST_F(service_call_test, booking_is_claimed_sent_stored_and_answered_in_this_order) {
+  book("k-1");
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  win_write();
+  const auto sent = take_submitted();
+  EXPECT_FALSE(sent.message.repeatable);
+  EXPECT_EQ(sent.message.path, "/bookings");
+  EXPECT_EQ(row["peer_address"], sent.peer);
+  EXPECT_EQ(row["token"], sent.message.request_id);
+  answer(sent, "booked");
+  EXPECT_TRUE(take<respond>().empty());
+  win_write();
+  EXPECT_EQ(row["state"], "finished");
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 201);
+  EXPECT_EQ(response.body, "booked");
+  EXPECT_EQ(http::find_header(response.headers, "X-Made"), "1");
+
+  // The caller's own retry gets the stored response.
+  book("k-1");
+  lose_write();
+  EXPECT_EQ(take_response().body, "booked");
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+}
+
+// Guards against a booking that is lost or runs twice when the table's response is lost.
+TEST_F(service_call_test, lost_table_response_is_read_back) {
+  const auto caller = book("k-1");
+  const auto write = take<write_claim>().at(0);
+  call(&entry_core::on_claim_write_unknown, caller);
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  EXPECT_EQ(take<read_claim>().at(0).key, write.key);
+  call(&entry_core::on_claim_row, caller, std::uint64_t{1}, write.value);
+  EXPECT_EQ(take_submitted().message.request_id, write.value["token"]);
+}
+
+// Guards against bookings that run, or are reported as unknown, while the table is down.
+TEST_F(service_call_test, table_down_refuses_as_not_run) {
+  const auto caller = book("k-1");
+  call(&entry_core::on_claim_write_unknown, caller);
+  call(&entry_core::on_claim_row_failed, caller);
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(execution_of(response), "not_run");
+  EXPECT_TRUE(http::find_header(response.headers, "Retry-After"));
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+}
+
+// Guards against a second commission under the key of another.
+TEST_F(service_call_test, another_body_under_the_same_key_is_refused) {
+  book("k-1", "a");
+  win_write();
+  take_submitted();
+  book("k-1", "b");
+  lose_write();
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 422);
+  EXPECT_EQ(execution_of(response), "not_run");
+}
+
+// Guards against a second run while the first is in progress at another entry or this one.
+TEST_F(service_call_test, key_in_progress_is_settled_with_the_named_agent) {
+  book("k-1");
+  win_write();
+  const auto sent = take_submitted();
+  book("k-1");
+  lose_write();
+  const auto question = take_messages<wire::settle_attempt>();
+  ASSERT_EQ(question.size(), 1U);
+  EXPECT_EQ(question[0].first, sent.peer);
+  EXPECT_EQ(question[0].second.request_id, sent.message.request_id);
+  hear(sent.peer,
+       wire::attempt_status{
+           sent.message.request_id, sent.message.attempt, wire::attempt_state::running, 0, {}, ""});
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 409);
+  EXPECT_EQ(execution_of(response), "unknown");
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+}
+
+// Guards against a second upstream being tried before the row names it.
+TEST_F(service_call_test, refused_call_is_moved_to_another_upstream_by_a_write) {
+  book("k-1");
+  win_write();
+  const auto first = take_submitted();
+  refuse(first, execution::not_run, refusal_reason::draining);
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  win_write();
+  const auto second = take_submitted();
+  EXPECT_NE(second.peer, first.peer);
+  EXPECT_EQ(second.message.attempt, attempt_number{2});
+  EXPECT_EQ(row["peer_address"], second.peer);
+}
+
+// Guards against a second run after the link broke: only the agent's word allows one.
+TEST_F(service_call_test, broken_link_is_settled_and_never_retried_blindly) {
+  book("k-1");
+  win_write();
+  const auto sent = take_submitted();
+  call(&entry_core::on_link_lost, std::string_view(sent.peer));
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  EXPECT_EQ(take_messages<wire::settle_attempt>().size(), 1U);
+  run_for(milliseconds(1100));
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(execution_of(response), "unknown");
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+}
+
+// Guards against a run on a process that was not claimed for and cannot settle the attempt.
+TEST_F(service_call_test, agent_that_restarted_during_the_claim_gets_no_attempt) {
+  book("k-1");
+  ++incarnations;
+  for (const auto& peer : alive) {
+    call(&entry_core::on_link_lost, std::string_view(peer));
+    hear_load(peer);
+  }
+  win_write();
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  win_write();  // The move to another process.
+  EXPECT_EQ(row["agent_incarnation"], "2");
+  EXPECT_EQ(take_submitted().message.attempt, attempt_number{2});
+}
+
+// Guards against a claim that is confirmed while the entry was paused beyond the deadline.
+TEST_F(service_call_test, paused_entry_does_not_send_after_the_deadline) {
+  const auto caller = book("k-1");
+  actions.clear();
+  now += seconds(200);
+  call(&entry_core::on_claim_written, caller, true, std::uint64_t{1}, json());
+  EXPECT_TRUE(take_messages<wire::submit_request>().empty());
+  EXPECT_EQ(execution_of(take_response()), "not_run");
+}
+
+// Guards against a lost booking when its caller hangs up: the outcome must be there for the retry.
+TEST_F(service_call_test, call_goes_on_when_its_caller_hangs_up) {
+  const auto caller = book("k-1");
+  win_write();
+  const auto sent = take_submitted();
+  call(&entry_core::on_caller_closed, caller);
+  EXPECT_TRUE(take_messages<wire::cancel_request>().empty());
+  answer(sent, "booked");
+  win_write();
+  EXPECT_EQ(row["response"]["body"], "booked");
+  EXPECT_TRUE(take<respond>().empty());
+  EXPECT_EQ(core.in_flight(), 0U);
+}
+
+// Guards against half a response, and against a stale half before a whole one, when a service breaks off.
+TEST_F(service_call_test, repeatable_call_starts_over_on_another_upstream) {
+  send({"GET", "/services/orders/routes", {{"Authorization", "Bearer " + std::string(k_key)}}, ""});
+  const auto first = take_submitted();
+  hear(first.peer, wire::answer_head{first.message.request_id, first.message.attempt, 200, {}});
+  hear(first.peer, wire::answer_chunk{first.message.request_id, first.message.attempt, 0, 0, "half"});
+  call(&entry_core::on_link_lost, std::string_view(first.peer));
+  const auto second = take_submitted();
+  EXPECT_NE(second.peer, first.peer);
+  answer(second, "whole");
+  EXPECT_EQ(take_response().body, "whole");
+}
+
+}  // namespace
+}  // namespace cuminpath::entry
