--- a/source/unit_tests/placement/planner_test.cpp
+++ b/source/unit_tests/placement/planner_test.cpp
@@ -52,6 +52,19 @@
   EXPECT_LE(made.skew_after, 1.10);
 }
 
+// Guards against copies that are made where moving shares between existing replicas is enough.
+TEST(planner, moves_shares_before_it_makes_copies) {
+  const group_shape shape{.ranks = 2, .layers = 1, .experts = 2, .slots_per_rank = 2};
+  expert_map current = contiguous_map(shape);
+  current.layers[0].experts = {{{0, 1.0F}, {1, 0.0F}}, {{0, 0.0F}, {1, 1.0F}}};
+  const auto made =
+      make_plan(shape, current, {{300, 100}}, std::vector<float>{1.0F, 1.0F}, options_with_life(600));
+  EXPECT_EQ(made.copies, 0U);
+  EXPECT_TRUE(made.worthwhile);
+  EXPECT_NEAR(made.skew_before, 1.5, 0.001);
+  EXPECT_NEAR(made.skew_after, 1.0, 0.001);
+}
+
 // Guards against copies whose cost the expected life of the load pattern can't win back.
 TEST(planner, makes_no_copy_for_a_pattern_that_ends_at_once) {
   const group_shape shape{.ranks = 8, .layers = 2, .experts = 64, .slots_per_rank = 10};
