scenario: add the runner with Lua, processes, forwarders, requests and load

Scenarios run the real programs as separate processes, know them by name and end them by id. A forwarder in front of an address holds data back or delays it, because the machine's network rules stay as they are.

--- /dev/null
+++ b/source/scenario/forwarder.h
@@ -0,0 +1,37 @@
+// A TCP forwarder in front of an address. It can hold all data back or delay it, like a network that loses or
+// slows packets: data that was held back arrives after heal(), as TCP would deliver it.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/common/error.h"
+#include "core/common/time.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace cuminpath::scenario {
+
+class forwarder {
+public:
+  // Listens on a free port of 127.0.0.1. `target` is IP:PORT. All work runs on the io_context.
+  static result<std::unique_ptr<forwarder>> start(asio::io_context& context, const std::string& target);
+  ~forwarder();
+  forwarder(const forwarder&) = delete;
+  forwarder& operator=(const forwarder&) = delete;
+
+  [[nodiscard]] std::string address() const;
+  void cut();                          // Holds back all data, also of new connections.
+  void heal();                         // Ends cut() and the delay.
+  void set_delay(milliseconds delay);  // Of each part, in each direction.
+  void reset_connections();            // Closes all open connections.
+
+private:
+  class impl;
+  explicit forwarder(std::shared_ptr<impl> implementation);
+  std::shared_ptr<impl> m_impl;
+};
+
+}  // namespace cuminpath::scenario
--- /dev/null
+++ b/source/scenario/runner.cpp
@@ -0,0 +1,239 @@
+#include "scenario/runner.h"
+
+#include <asio/ip/tcp.hpp>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace cuminpath::scenario {
+namespace {
+
+using emulator::call_order;
+using emulator::call_outcome;
+
+// Below the range from which the kernel takes ports of outgoing connections, so that none of those takes a
+// port between the check and its use.
+constexpr int k_first_port = 15000;
+constexpr int k_last_port = 31999;
+constexpr std::size_t k_log_lines = 15;
+
+call_order to_order(const json& value) {
+  static const std::map<std::string, call_order::kind> s_kinds = {
+      {"completion", call_order::kind::completion},
+      {"chat", call_order::kind::chat_completion},
+      {"service", call_order::kind::service}};
+  call_order order;
+  order.what = s_kinds.at(value.value("kind", "completion"));
+  order.url = value.value("url", "");
+  order.key = value.value("key", "");
+  order.idempotency_key = value.value("idempotency_key", "");
+  order.priority_class = value.value("priority", "");
+  order.request_id = value.value("request_id", "");
+  order.deadline_ms = value.value("deadline_ms", 0U);
+  order.timeout = milliseconds(value.value("timeout_ms", order.timeout.count()));
+  order.model = value.value("model", "");
+  order.prompt = value.value("prompt", "");
+  order.max_tokens = value.value("max_tokens", order.max_tokens);
+  order.stream = value.value("stream", true);
+  order.method = value.value("method", "POST");
+  order.path = value.value("path", "");
+  order.body = value.value("body", "");
+  return order;
+}
+
+json headers_to_json(const http::header_list& headers) {
+  json object = json::object();
+  for (const auto& [name, value] : headers) {
+    std::string lower = name;
+    for (auto& c : lower) {
+      c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    }
+    object[lower] = value;
+  }
+  return object;
+}
+
+json to_json(const call_outcome& value) {
+  return {{"outcome", emulator::to_string(value.what)},
+          {"status", value.status},
+          {"detail", value.detail},
+          {"text", value.text},
+          {"problem", value.problem},
+          {"headers", headers_to_json(value.headers)},
+          {"tokens", value.tokens},
+          {"first_ms", value.first_ms},
+          {"total_ms", value.total_ms}};
+}
+
+}  // namespace
+
+runner::runner(std::vector<std::string> program_directories, std::string directory)
+    : m_program_directories(std::move(program_directories)), m_directory(std::move(directory)) {}
+
+result<pid_t> runner::start(const std::string& name, const std::string& program,
+                            const std::vector<std::string>& arguments) {
+  if (const auto found = m_processes.find(name); found != m_processes.end()) {
+    if (!found->second.exit_status()) {
+      return make_error(error_code::conflict, "process " + name + " already runs");
+    }
+    m_processes.erase(found);
+  }
+  auto started =
+      child_process::start(path_of(program), arguments, file_of(name, ".out"), file_of(name, ".log"));
+  if (!started) {
+    return started.error();
+  }
+  const auto pid = started.value().pid();
+  m_processes.emplace(name, std::move(started.value()));
+  return pid;
+}
+
+child_process* runner::process(const std::string& name) {
+  const auto found = m_processes.find(name);
+  return found == m_processes.end() ? nullptr : &found->second;
+}
+
+std::string runner::output(const std::string& name) const {
+  std::ifstream file(file_of(name, ".out"));
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string runner::free_address() {
+  std::random_device random;
+  std::uniform_int_distribution<int> ports(k_first_port, k_last_port);
+  for (;;) {
+    const auto port = ports(random);
+    asio::ip::tcp::acceptor probe(m_context);
+    std::error_code failure;
+    probe.open(asio::ip::tcp::v4(), failure);
+    probe.bind({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, failure);
+    if (!failure && m_given_ports.insert(port).second) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
+}
+
+result<std::string> runner::open_forwarder(const std::string& name, const std::string& target) {
+  auto opened = forwarder::start(m_context, target);
+  if (!opened) {
+    return opened.error();
+  }
+  auto& stored = m_forwarders[name];
+  stored = std::move(opened.value());
+  return stored->address();
+}
+
+forwarder* runner::find_forwarder(const std::string& name) {
+  const auto found = m_forwarders.find(name);
+  return found == m_forwarders.end() ? nullptr : found->second.get();
+}
+
+std::uint64_t runner::send_request(const json& order) {
+  const auto id = ++m_last_id;
+  m_results[id] = json();
+  emulator::send_call(m_client, to_order(order),
+                      [this, id](const call_outcome& outcome) { m_results[id] = to_json(outcome); });
+  return id;
+}
+
+std::uint64_t runner::send_http(const json& order) {
+  const auto id = ++m_last_id;
+  m_results[id] = json();
+  http::request request;
+  request.method = order.value("method", "GET");
+  request.target = order.value("path", "/");
+  request.body = order.value("body", "");
+  const auto headers = order.value("headers", json::object());
+  for (const auto& [name, value] : headers.items()) {
+    request.headers.emplace_back(name, value.get<std::string>());
+  }
+  m_client.call(order.value("url", ""), std::move(request),
+                {.timeout = milliseconds(order.value("timeout_ms", 5000)), .never_reuse_connection = true},
+                [this, id](const http::client::whole_response& answer) {
+                  m_results[id] = {{"status", answer.failure ? 0 : answer.value.status},
+                                   {"body", answer.value.body},
+                                   {"headers", headers_to_json(answer.value.headers)},
+                                   {"error", answer.failure ? json(answer.failure->message) : json()}};
+                });
+  return id;
+}
+
+json runner::result_of(std::uint64_t id) const {
+  const auto found = m_results.find(id);
+  return found == m_results.end() ? json() : found->second;
+}
+
+std::uint64_t runner::start_load(const json& options) {
+  emulator::load_options wanted;
+  wanted.entry_urls = options.at("urls").get<std::vector<std::string>>();
+  wanted.requests_per_second = options.value("rate", wanted.requests_per_second);
+  wanted.time = milliseconds(static_cast<std::int64_t>(options.value("seconds", 1.0) * 1000));
+  wanted.seed = options.value("seed", wanted.seed);
+  for (const auto& share : options.at("shares")) {
+    wanted.shares.push_back({to_order(share), share.value("name", "all"), share.value("weight", 1.0)});
+  }
+  const auto id = ++m_last_id;
+  m_loads[id] = std::make_unique<emulator::load_generator>(m_context, m_client, std::move(wanted));
+  m_loads[id]->start();
+  return id;
+}
+
+void runner::stop_load(std::uint64_t id) {
+  if (const auto found = m_loads.find(id); found != m_loads.end()) {
+    found->second->stop();
+  }
+}
+
+json runner::load_summary(std::uint64_t id) const {
+  const auto found = m_loads.find(id);
+  if (found == m_loads.end()) {
+    return json();
+  }
+  auto summary = found->second->summary();
+  summary["done"] = found->second->done();
+  return summary;
+}
+
+void runner::poll(milliseconds time) {
+  m_context.restart();
+  m_context.run_for(time);
+}
+
+std::string runner::log_tails() const {
+  std::string text;
+  for (const auto& [name, process] : m_processes) {
+    std::ifstream file(file_of(name, ".log"));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(file, line);) {
+      lines.push_back(line);
+    }
+    const auto first = lines.size() > k_log_lines ? lines.size() - k_log_lines : 0;
+    text += lines.empty() ? "" : "--- " + name + "\n";
+    for (auto i = first; i < lines.size(); ++i) {
+      text += lines[i] + "\n";
+    }
+  }
+  return text;
+}
+
+std::string runner::path_of(const std::string& program) const {
+  if (program.starts_with("/")) {
+    return program;
+  }
+  for (const auto& directory : m_program_directories) {
+    auto path = directory + "/" + program;
+    if (std::filesystem::is_regular_file(path)) {
+      return path;
+    }
+  }
+  return program;
+}
+
+std::string runner::file_of(const std::string& name, const char* suffix) const {
+  return m_directory + "/" + name + suffix;
+}
+
+}  // namespace cuminpath::scenario
--- /dev/null
+++ b/source/scenario/vocabulary.cpp
@@ -0,0 +1,259 @@
+#include "scenario/vocabulary.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include "core/common/hash.h"
+#include "scenario/lua_json.h"
+
+namespace cuminpath::scenario {
+namespace {
+
+runner& runner_of(lua_State* lua) {
+  return *static_cast<runner*>(lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+std::string text_argument(lua_State* lua, int index) {
+  std::size_t size = 0;
+  const char* text = luaL_checklstring(lua, index, &size);
+  return {text, size};
+}
+
+void push_text(lua_State* lua, const std::string& text) {
+  lua_pushlstring(lua, text.data(), text.size());
+}
+
+// Lua is built as C++ here: its errors are exceptions, and destructors run.
+int raise(lua_State* lua, const std::string& message) {
+  return luaL_error(lua, "%s", message.c_str());
+}
+
+// Calls `body` and turns an exception about the format of an argument into an error of the script.
+template <class body_type>
+int guarded(lua_State* lua, body_type body) {
+  std::string message;
+  try {
+    return body();
+  } catch (const std::exception& failure) {  // Errors of Lua itself are not derived from it.
+    message = failure.what();
+  }
+  return raise(lua, message);
+}
+
+child_process& process_argument(lua_State* lua) {
+  const auto name = text_argument(lua, 1);
+  auto* process = runner_of(lua).process(name);
+  if (process == nullptr) {
+    raise(lua, "no process " + name);
+  }
+  return *process;
+}
+
+forwarder& forwarder_argument(lua_State* lua) {
+  const auto name = text_argument(lua, 1);
+  auto* found = runner_of(lua).find_forwarder(name);
+  if (found == nullptr) {
+    raise(lua, "no forwarder " + name);
+  }
+  return *found;
+}
+
+int start(lua_State* lua) {
+  std::vector<std::string> arguments;
+  if (lua_istable(lua, 3)) {
+    for (const auto& item : to_json(lua, 3)) {
+      arguments.push_back(item.is_string() ? item.get<std::string>() : item.dump());
+    }
+  }
+  const auto pid = runner_of(lua).start(text_argument(lua, 1), text_argument(lua, 2), arguments);
+  if (!pid) {
+    return raise(lua, pid.error().message);
+  }
+  lua_pushinteger(lua, pid.value());
+  return 1;
+}
+
+int send_signal(lua_State* lua) {
+  static const std::map<std::string, int> s_numbers = {
+      {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+  const auto found = s_numbers.find(text_argument(lua, 2));
+  if (found == s_numbers.end()) {
+    return raise(lua, "unknown signal");
+  }
+  process_argument(lua).send_signal(found->second);
+  return 0;
+}
+
+int exit_status(lua_State* lua) {
+  if (const auto status = process_argument(lua).exit_status()) {
+    lua_pushinteger(lua, *status);
+  } else {
+    lua_pushnil(lua);
+  }
+  return 1;
+}
+
+int output(lua_State* lua) {
+  push_text(lua, runner_of(lua).output(text_argument(lua, 1)));
+  return 1;
+}
+
+int free_address(lua_State* lua) {
+  push_text(lua, runner_of(lua).free_address());
+  return 1;
+}
+
+int open_forwarder(lua_State* lua) {
+  const auto address = runner_of(lua).open_forwarder(text_argument(lua, 1), text_argument(lua, 2));
+  if (!address) {
+    return raise(lua, address.error().message);
+  }
+  push_text(lua, address.value());
+  return 1;
+}
+
+int cut(lua_State* lua) {
+  forwarder_argument(lua).cut();
+  return 0;
+}
+
+int heal(lua_State* lua) {
+  forwarder_argument(lua).heal();
+  return 0;
+}
+
+int delay(lua_State* lua) {
+  forwarder_argument(lua).set_delay(milliseconds(luaL_checkinteger(lua, 2)));
+  return 0;
+}
+
+int reset(lua_State* lua) {
+  forwarder_argument(lua).reset_connections();
+  return 0;
+}
+
+int request(lua_State* lua) {
+  return guarded(lua, [lua] {
+    lua_pushinteger(lua, static_cast<lua_Integer>(runner_of(lua).send_request(to_json(lua, 1))));
+    return 1;
+  });
+}
+
+int http_request(lua_State* lua) {
+  return guarded(lua, [lua] {
+    lua_pushinteger(lua, static_cast<lua_Integer>(runner_of(lua).send_http(to_json(lua, 1))));
+    return 1;
+  });
+}
+
+int result_of(lua_State* lua) {
+  push_json(lua, runner_of(lua).result_of(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1))));
+  return 1;
+}
+
+int start_load(lua_State* lua) {
+  return guarded(lua, [lua] {
+    lua_pushinteger(lua, static_cast<lua_Integer>(runner_of(lua).start_load(to_json(lua, 1))));
+    return 1;
+  });
+}
+
+int stop_load(lua_State* lua) {
+  runner_of(lua).stop_load(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1)));
+  return 0;
+}
+
+int load_summary(lua_State* lua) {
+  push_json(lua, runner_of(lua).load_summary(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1))));
+  return 1;
+}
+
+int poll(lua_State* lua) {
+  runner_of(lua).poll(milliseconds(luaL_checkinteger(lua, 1)));
+  return 0;
+}
+
+int now(lua_State* lua) {
+  lua_pushnumber(lua, std::chrono::duration<double>(clock::now().time_since_epoch()).count());
+  return 1;
+}
+
+int sha256(lua_State* lua) {
+  push_text(lua, sha256_hex(text_argument(lua, 1)));
+  return 1;
+}
+
+int encode(lua_State* lua) {
+  push_text(lua, to_json(lua, 1).dump(-1, ' ', false, json::error_handler_t::replace));
+  return 1;
+}
+
+int decode(lua_State* lua) {
+  const auto parsed = parse_json(text_argument(lua, 1));
+  if (!parsed) {
+    return raise(lua, parsed.error().message);
+  }
+  push_json(lua, parsed.value());
+  return 1;
+}
+
+int read_file(lua_State* lua) {
+  const auto path = text_argument(lua, 1);
+  std::ifstream file(path);
+  if (!file) {
+    return raise(lua, "cannot read " + path);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  push_text(lua, text.str());
+  return 1;
+}
+
+int write_file(lua_State* lua) {
+  const auto path = text_argument(lua, 1);
+  std::ofstream file(path);
+  file << text_argument(lua, 2);
+  file.close();
+  if (!file) {
+    return raise(lua, "cannot write " + path);
+  }
+  return 0;
+}
+
+}  // namespace
+
+void register_vocabulary(lua_State* lua, runner& target) {
+  const luaL_Reg functions[] = {{"start", start},
+                                {"signal", send_signal},
+                                {"exit_status", exit_status},
+                                {"output", output},
+                                {"free_address", free_address},
+                                {"open_forwarder", open_forwarder},
+                                {"cut", cut},
+                                {"heal", heal},
+                                {"delay", delay},
+                                {"reset", reset},
+                                {"request", request},
+                                {"http", http_request},
+                                {"result", result_of},
+                                {"start_load", start_load},
+                                {"stop_load", stop_load},
+                                {"load_summary", load_summary},
+                                {"poll", poll},
+                                {"now", now},
+                                {"sha256", sha256},
+                                {"encode", encode},
+                                {"decode", decode},
+                                {"read_file", read_file},
+                                {"write_file", write_file},
+                                {nullptr, nullptr}};
+  lua_newtable(lua);
+  lua_pushlightuserdata(lua, &target);
+  luaL_setfuncs(lua, functions, 1);
+  push_text(lua, target.directory());
+  lua_setfield(lua, -2, "directory");
+  lua_setglobal(lua, "runner");
+}
+
+}  // namespace cuminpath::scenario
