--- a/source/scenario/vocabulary.cpp
+++ b/source/scenario/vocabulary.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "core/common/hash.h"
+#include "core/config/manifest_parser.h"
 #include "scenario/lua_json.h"
 
 namespace cuminpath::scenario {
@@ -198,6 +199,16 @@
   return 1;
 }
 
+int split_manifest(lua_State* lua) {
+  const auto parsed = config::parse_manifest(text_argument(lua, 1), "manifest");
+  if (!parsed.errors.empty()) {
+    return raise(lua, config::to_string(parsed.errors.front()));
+  }
+  const auto parts = config::split(parsed.value);
+  push_json(lua, {{"index", parts.index}, {"contents", parts.contents}});
+  return 1;
+}
+
 int read_file(lua_State* lua) {
   const auto path = text_argument(lua, 1);
   std::ifstream file(path);
@@ -245,6 +256,7 @@
                                 {"sha256", sha256},
                                 {"encode", encode},
                                 {"decode", decode},
+                                {"split_manifest", split_manifest},
                                 {"read_file", read_file},
                                 {"write_file", write_file},
                                 {nullptr, nullptr}};
--- a/source/scenario/vocabulary.h
+++ b/source/scenario/vocabulary.h
@@ -21,6 +21,7 @@
 //   load_summary(id), stop_load(id)
 //   poll(ms), now()                       -> seconds on a monotonic clock
 //   sha256(text), encode(value), decode(text), read_file(path), write_file(path, text)
+//   split_manifest(text)                  -> {index = text, contents = {DIGEST = text}}
 //   directory                             working directory of the scenario
 void register_vocabulary(lua_State* lua, runner& target);
 
--- /dev/null
+++ b/tests/scenarios/support/system.lua
@@ -0,0 +1,274 @@
+-- A whole local system: emulators of the platform, engines and services with their agents, and entries.
+
+local system = {}
+system.__index = system
+
+local root = debug.getinfo(1, "S").source:sub(2):gsub("tests/scenarios/support/system%.lua$", "")
+local operator_key = "operator-sample-key"
+
+local function fill(template, values)
+  return (template:gsub("%${([%w_]+)}", function(name)
+    return tostring(expect(values[name], "no value for " .. name))
+  end))
+end
+
+-- The manifest of the system. `changes` may have: slots, workspace_share, note (an extra workspace, so that
+-- each note makes a different manifest).
+function system:manifest(changes)
+  changes = changes or {}
+  local parts = {}
+  local function add(text, values) parts[#parts + 1] = fill(text, values or {}) end
+  local floors = {urgent = 0.5, booking = 0.2, digest = 0.1}
+  for rank, class in ipairs{"urgent", "booking", "digest"} do
+    local target = self.options.targets[class]
+    add('[[priority_class]]\nname = "${class}"\nrank = ${rank}\nfloor = ${floor}\n' .. (target and
+      "total_target_ms = " .. target .. "\n" or ""), {class = class, rank = rank - 1, floor = floors[class]})
+  end
+  add('[[model]]\nname = "member-messages"\nmax_tokens = 4096\n')
+  add('[[service]]\nname = "bookings"\n' ..
+      '[[service.rule]]\nmethod = "POST"\npath_prefix = "/quotes"\nrepeatable = true\n')
+  local workspaces = {{"narmada", 2}, {"calabaza", changes.workspace_share or 1}}
+  if changes.note then workspaces[3] = {changes.note, 1} end
+  for _, workspace in ipairs(workspaces) do
+    add('[[workspace]]\nname = "${name}"\nkey_sha256 = ["${key}"]\nshare = ${share}\n' ..
+        'classes = ["urgent", "booking", "digest"]\ndefault_class = "booking"\n',
+        {name = workspace[1], key = runner.sha256(workspace[1] .. "-key"), share = workspace[2]})
+  end
+  for _, agent in ipairs(self.agents) do
+    add('[[upstream]]\nname = "${upstream}"\nhost = "${host}"\nkind = "${kind}"\n${kind_key} = "${target}"\n' ..
+        'slots = ${slots}\n', {upstream = agent.upstream, host = agent.host, kind = agent.kind,
+        kind_key = agent.kind == "engine" and "model" or "service",
+        target = agent.kind == "engine" and "member-messages" or "bookings",
+        slots = changes.slots or self.options.slots})
+  end
+  return table.concat(parts, "\n")
+end
+
+-- Writes a manifest to the platform as the first configuration, or in place of version `based_on`.
+function system:publish(text, based_on)
+  local parts = runner.split_manifest(text)
+  parts.contents[runner.sha256(parts.index)] = parts.index
+  for digest, content in pairs(parts.contents) do
+    local answer = http{url = self.objects, method = "PUT", path = "/v1/objects/" .. digest, body = content}
+    expect_equal(answer.status, 200, "object")
+  end
+  local row = http{url = self.table, path = "/v1/tables/configuration/rows/head"}
+  local current = row.status == 200 and runner.decode(row.body) or {version = 0, value = {version = 0}}
+  local version = current.value.version + 1
+  local value = {version = version, index = runner.sha256(parts.index)}
+  local answer = http{url = self.table, method = "PUT", path = "/v1/tables/configuration/rows/head",
+                      body = runner.encode{value = value, if_version = current.version}}
+  expect_equal(answer.status, 200, "head row")
+  return version
+end
+
+-- Host list with the hosts in `leaving` (a set of host names) marked as leaving and those in `absent` left out.
+function system:set_hosts(leaving, absent)
+  local hosts = setmetatable({}, {array = true})
+  for _, list in ipairs{self.entries, self.agents} do
+    for _, process in ipairs(list) do
+      if not (absent or {})[process.host] then
+        hosts[#hosts + 1] = {name = process.host, role = process.role, availability_zone = process.zone,
+          region = "guj-south", address = process.address or "", peer_address = process.peer_address,
+          admin_address = process.admin_address, state = (leaving or {})[process.host] and "leaving" or "live"}
+      end
+    end
+  end
+  control(self.hosts, {hosts = hosts, lag_ms = 0})
+end
+
+function system:start_daemon(process)
+  local file = runner.directory .. "/" .. process.name .. ".toml"
+  local template = runner.read_file(root .. "data/" .. process.role .. ".toml.in")
+  local seeds = {}
+  for _, list in ipairs{self.entries, self.agents} do
+    for _, other in ipairs(list) do
+      if other ~= process and #seeds < 4 then seeds[#seeds + 1] = '"' .. other.peer_address .. '"' end
+    end
+  end
+  runner.write_file(file, fill(template, setmetatable({
+    region = "guj-south", availability_zone = process.zone, operator_key_sha256 = runner.sha256(operator_key),
+    seed_peers = table.concat(seeds, ", "), entries_ttl_ms = self.options.entries_ttl_ms,
+    table = self.links.table, objects = self.links.objects, hosts = self.links.hosts,
+    weights = self.links.weights}, {__index = process})))
+  start(process.name, "cuminpathd", {"--settings", file})
+end
+
+-- Whether every process says that it is ready.
+function system:ready()
+  for _, list in ipairs{self.entries, self.agents} do
+    for _, process in ipairs(list) do
+      expect(not ended(process.name), process.name .. " has ended")
+      if http{url = process.admin, path = "/readyz", timeout_ms = 500}.status ~= 200 then return false end
+    end
+  end
+  return true
+end
+
+-- Waits until the processes are ready and each entry completes a completion and a booking.
+function system:wait_ready()
+  within(20, "all processes are ready", function() return self:ready() end)
+  for number, entry in ipairs(self.entries) do
+    within(15, entry.name .. " completes a request", function()
+      local one = self:complete{entry = number, prompt = "warm up", max_tokens = 1}
+      finish(one)
+      return one.outcome == "complete"
+    end)
+    within(15, entry.name .. " completes a booking", function()
+      local one = self:book{entry = number, path = "/services/bookings/quotes/1"}
+      finish(one)
+      return one.outcome == "complete"
+    end)
+  end
+  return self
+end
+
+-- Starts everything. Options: entries, engines, services (counts), slots, token_interval_ms, first_token_ms,
+-- service_delay_ms, entries_ttl_ms, targets (of classes, in ms).
+function system.start(options)
+  local defaults = {entries = 2, engines = 4, services = 2, slots = 8, token_interval_ms = 20, first_token_ms = 30,
+                    service_delay_ms = 5, entries_ttl_ms = 1000, targets = {}}
+  local self = setmetatable({options = setmetatable(options or {}, {__index = defaults}), entries = {}, agents = {},
+                             links = {}, key = "narmada-key", zones = {"bharuch", "vadodara"}}, system)
+  for _, role in ipairs{"table", "objects", "hosts", "weights"} do
+    self[role] = start_emulator(role, role)
+    self.links[role] = forward(role, self[role])
+  end
+  for number = 1, self.options.engines do self:add_agent("engine", number) end
+  for number = 1, self.options.services do self:add_agent("service", number) end
+  for number = 1, self.options.entries do
+    local entry = {name = "entry-" .. number, role = "entry", address = runner.free_address()}
+    entry.url = "http://" .. entry.address
+    self:add_process(entry, number)
+    self.entries[number] = entry
+  end
+  self:set_hosts()
+  self:publish(self:manifest())
+  for _, list in ipairs{self.entries, self.agents} do
+    for _, process in ipairs(list) do self:start_daemon(process) end
+  end
+  return self:wait_ready()
+end
+
+function system:add_process(process, number)
+  process.host = process.name .. "-host"
+  process.zone = self.zones[(number - 1) % #self.zones + 1]
+  process.peer_address = runner.free_address()
+  process.admin_address = runner.free_address()
+  process.admin = "http://" .. process.admin_address
+end
+
+function system:add_agent(kind, number)
+  local upstream = kind .. "-" .. number
+  local agent = {name = "agent-" .. upstream, upstream = upstream, kind = kind, role = "agent"}
+  if kind == "engine" then
+    agent.emulator = start_emulator(upstream, "engine", {slots = self.options.slots, model = "member-messages",
+      token_interval_ms = self.options.token_interval_ms, first_token_ms = self.options.first_token_ms})
+  else
+    agent.emulator = start_emulator(upstream, "service", {delay_ms = self.options.service_delay_ms})
+  end
+  agent.upstream_url = forward(upstream, agent.emulator)
+  self:add_process(agent, number)
+  self.agents[#self.agents + 1] = agent
+end
+
+-- Sends a completion. Fields of request(), and `entry`: its number.
+function system:complete(order)
+  order = order or {}
+  order.url = order.url or self.entries[order.entry or 1].url
+  order.kind = order.kind or "completion"
+  order.key = order.key or self.key
+  order.model = "member-messages"
+  order.prompt = order.prompt or "remind the member of the cartridge"
+  return request(order)
+end
+
+-- Sends a booking, which may not be repeated.
+local bookings = 0
+function system:book(order)
+  order = order or {}
+  bookings = bookings + 1
+  order.url = order.url or self.entries[order.entry or 1].url
+  order.kind = "service"
+  order.key = order.key or self.key
+  order.path = order.path or "/services/bookings/replacements"
+  order.body = order.body or '{"household":' .. bookings .. '}'
+  order.idempotency_key = order.idempotency_key or "booking-" .. bookings
+  return request(order)
+end
+
+-- Load of completions and bookings on all entries, or on those in `entries` (numbers).
+function system:flood(options)
+  options.urls = {}
+  for number, entry in ipairs(self.entries) do
+    if not options.entries or options.entries[number] then options.urls[#options.urls + 1] = entry.url end
+  end
+  options.shares = options.shares or {
+    {name = "completion", weight = 4, kind = "completion", key = self.key, model = "member-messages", max_tokens = 20},
+    {name = "booking", weight = 1, kind = "service", key = self.key, path = "/services/bookings/replacements",
+     body = '{"household":1}'}}
+  return flood(options)
+end
+
+-- How often the services ran the call with an idempotency key.
+function system:runs(key)
+  local count = 0
+  for _, agent in ipairs(self.agents) do
+    if agent.kind == "service" then count = count + (stats(agent.emulator).runs[key] or 0) end
+  end
+  return count
+end
+
+-- Calls that were run more than once: a list of idempotency keys.
+function system:repeated_runs()
+  local counts, found = {}, {}
+  for _, agent in ipairs(self.agents) do
+    if agent.kind == "service" then
+      for key, runs in pairs(stats(agent.emulator).runs) do counts[key] = (counts[key] or 0) + runs end
+    end
+  end
+  for key, runs in pairs(counts) do
+    if runs > 1 then found[#found + 1] = key end
+  end
+  return found
+end
+
+-- Total starts of requests at the engines.
+function system:starts()
+  local total = 0
+  for _, agent in ipairs(self.agents) do
+    if agent.kind == "engine" then
+      for _, count in pairs(stats(agent.emulator).starts) do total = total + count end
+    end
+  end
+  return total
+end
+
+-- Orders a process to shut down gracefully by its admin address.
+function system:drain(process)
+  return http{url = process.admin, method = "POST", path = "/drain",
+              headers = {Authorization = "Bearer " .. operator_key}}
+end
+
+function system:agent(name)
+  for _, agent in ipairs(self.agents) do
+    if agent.upstream == name then return agent end
+  end
+  error("no agent of " .. name)
+end
+
+-- Outages of a part of the platform (table, objects, hosts).
+function system:outage(part, down) control(self[part], {down = down}) end
+
+-- Checks that hold in every scenario: each booking ran at most once, no engine saw a resume with a wrong text.
+function system:check_invariants()
+  local repeated = self:repeated_runs()
+  expect(#repeated == 0, "calls that may not be repeated ran twice: " .. table.concat(repeated, ", "))
+  for _, agent in ipairs(self.agents) do
+    if agent.kind == "engine" and not ended(agent.upstream) then
+      expect_equal(stats(agent.emulator).resume_mismatches, 0, "resumes with a wrong text at " .. agent.upstream)
+    end
+  end
+end
+
+return system
