--- /dev/null
+++ b/source/core/rollout/head.cpp
@@ -0,0 +1,46 @@
+#include <algorithm>
+
+#include "core/common/hash.h"
+#include "core/config/manifest_parser.h"
+#include "core/rollout/rollout.h"
+
+namespace cuminpath::rollout {
+namespace {
+
+// With three pollers, two may fail within a second without a delay for the zone.
+constexpr std::size_t k_pollers = 3;
+
+}  // namespace
+
+result<head> parse_head(const json& row_value) {
+  const auto member = [&row_value](const char* name) {
+    const auto found = row_value.is_object() ? row_value.find(name) : row_value.end();
+    return row_value.is_object() && found != row_value.end() ? *found : json();
+  };
+  const json version = member("version");
+  const json index = member("index");
+  if (!version.is_number_integer() || version.get<std::int64_t>() <= 0 || !index.is_string() ||
+      !config::is_sha256(index.get_ref<const std::string&>())) {
+    return make_error(error_code::invalid_input, "malformed head row");
+  }
+  return head{configuration_version{version.get<std::uint64_t>()}, index.get<std::string>()};
+}
+
+std::vector<std::string> pollers(std::string_view availability_zone,
+                                 std::span<const std::string> entry_names) {
+  const std::string key = "configuration-head/" + std::string(availability_zone);
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(entry_names.size());
+  for (const std::string& name : entry_names) {
+    ranked.emplace_back(rendezvous_weight(key, name), name);
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  ranked.erase(std::unique(ranked.begin(), ranked.end()), ranked.end());
+  std::vector<std::string> chosen;
+  for (std::size_t i = 0; i < std::min(k_pollers, ranked.size()); ++i) {
+    chosen.push_back(std::move(ranked[i].second));
+  }
+  return chosen;
+}
+
+}  // namespace cuminpath::rollout
--- a/source/core/rollout/rollout.h
+++ b/source/core/rollout/rollout.h
@@ -11,7 +11,9 @@
 #include <variant>
 #include <vector>
 
+#include "core/common/error.h"
 #include "core/common/ids.h"
+#include "core/common/json.h"
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/config/manifest.h"
@@ -31,6 +33,13 @@
   std::string index_digest;
 };
 
+// Reads the value of the head row. Errors: invalid_input.
+result<head> parse_head(const json& row_value);
+
+// The entries of an availability zone that poll the head: three at most, the same wherever it is computed.
+std::vector<std::string> pollers(std::string_view availability_zone,
+                                 std::span<const std::string> entry_names);
+
 struct poll_head {};   // Read the head row; report with on_head() or on_head_failed().
 struct fetch_object {  // From the object store; report with on_object() or on_object_failed().
   std::string digest;
@@ -45,6 +54,11 @@
 };
 using action = std::variant<poll_head, fetch_object, send_message, configuration_in_force>;
 
+// How a configuration_fetch is answered. Without digests: index and all sections. With digests of indexes
+// that the sender holds completely, newest first: the difference to the first one that the answering process
+// knows. With digests of sections: the index and the sections that are not named. With only unknown digests:
+// the index alone, so that the sender can ask again by sections. An index is sent as its text or as a
+// difference (see index_delta.h).
 class rollout {
 public:
   explicit rollout(rollout_options options);
@@ -54,7 +68,7 @@
 
   // Entries of the own availability zone (host names, live), for the choice of pollers.
   void set_zone_entries(std::span<const std::string> entry_names);
-  // Peers to ask while nothing is known yet and the table is down.
+  // Peers to ask while nothing is known yet, in order of preference: pollers of the own zone first.
   void set_peers(std::span<const std::string> peer_addresses);
 
   void on_head(time_point now, const head& value, std::vector<action>& actions);
