bench, routing: measure the choice of upstreams, retries, overload, ejection

Cause: following the last load report sends all entries to the same upstreams at the same time.

Change: drivers for a fleet of entries and upstreams on virtual time; a moving average over the reports (weight 0.1) plus the entry's own outstanding requests; slowness needs five samples and twice the median, because prefix hits made healthy replicas look slow.

Ruled out: adding only the change since the report; weights 0.3 and 0.5.

--- a/source/bench/experiments.h
+++ b/source/bench/experiments.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bench/agent_run.h"
+#include "bench/fleet_run.h"
 #include "bench/report.h"
 
 namespace cuminpath::bench {
@@ -43,8 +44,27 @@
 std::vector<table> fairness_experiment();
 
 std::vector<table> choice_experiment();
+
+struct retry_summary {
+  double attempts = 0;         // For each request that arrived during the failure.
+  double attempts_in_all = 0;  // For each request of the whole run.
+  double served = 0;           // Share of the requests that arrived during the failure.
+  double at_failing = 0;       // Attempts at failing upstreams for each of these requests.
+  double served_afterwards = 0;
+};
+// Half of the upstreams fail this share of their attempts.
+retry_summary half_fail(const choice_policy& choice, bool budget, double rate,
+                        std::span<const std::uint64_t> seeds);
 std::vector<table> retry_experiment();
+
+struct overload_summary {
+  double attempts = 0;  // For each request that arrived during the overload.
+  double within = 0;    // Share of them served within target.
+  double time_to_normal_s = 0;
+};
+overload_summary overload(bool budget, bool admission, std::span<const std::uint64_t> seeds);
 std::vector<table> overload_experiment();
+
 std::vector<table> ejection_experiment();
 std::vector<table> cost_experiment();
 
--- /dev/null
+++ b/source/bench/fleet_run.h
@@ -0,0 +1,76 @@
+// Drives the routers of several entries with the schedulers and fake engines of several upstreams over a
+// trace. Messages arrive in the tick in which they are sent, except load reports, which lag.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "bench/fake_engine.h"
+#include "bench/trace.h"
+#include "core/routing/router.h"
+#include "core/scheduling/scheduler.h"
+
+namespace cuminpath::bench {
+
+// Baselines choose among all upstreams.
+enum class baseline_choice : std::uint8_t { round_robin, random, least_outstanding, prefix_hash };
+struct router_choice {
+  routing::router_options options;
+  bool affinity = true;
+};
+using choice_policy = std::variant<baseline_choice, router_choice>;
+
+struct retry_policy {
+  bool budget = true;  // Off: only max_attempts bounds the retries of a request.
+  std::uint32_t max_attempts = 3;
+  // A refusal because of load says that more attempts would not help; naive entries retry it all the same.
+  bool retry_refusals = false;
+  // Without a first token in this time the attempt is cancelled and counts as failed; 0: never.
+  double attempt_timeout_s = 0;
+};
+
+struct failure_plan {
+  std::uint32_t upstreams = 0;  // The first ones fail.
+  double rate = 1;              // Share of their attempts that fails.
+  double from_s = 0;
+  double to_s = 0;
+};
+
+struct fleet_setup {
+  std::uint32_t entries = 18;
+  std::uint32_t upstreams = 16;
+  std::uint32_t slots = 8;
+  engine_profile engine;
+  double slow_factor = 1;  // Of upstream 5.
+  double report_interval_s = 0.5;
+  double report_lag_s = 0.3;
+  scheduling::scheduler_options scheduler;
+  choice_policy choice = router_choice{};
+  retry_policy retry;
+  failure_plan failure;
+  double window_from_s = 0;  // Interval in which the load of the upstreams is measured.
+  double window_to_s = 0;
+};
+
+struct fleet_outcome {
+  std::uint32_t attempts = 0;
+  std::uint32_t attempts_at_failing = 0;
+  std::optional<double> first_token_s;  // Since the arrival.
+  std::optional<double> total_s;
+  bool cached = false;      // Of the last attempt.
+  bool cross_zone = false;  // Of the last attempt.
+};
+
+struct fleet_result {
+  std::vector<fleet_outcome> outcomes;  // One for each arrival.
+  std::vector<double> load;             // Mean of running and queued by upstream in the window.
+  // Attempts started by second, at upstreams of the failure plan and in total.
+  std::vector<std::pair<double, double>> starts;
+};
+
+fleet_result run_fleet(const fleet_setup& setup, std::span<const arrival> trace, std::uint64_t seed);
+
+}  // namespace cuminpath::bench
--- a/source/core/routing/router.cpp
+++ b/source/core/routing/router.cpp
@@ -9,10 +9,11 @@
 namespace cuminpath::routing {
 namespace {
 
-// About ten samples; single slow responses must not move an upstream far.
-constexpr double k_latency_weight = 0.2;
+// About twenty samples: prefix hits make single samples differ by a factor of eight.
+constexpr double k_latency_weight = 0.1;
+constexpr std::uint32_t k_min_latency_samples = 5;
 // Below this multiple of the median, differences are noise. Above the limit, more penalty has no effect.
-constexpr double k_slow_threshold = 1.5;
+constexpr double k_slow_threshold = 2;
 constexpr double k_max_slowness = 8;
 constexpr milliseconds k_slowness_interval{100};
 // A replica without new samples is tried again after this time.
@@ -72,7 +73,9 @@
   const load_state& state = m_table.load(id);
   // The report counts the entry's own requests too, so only the change since then is added.
   const auto change = static_cast<double>(state.outstanding) - state.outstanding_at_report;
-  double value = std::max<double>(state.reported + change, state.outstanding);
+  double value = m_options.estimate == load_estimate::reported_plus_change
+                     ? std::max<double>(state.reported + change, state.outstanding)
+                     : state.reported + state.outstanding;
   if (state.refused_since_report) {
     value += m_table.info(id).slots;
   }
@@ -184,6 +187,7 @@
     const double sample = std::chrono::duration<double>(*first_token).count();
     condition.latency_s += (condition.latency_s > 0 ? k_latency_weight : 1) * (sample - condition.latency_s);
     condition.latency_at = now;
+    ++condition.latency_samples;
   }
   switch (outcome) {
     case attempt_outcome::succeeded:
@@ -206,7 +210,9 @@
     return;
   }
   load_state& state = m_table.load(*id);
-  state.reported = report.running + report.queued;
+  const auto count = static_cast<double>(report.running) + report.queued;
+  state.reported += (state.has_report ? m_options.report_weight : 1) * (count - state.reported);
+  state.has_report = true;
   state.outstanding_at_report = state.outstanding;
   state.refused_since_report = false;
   health_state& condition = m_table.health(*id);
@@ -266,7 +272,7 @@
     const pool* group = m_table.find_pool(model);
     m_latencies.clear();
     for (const upstream_id id : group->subset) {
-      if (m_table.health(id).latency_s > 0) {
+      if (m_table.health(id).latency_samples >= k_min_latency_samples) {
         m_latencies.push_back(m_table.health(id).latency_s);
       }
     }
@@ -278,7 +284,8 @@
     for (const upstream_id id : group->subset) {
       health_state& condition = m_table.health(id);
       const double ratio = condition.latency_s / *middle;
-      const bool fresh = now - condition.latency_at < k_latency_lifetime;
+      const bool fresh = condition.latency_samples >= k_min_latency_samples &&
+                         now - condition.latency_at < k_latency_lifetime;
       condition.slowness = fresh && ratio > k_slow_threshold ? std::min(ratio, k_max_slowness) : 1;
     }
   }
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -27,16 +27,27 @@
   std::uint32_t slots = 1;
 };
 
+enum class load_estimate : std::uint8_t {
+  reported_plus_outstanding,  // Counts the entry's own requests twice if the report has them.
+  reported_plus_change,       // Adds only the change of the own requests since the report arrived.
+};
+
 struct router_options {
-  std::string entry_name;  // Selects the subset by rendezvous hashing.
-  std::string availability_zone;
-  std::string region;
+  std::string entry_name = {};  // Selects the subset by rendezvous hashing.
+  std::string availability_zone = {};
+  std::string region = {};
   std::uint32_t subset_size = 24;  // Upstreams of a model in use at the same time.
   milliseconds suspicion_timeout{2000};
   // An upstream with more than this multiple of the mean load is skipped in spite of a prefix match.
   double affinity_bound = 1.25;
   // Mean load for each slot of the own availability zone above which the others are used as well.
   double spill_over_load = 0.8;
+  // How the load of an upstream is estimated from its last report.
+  load_estimate estimate = load_estimate::reported_plus_outstanding;
+  // Weight of the last report against the ones before; at 500 ms between reports, 0.1 averages over 5 s.
+  // Entries that all follow the last report go to the same upstreams at the same time: with reports that
+  // lag 2 s, a weight of 1 gives 2.5 times the first-token p99 (scripts/bench choice).
+  double report_weight = 0.1;
   bool slow_penalty = true;
   ejection_options ejection = {};
 };
--- a/source/core/routing/upstream_table.h
+++ b/source/core/routing/upstream_table.h
@@ -19,7 +19,8 @@
 enum class proximity : std::uint8_t { own_zone, own_region, other_region };
 
 struct load_state {
-  std::uint32_t reported = 0;  // Running and queued in the last report.
+  double reported = 0;  // Running and queued, moving average over the last reports.
+  bool has_report = false;
   std::uint32_t outstanding = 0;
   std::uint32_t outstanding_at_report = 0;
   bool refused_since_report = false;
@@ -28,8 +29,9 @@
 struct health_state {
   time_point last_heard{};
   time_point latency_at{};  // Of the last sample.
-  double latency_s = 0;     // Moving average of the time to the first token; 0 without samples.
-  double slowness = 1;      // Latency relative to the median of the subset, at least 1.
+  std::uint32_t latency_samples = 0;
+  double latency_s = 0;  // Moving average of the time to the first token; 0 without samples.
+  double slowness = 1;   // Latency relative to the median of the subset, at least 1.
   ejection_state ejection;
   bool suspected = false;
   bool draining = false;
