transport: report losses at the receiver and bound the age of unsent messages

Faults found: - A process that only receives from a peer was not told when the connection broke: the last envelopes could be lost without a later one to show the gap. Both ends now report the end of a connection. - A message for a peer without a connection waited without bound and arrived with a wrong remaining time. It is dropped after 2 s and the peer reported as not_accepted. - A receive that failed for another reason than a close stopped the mailbox. - The sender address of an envelope was dialled unchecked; nng would resolve a name. Only numeric addresses count as well-formed now. - Known peers grew without bound; each flush visited every link. Ruled out: callbacks after destruction (nng_aio_stop and nng_close wait for them, a weak pointer guards what is posted).

--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -6,12 +6,16 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <charconv>
 #include <cstring>
 #include <deque>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "core/common/assert.h"
 #include "core/wire/codec.h"
@@ -21,6 +25,11 @@
 
 constexpr nng_duration k_reconnect_min_ms = 20;
 constexpr nng_duration k_reconnect_max_ms = 500;
+// Peers at most; those that have no connection any more are forgotten first.
+constexpr std::size_t k_max_known_peers = 16384;
+// The envelope that nng holds for the io_context may be handled after the end of its connection, but only a
+// few other connections can end between the two.
+constexpr std::size_t k_max_closed = 64;
 // An envelope is cut into several above this size, so that one peer's burst does not exceed the codec's
 // limit.
 constexpr std::size_t k_envelope_target_bytes = 256U << 10U;
@@ -37,6 +46,19 @@
   if (const auto* submit = std::get_if<wire::submit_request>(&value)) {
     return k_base + submit->body.size() + submit->resume_text.size();
   }
+  if (const auto* status = std::get_if<wire::attempt_status>(&value)) {
+    return k_base + status->body.size();
+  }
+  if (const auto* plan = std::get_if<wire::switch_prepare>(&value)) {
+    return k_base + plan->plan.size();
+  }
+  if (const auto* load = std::get_if<wire::expert_load>(&value)) {
+    std::size_t size = k_base;
+    for (const auto& layer : load->layers) {
+      size += layer.size() * sizeof(layer.front());
+    }
+    return size;
+  }
   if (const auto* sections = std::get_if<wire::configuration_sections>(&value)) {
     std::size_t size = k_base + sections->index.size();
     for (const auto& [digest, content] : sections->sections) {
@@ -47,6 +69,26 @@
   return k_base;
 }
 
+// Whether the text is a numeric IP:PORT. Anything else is not dialled, since nng would resolve it as a name.
+bool is_numeric_address(const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  unsigned port = 0;
+  const auto* end = address.data() + address.size();
+  const auto [stop, code] = std::from_chars(address.data() + colon + 1, end, port);
+  if (code != std::errc() || stop != end || port == 0 || port > UINT16_MAX) {
+    return false;
+  }
+  auto host = address.substr(0, colon);
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  if (host.starts_with('[') && host.ends_with(']')) {
+    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), bytes.data()) == 1;
+  }
+  return inet_pton(AF_INET, host.c_str(), bytes.data()) == 1;
+}
+
 }  // namespace
 
 // nng calls back on threads of its own. Callbacks only post to the io_context; a weak pointer tells whether
@@ -77,6 +119,7 @@
     }
     m_listening = true;
     nng_socket_set_size(m_pull, NNG_OPT_RECVMAXSZ, wire::k_max_envelope_bytes);
+    nng_pipe_notify(m_pull, NNG_PIPE_EV_REM_POST, &impl::on_incoming_closed, this);
     nng_listener listener{};
     if (const int code = nng_listen(m_pull, nng_url(m_options.address).c_str(), &listener, 0); code != 0) {
       return make_error(error_code::unreachable,
@@ -95,24 +138,32 @@
 
   void send(std::string_view peer_address, wire::message value) {
     auto& target = link_to(peer_address);
+    if (target.pending.empty()) {
+      m_unflushed.push_back(target.peer);
+    }
     target.pending_bytes += approximate_size(value);
     target.pending.push_back(std::move(value));
   }
 
   void flush(configuration_version version, std::uint64_t logical_time) {
     std::vector<std::string> overflowed;
-    for (auto& [peer, target] : m_links) {
-      if (!target->pending.empty()) {
-        seal(*target, version, logical_time);
+    std::vector<std::string> unflushed;
+    unflushed.swap(m_unflushed);
+    for (const auto& peer : unflushed) {
+      const auto found = m_links.find(peer);
+      if (found == m_links.end() || found->second->pending.empty()) {
+        continue;
       }
-      if (target->queued_bytes > m_options.max_queued_bytes) {
+      auto& target = *found->second;
+      seal(target, version, logical_time);
+      if (target.queued_bytes > m_options.max_queued_bytes) {
         overflowed.push_back(peer);
+      } else {
+        start_send(target);
       }
-      start_send(*target);
     }
     for (const auto& peer : overflowed) {
-      m_links.erase(peer);
-      m_handler.lost(peer, link_loss::queue_overflow);
+      drop_link(peer, link_loss::queue_overflow);
     }
   }
 
@@ -214,6 +265,7 @@
     CUMINPATH_ASSERT(nng_msg_alloc(&message, bytes.size()) == 0);
     std::memcpy(nng_msg_body(message), bytes.data(), bytes.size());
     nng_aio_set_msg(target.send_aio, message);
+    nng_aio_set_timeout(target.send_aio, static_cast<nng_duration>(m_options.max_unsent_age.count()));
     target.sending = true;
     ++m_counters.envelopes_sent;
     m_counters.bytes_sent += bytes.size();
@@ -229,15 +281,20 @@
     if (code == NNG_ECLOSED || code == NNG_ECANCELED) {
       return;
     }
-    post(target->owner, [peer = target->peer, id = target->id](impl& self) { self.send_finished(peer, id); });
+    post(target->owner, [peer = target->peer, id = target->id, code](impl& self) {
+      if (self.find_link(peer, id) == nullptr) {
+        return;
+      }
+      if (code == 0) {
+        self.send_finished(peer, id);
+      } else {
+        self.drop_link(peer, link_loss::not_accepted);
+      }
+    });
   }
 
   void send_finished(const std::string& peer, std::uint64_t id) {
-    const auto found = m_links.find(peer);
-    if (found == m_links.end() || found->second->id != id) {
-      return;
-    }
-    auto& target = *found->second;
+    auto& target = *find_link(peer, id);
     target.sending = false;
     target.queued_bytes -= target.sealed.front().size();
     target.sealed.pop_front();
@@ -247,42 +304,93 @@
   static void on_pipe_removed(nng_pipe, nng_pipe_ev, void* argument) {
     auto* target = static_cast<link*>(argument);
     post(target->owner, [peer = target->peer, id = target->id](impl& self) {
-      const auto found = self.m_links.find(peer);
-      if (found != self.m_links.end() && found->second->id == id) {
+      if (self.find_link(peer, id) != nullptr) {
         self.m_handler.lost(peer, link_loss::connection_closed);
       }
     });
   }
 
+  link* find_link(const std::string& peer, std::uint64_t id) {
+    const auto found = m_links.find(peer);
+    return found == m_links.end() || found->second->id != id ? nullptr : found->second.get();
+  }
+
+  // The next message opens a new link. Its envelopes are numbered from 1, which the peer takes for a gap.
+  void drop_link(const std::string& peer, link_loss loss) {
+    m_links.erase(peer);
+    m_handler.lost(peer, loss);
+  }
+
+  // The sender of the last envelopes on a connection that broke may not send any more, so that no gap shows
+  // what was lost.
+  static void on_incoming_closed(nng_pipe pipe, nng_pipe_ev, void* argument) {
+    post(static_cast<impl*>(argument), [id = nng_pipe_id(pipe)](impl& self) {
+      self.remember_closed(id);
+      const auto found = self.m_incoming.find(id);
+      if (found == self.m_incoming.end()) {
+        return;  // No envelope has come on it yet.
+      }
+      const auto peer = std::move(found->second);
+      self.m_incoming.erase(found);
+      self.m_handler.lost(peer, link_loss::connection_closed);
+    });
+  }
+
+  void remember_closed(int pipe) {
+    m_closed.push_back(pipe);
+    if (m_closed.size() > k_max_closed) {
+      m_closed.pop_front();
+    }
+  }
+
   static void on_receive(void* argument) {
     auto* self = static_cast<impl*>(argument);
-    if (nng_aio_result(self->m_receive_aio) != 0) {
+    const int code = nng_aio_result(self->m_receive_aio);
+    if (code == NNG_ECLOSED || code == NNG_ECANCELED) {
       return;
     }
-    nng_msg* message = nng_aio_get_msg(self->m_receive_aio);
-    std::string bytes(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
-    nng_msg_free(message);
+    std::string bytes;
+    int pipe = -1;
+    if (code == 0) {
+      nng_msg* message = nng_aio_get_msg(self->m_receive_aio);
+      bytes.assign(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
+      pipe = nng_pipe_id(nng_msg_get_pipe(message));
+      nng_msg_free(message);
+    }
     // The next receive starts only when this message has been handled: that bounds the memory, and senders
-    // are slowed down by the connection.
-    post(self, [bytes = std::move(bytes)](impl& owner) {
+    // are slowed down by the connection. After any other error, like a lack of memory, it is tried again.
+    post(self, [bytes = std::move(bytes), pipe, code](impl& owner) {
       nng_recv_aio(owner.m_pull, owner.m_receive_aio);
-      owner.handle(bytes);
+      if (code == 0) {
+        owner.handle(bytes, pipe);
+      }
     });
   }
 
-  void handle(const std::string& bytes) {
+  void handle(const std::string& bytes, int pipe) {
     ++m_counters.envelopes_received;
     m_counters.bytes_received += bytes.size();
     auto decoded = wire::decode(std::as_bytes(std::span(bytes)));
-    if (!decoded) {
+    if (!decoded || !is_numeric_address(decoded.value().sender_address)) {
       ++m_counters.malformed;
       return;
     }
+    const std::string sender = decoded.value().sender_address;
+    const bool closed = std::find(m_closed.begin(), m_closed.end(), pipe) != m_closed.end();
+    if (!closed) {
+      m_incoming.insert_or_assign(pipe, sender);
+    }
     check_sequence(decoded.value());
     m_handler.received(std::move(decoded.value()));
+    if (closed) {
+      m_handler.lost(sender, link_loss::connection_closed);
+    }
   }
 
   void check_sequence(const wire::envelope& value) {
+    if (m_peers.size() >= k_max_known_peers && !m_peers.contains(value.sender_address)) {
+      forget_closed_peers();
+    }
     const auto [found, added] = m_peers.try_emplace(value.sender_address);
     auto& known = found->second;
     const bool restarted = !added && known.number != value.sender_incarnation;
@@ -296,6 +404,14 @@
     }
   }
 
+  void forget_closed_peers() {
+    std::unordered_set<std::string_view> open;
+    for (const auto& [pipe, peer] : m_incoming) {
+      open.insert(peer);
+    }
+    std::erase_if(m_peers, [&open](const auto& item) { return !open.contains(item.first); });
+  }
+
   template <class function>
   static void post(impl* self, function action) {
     asio::post(self->m_context, [weak = self->weak_from_this(), action = std::move(action)]() mutable {
@@ -314,7 +430,10 @@
   nng_aio* m_receive_aio = nullptr;
   std::uint64_t m_last_link_id = 0;
   std::unordered_map<std::string, std::unique_ptr<link>> m_links;
+  std::vector<std::string> m_unflushed;  // Peers with pending messages.
   std::unordered_map<std::string, peer_state> m_peers;
+  std::deque<int> m_closed;                         // Incoming connections that ended last.
+  std::unordered_map<int, std::string> m_incoming;  // Sender of each incoming connection.
   mailbox_counters m_counters;
 };
 
--- a/source/core/transport/mailbox.h
+++ b/source/core/transport/mailbox.h
@@ -1,5 +1,7 @@
 // Messages between processes over nng. A mailbox listens on one PULL socket and holds one PUSH socket for
-// each peer that it sends to. All functions and callbacks run on the thread of the io_context.
+// each peer that it sends to. Each link is reported as lost at both ends, because messages that were on it
+// may be lost without a later one that would show the gap. All functions and callbacks run on the thread of
+// the io_context.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +24,9 @@
   std::string name;                     // Name of this process.
   std::string address = "127.0.0.1:0";  // IP:PORT to listen on; port 0 takes a free one.
   incarnation number{};
+  // A message that nng cannot hand to a connection for this long is dropped, since the times in it get wrong.
+  // The suspicion timeout of the design.
+  milliseconds max_unsent_age{2000};
   std::size_t max_queued_bytes = 32U << 20U;  // For each peer; a peer over it is reported as lost.
 };
 
@@ -30,6 +35,7 @@
   sequence_gap,       // Envelopes from the peer are missing.
   peer_restarted,     // The peer has a new incarnation.
   queue_overflow,     // The peer does not take messages; everything queued for it was dropped.
+  not_accepted,       // No connection took a message in time; everything queued for the peer was dropped.
 };
 
 struct mailbox_handler {
@@ -64,7 +70,8 @@
   void send(std::string_view peer_address, wire::message value);
   // Sends what is queued, stamped with these values.
   void flush(configuration_version version, std::uint64_t logical_time);
-  // Closes the link to a peer that nothing is sent to any more.
+  // Closes the link to a peer that nothing is sent to any more. What is queued for it is dropped, and the
+  // peer reports the end of the connection as a loss.
   void close_link(std::string_view peer_address);
 
   [[nodiscard]] mailbox_counters counters() const;
