--- a/source/core/membership/member_table.h
+++ b/source/core/membership/member_table.h
@@ -22,8 +22,20 @@
   platform::host_role role = platform::host_role::entry;
   std::string availability_zone;
   incarnation number{};
+  std::string address = {};  // Of this process for callers; entries only. Announced before it is listed.
 };
 
+// A heartbeat goes to each peer of a process once in this interval, and each is answered.
+constexpr milliseconds k_heartbeat_interval{1000};
+// Section 7 of the design: silence for this long makes a peer suspected.
+constexpr milliseconds k_suspicion_timeout{2000};
+// Entries send to three entries of their availability zone and one of each other one, agents to two entries.
+constexpr std::size_t k_zone_peers = 3;
+constexpr std::size_t k_max_other_zones = 16;
+constexpr std::size_t k_agent_peers = 2;
+// Events in one heartbeat.
+constexpr std::size_t k_max_events = 8;
+
 struct send_heartbeat {
   std::string peer_address;
   wire::heartbeat message;
@@ -34,6 +46,13 @@
   std::string availability_zone;
 };
 
+// An entry heartbeats a bounded number of peers, which answer, and suspects those that do not. It tells them
+// of changes, which they pass on. What it hears from a process itself outranks what others say about it, and
+// a suspicion that nobody renews ends by itself.
+//
+// The host list lags. A host in it that is dead is suspected; one that is alive but not listed yet is
+// remembered by its peer address, so that it counts as alive as soon as it is listed. A host that has left
+// the list stays known while it sends messages.
 class member_table {
 public:
   explicit member_table(member_options options);
@@ -56,7 +75,8 @@
 
   // Addresses for callers: own availability zone first, none that is leaving or suspected, at most `limit`.
   [[nodiscard]] std::vector<entry_address> entries_for_callers(std::size_t limit) const;
-  // The host of an agent or entry, if it is known and not leaving.
+  // The host of an agent or entry, if it is known and not leaving. Suspected hosts are included: routing
+  // suspects the upstreams that it uses itself.
   [[nodiscard]] std::optional<platform::host_entry> find(std::string_view host) const;
   [[nodiscard]] std::vector<platform::host_entry> members(platform::host_role role) const;
   // Changes whenever find() or members() would give another answer.
