--- a/source/unit_tests/entry/admission_test.cpp
+++ b/source/unit_tests/entry/admission_test.cpp
@@ -59,7 +59,7 @@
 
 // Guards against requests that are held or sent without a configuration.
 TEST(configuration_test, entry_without_configuration_refuses) {
-  entry_core core({.name = "entry-1"});
+  entry_core core(entry_options{});
   random_source random(1);
   std::vector<action> actions;
   step present{time_point(seconds(1)), random, actions};
--- a/source/unit_tests/entry/entry_fixture.cpp
+++ b/source/unit_tests/entry/entry_fixture.cpp
@@ -5,30 +5,56 @@
 
 namespace cuminpath::entry {
 
+namespace {
+
+config::upstream make_upstream(const std::string& name, config::upstream_kind kind,
+                               const std::string& serves) {
+  config::upstream value;
+  value.name = name;
+  value.host = name;
+  value.kind = kind;
+  value.model_or_service = serves;
+  value.slots = 8;
+  return value;
+}
+
+entry_options make_options(std::size_t max_requests) {
+  entry_options options;
+  options.name = "entry-1";
+  options.availability_zone = "talca";
+  options.max_requests = max_requests;
+  return options;
+}
+
+}  // namespace
+
 std::shared_ptr<const config::manifest> sample_manifest() {
   auto manifest = std::make_shared<config::manifest>();
-  manifest->classes = {{.name = "urgent", .rank = 0}, {.name = "digest", .rank = 1}};
-  manifest->models = {{.name = "scribe", .max_tokens = 100}};
+  config::priority_class urgent;
+  urgent.name = "urgent";
+  config::priority_class digest;
+  digest.name = "digest";
+  digest.rank = 1;
+  manifest->classes = {urgent, digest};
+  config::model model;
+  model.name = "scribe";
+  model.max_tokens = 100;
+  manifest->models = {model};
   manifest->services = {{"orders", {{"POST", "/quotes", true}}}};
   manifest->workspaces = {
       {"narmada", {sha256_hex(k_key)}, 1.0, {"urgent", "digest"}, "urgent"},
       {"vidal", {sha256_hex("secret-of-vidal")}, 1.0, {"digest"}, "digest"},
   };
   for (const char* name : {"m1", "m2", "m3"}) {
-    manifest->upstreams.push_back({.name = name, .host = name, .model_or_service = "scribe", .slots = 8});
+    manifest->upstreams.push_back(make_upstream(name, config::upstream_kind::engine, "scribe"));
   }
   for (const char* name : {"s1", "s2"}) {
-    manifest->upstreams.push_back({.name = name,
-                                   .host = name,
-                                   .kind = config::upstream_kind::service,
-                                   .model_or_service = "orders",
-                                   .slots = 8});
+    manifest->upstreams.push_back(make_upstream(name, config::upstream_kind::service, "orders"));
   }
   return manifest;
 }
 
-entry_fixture::entry_fixture(std::size_t max_requests)
-    : core({.name = "entry-1", .availability_zone = "talca", .max_requests = max_requests}) {
+entry_fixture::entry_fixture(std::size_t max_requests) : core(make_options(max_requests)) {
   std::vector<host_location> hosts;
   for (const auto& name : alive) {
     hosts.push_back({name, "talca", "maule", name});
