operation: add the operators' command line

Cause: operators had no way to apply a manifest or to look at the fleet. Ruled out: reading the head row back once after a lost response, because the write may still be on its way, or a later version may already have replaced it; the conditional write is repeated with the same token instead, and each apply first completes the history of the version that it replaces, so that a superseded write is found there.

--- /dev/null
+++ b/source/core/operation/command_line.cpp
@@ -0,0 +1,153 @@
+#include "core/operation/command_line.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <sstream>
+
+namespace cuminpath::operation {
+namespace {
+
+namespace program_options = boost::program_options;
+
+constexpr std::size_t k_max_key_bytes = 4096;
+
+struct command_help {
+  std::string_view command;
+  std::string_view arguments;
+  std::string_view text;
+};
+
+constexpr command_help k_commands[] = {
+    {"status", "", "Show the state of every process in the host list."},
+    {"drain", "HOST", "Let the process on HOST finish its work and exit. Needs the operator key."},
+    {"timeline", "", "Show the recent events of all processes in causal order (--limit, default 200)."},
+    {"manifest check", "FILE", "Check a manifest; report every error with file, line and key."},
+    {"manifest diff", "FILE [FILE]",
+     "Compare the manifest in force with FILE, or two files with each other."},
+    {"manifest apply", "FILE",
+     "Make FILE the next version. Fails with exit code 3 and changes nothing if another version than the\n"
+     "one given by --based-on (default: the current one) is current."},
+    {"manifest status", "", "Show the current version, and how many processes have it with --hosts."},
+    {"manifest history", "", "Show the last versions (--limit, default 10)."},
+    {"expert-map show", "GROUP", "Show the expert map of a group."},
+    {"expert-map plan", "GROUP", "Show what the planner would change and what it would gain."},
+    {"expert-map apply", "GROUP", "Let the group switch to the planned map. Needs the operator key."},
+};
+
+program_options::options_description visible_options() {
+  program_options::options_description options("Options");
+  const auto text = [] { return program_options::value<std::string>(); };
+  options.add_options()("table", text(), "URL of the table service (default: $CUMINPATH_TABLE)")(
+      "objects", text(), "URL of the object store (default: $CUMINPATH_OBJECTS)")(
+      "hosts", text(), "URL of the host list (default: $CUMINPATH_HOSTS)")(
+      "operator-key-file", text(),
+      "file with the operator key (default: the key in $CUMINPATH_OPERATOR_KEY)")(
+      "operator", text(), "name for the history (default: $USER)")(
+      "based-on", program_options::value<std::uint64_t>(), "version that the change is based on")(
+      "limit", program_options::value<std::uint32_t>(), "number of events or versions to show")(
+      "json", "print JSON instead of text")("help,h", "print this help");
+  return options;
+}
+
+std::string strip(std::string text) {
+  const std::size_t end = text.find_last_not_of(" \r\n\t");
+  text.resize(end == std::string::npos ? 0 : end + 1);
+  return text;
+}
+
+result<std::string> read_key(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  std::string text(k_max_key_bytes + 1, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  text = strip(std::move(text));
+  if (text.empty() || text.size() > k_max_key_bytes) {
+    return make_error(error_code::invalid_input, file + ": no readable operator key");
+  }
+  return text;
+}
+
+std::string without_slash(std::string url) {
+  while (url.ends_with('/')) {
+    url.pop_back();
+  }
+  return url;
+}
+
+}  // namespace
+
+result<command_line> parse_command_line(std::span<const std::string> arguments,
+                                        const environment& variables) {
+  program_options::options_description all = visible_options();
+  all.add_options()("word", program_options::value<std::vector<std::string>>());
+  program_options::positional_options_description positional;
+  positional.add("word", -1);
+  program_options::variables_map values;
+  try {
+    const std::vector<std::string> list(arguments.begin(), arguments.end());
+    // Abbreviated options are off: an option added later could make a script's abbreviation ambiguous.
+    const int style = program_options::command_line_style::unix_style &
+                      ~program_options::command_line_style::allow_guessing;
+    program_options::store(
+        program_options::command_line_parser(list).options(all).positional(positional).style(style).run(),
+        values);
+  } catch (const program_options::error& failure) {
+    return make_error(error_code::invalid_input, failure.what());
+  }
+  const auto text = [&](const char* option, const char* variable) {
+    return values.count(option) > 0 ? values[option].as<std::string>() : variables(variable);
+  };
+  command_line line;
+  if (values.count("word") > 0) {
+    line.words = values["word"].as<std::vector<std::string>>();
+  }
+  line.urls = {without_slash(text("table", "CUMINPATH_TABLE")),
+               without_slash(text("objects", "CUMINPATH_OBJECTS")),
+               without_slash(text("hosts", "CUMINPATH_HOSTS"))};
+  line.operator_name = text("operator", "USER");
+  if (line.operator_name.empty()) {
+    line.operator_name = "unknown";
+  }
+  line.operator_key = strip(variables("CUMINPATH_OPERATOR_KEY"));
+  if (values.count("operator-key-file") > 0) {
+    auto key = read_key(values["operator-key-file"].as<std::string>());
+    if (!key) {
+      return key.error();
+    }
+    line.operator_key = std::move(key.value());
+  }
+  if (values.count("based-on") > 0) {
+    line.based_on = values["based-on"].as<std::uint64_t>();
+  }
+  line.limit = values.count("limit") > 0 ? values["limit"].as<std::uint32_t>() : 0;
+  line.json = values.count("json") > 0;
+  line.help = values.count("help") > 0;
+  return line;
+}
+
+std::string help_text(std::span<const std::string> words) {
+  std::string prefix;
+  for (std::size_t i = 0; i < std::min<std::size_t>(2, words.size()); ++i) {
+    prefix += (i == 0 ? "" : " ") + words[i];
+  }
+  const auto matches = [](std::string_view command, std::string_view wanted) {
+    return command == wanted || command.starts_with(std::string(wanted) + " ");
+  };
+  std::ostringstream out;
+  std::ostringstream selected;
+  out << "Usage: cuminpath COMMAND [OPTIONS]\n\nCommands:\n";
+  for (const command_help& one : k_commands) {
+    std::ostringstream& to =
+        !prefix.empty() && (matches(one.command, prefix) || matches(prefix, one.command)) ? selected : out;
+    to << "  cuminpath " << one.command << (one.arguments.empty() ? "" : " ") << one.arguments << "\n      "
+       << one.text << "\n";
+  }
+  std::ostringstream options;
+  options << "\n" << visible_options();
+  options
+      << "\nExit codes: 0 success, 1 failure, 2 bad manifest or usage, 3 conflict, 4 platform or process not "
+         "reachable.\n";
+  return selected.str().empty() ? out.str() + options.str() : "Usage:\n" + selected.str() + options.str();
+}
+
+}  // namespace cuminpath::operation
--- /dev/null
+++ b/source/core/operation/commands.h
@@ -0,0 +1,18 @@
+// The operators' commands.
+#pragma once
+
+#include <ostream>
+#include <span>
+#include <string>
+
+#include "core/operation/command_line.h"
+
+namespace cuminpath::operation {
+
+enum class exit_code : int { success = 0, failure = 1, usage = 2, conflict = 3, unreachable = 4 };
+
+// Runs one command. Results go to `out` (text, or one JSON document with --json), errors to `err`.
+exit_code run(std::span<const std::string> arguments, const environment& variables, std::ostream& out,
+              std::ostream& err);
+
+}  // namespace cuminpath::operation
--- /dev/null
+++ b/source/core/operation/session.cpp
@@ -0,0 +1,31 @@
+#include "core/operation/session.h"
+
+namespace cuminpath::operation {
+
+void session::run_while(const std::function<bool()>& condition) {
+  constexpr milliseconds k_check_interval{50};
+  while (condition()) {
+    m_context.restart();
+    m_context.run_one_for(k_check_interval);
+  }
+}
+
+void session::pause(milliseconds span) {
+  const time_point end = clock::now() + span;
+  run_while([end] { return clock::now() < end; });
+}
+
+void session::wait_for_all(std::size_t count, std::size_t limit,
+                           const std::function<void(std::size_t index, std::function<void()> done)>& start) {
+  std::size_t started = 0;
+  std::size_t finished = 0;
+  while (finished < count) {
+    while (started < count && started - finished < limit) {
+      start(started++, [&finished] { ++finished; });
+    }
+    const std::size_t before = finished;
+    run_while([&] { return finished == before && finished < started; });
+  }
+}
+
+}  // namespace cuminpath::operation
--- a/source/core/platform/table_client.cpp
+++ b/source/core/platform/table_client.cpp
@@ -100,4 +100,17 @@
                 [done = std::move(done)](const auto& answer) { done(to_rows(answer)); });
 }
 
+void table_client::remove(std::string_view table, std::string_view key,
+                          std::function<void(result<void>)> done) {
+  m_client.call(m_base_url, {.method = "DELETE", .target = rows_target(table) + "/" + encode_segment(key)},
+                {.timeout = m_timeout}, [done = std::move(done)](const auto& answer) {
+                  const auto status = answer.value.status;
+                  if (!answer.failure && ((status >= 200 && status < 300) || status == 404)) {
+                    done(BOOST_OUTCOME_V2_NAMESPACE::success());
+                  } else {
+                    done(to_error(answer));
+                  }
+                });
+}
+
 }  // namespace cuminpath::platform
--- a/source/core/platform/table_client.h
+++ b/source/core/platform/table_client.h
@@ -45,6 +45,9 @@
   void list(std::string_view table, std::string_view prefix, std::uint32_t limit,
             std::function<void(result<std::vector<row>>)> done);
 
+  // Deletes a row; an absent row is no error.
+  void remove(std::string_view table, std::string_view key, std::function<void(result<void>)> done);
+
 private:
   http::client& m_client;
   std::string m_base_url;
--- /dev/null
+++ b/source/programs/cuminpath/main.cpp
@@ -0,0 +1,15 @@
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "core/operation/commands.h"
+
+int main(int argument_count, char** arguments) {
+  const std::vector<std::string> list(arguments + 1, arguments + argument_count);
+  const auto variable = [](const std::string& name) {
+    const char* value = std::getenv(name.c_str());
+    return std::string(value == nullptr ? "" : value);
+  };
+  return static_cast<int>(cuminpath::operation::run(list, variable, std::cout, std::cerr));
+}
--- /dev/null
+++ b/source/unit_tests/operation/apply_test.cpp
@@ -0,0 +1,149 @@
+#include <gmock/gmock.h>
+
+#include "core/operation/apply.h"
+#include "unit_tests/operation/operation_fixture.h"
+
+namespace cuminpath::operation {
+namespace {
+
+using ::testing::HasSubstr;
+
+class apply_command : public operation_fixture {};
+
+// Guards against versions that skip, a wrong history, and a diff against something else than what is in
+// force.
+TEST_F(apply_command, versions_grow_by_one_with_history_and_diff) {
+  EXPECT_THAT(run({"manifest", "status"}).out, HasSubstr("no configuration"));
+  EXPECT_THAT(run({"manifest", "diff", manifest_file(1)}).out, HasSubstr("+ upstream u0"));
+  for (int slots = 1; slots <= 3; ++slots) {
+    const outcome applied = run({"manifest", "apply", manifest_file(slots)});
+    EXPECT_EQ(applied.code, exit_code::success) << applied.err;
+    EXPECT_EQ(version(), static_cast<std::uint64_t>(slots));
+  }
+  EXPECT_THAT(run({"manifest", "apply", manifest_file(3)}).out, HasSubstr("nothing to apply"));
+  EXPECT_EQ(version(), 3U);
+  EXPECT_EQ(run({"manifest", "diff", manifest_file(7)}).out, "~ upstream u0: slots 3 -> 7\n");
+  EXPECT_EQ(run({"manifest", "diff", manifest_file(4), manifest_file(4)}).out, "no differences\n");
+  const json entries = run({"manifest", "history", "--json", "--limit", "2"}).document()["entries"];
+  ASSERT_EQ(entries.size(), 2U);
+  EXPECT_EQ(entries[0]["version"], 3);
+  EXPECT_EQ(entries[1]["version"], 2);
+  EXPECT_EQ(entries[1]["base"], 1);
+  EXPECT_EQ(entries[1]["operator"], "asha");
+}
+
+// Guards against a change that overwrites one that its author has not seen.
+TEST_F(apply_command, an_outdated_base_is_a_conflict_and_changes_nothing) {
+  run({"manifest", "apply", manifest_file(1)});
+  run({"manifest", "apply", manifest_file(2)});
+  const json before = stats(m_table_url)["writes"];
+  const json objects = stats(m_objects_url)["puts"];
+  const outcome late = run({"manifest", "apply", manifest_file(3), "--based-on", "1", "--json"});
+  EXPECT_EQ(late.code, exit_code::conflict);
+  EXPECT_EQ(late.document()["exit_code"], 3);
+  EXPECT_THAT(late.err, HasSubstr("based on version 1, but version 2 is current (by asha"));
+  EXPECT_EQ(stats(m_table_url)["writes"], before);
+  EXPECT_EQ(stats(m_objects_url)["puts"], objects);
+  EXPECT_EQ(run({"manifest", "apply", manifest_file(3), "--based-on", "2"}).code, exit_code::success);
+}
+
+// Guards against two operators who both believe that their change was accepted as the same version.
+TEST_F(apply_command, of_concurrent_applies_exactly_one_wins) {
+  run({"manifest", "apply", manifest_file(1)});
+  for (std::uint64_t round = 1; round <= 5; ++round) {
+    std::vector<std::string> files;
+    for (int i = 0; i < 4; ++i) {
+      files.push_back(manifest_file(static_cast<int>(round) * 10 + i));
+    }
+    std::vector<exit_code> codes(files.size());
+    std::vector<std::thread> operators;
+    for (std::size_t i = 0; i < files.size(); ++i) {
+      operators.emplace_back([&, i] {
+        codes[i] = run({"manifest", "apply", files[i], "--based-on", std::to_string(round)}).code;
+      });
+    }
+    for (std::thread& one : operators) {
+      one.join();
+    }
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), exit_code::success), 1);
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), exit_code::conflict), 3);
+    EXPECT_EQ(version(), round + 1);
+  }
+}
+
+bool is_head(const http::request& request) {
+  return request.target.ends_with("/head");
+}
+
+// Guards against an accepted change that is reported as failed, or applied twice, when responses are lost.
+TEST_F(apply_command, a_lost_response_is_resolved_by_the_token) {
+  int losses = 0;
+  m_table.loses_response = [&losses](const http::request& request) {
+    return is_head(request) && losses-- > 0;
+  };
+  for (const std::uint64_t count : {1U, 2U}) {
+    losses = static_cast<int>(count);
+    EXPECT_EQ(run({"manifest", "apply", manifest_file(static_cast<int>(count))}).code, exit_code::success);
+    EXPECT_EQ(version(), count);
+  }
+}
+
+// Guards against a false conflict when another operator's change follows before the lost response is
+// resolved.
+TEST_F(apply_command, a_lost_response_is_resolved_after_a_later_version) {
+  run({"manifest", "apply", manifest_file(1)});
+  std::thread other;
+  m_table.loses_response = [&other](const http::request& request) {
+    return is_head(request) && !other.joinable();
+  };
+  m_table.after_loss = [&] { other = std::thread([this] { run({"manifest", "apply", manifest_file(9)}); }); };
+  const outcome mine = run({"manifest", "apply", manifest_file(2)});
+  EXPECT_EQ(mine.code, exit_code::success) << mine.err;
+  other.join();
+  EXPECT_EQ(version(), 3U);
+}
+
+// Guards against a false success or "nothing was changed" when no response to the write arrives at all.
+TEST_F(apply_command, an_outcome_that_cannot_be_learned_is_reported_as_unknown) {
+  run({"manifest", "apply", manifest_file(1)});
+  m_table.loses_response = is_head;
+  const outcome mine = run({"manifest", "apply", manifest_file(2)});
+  EXPECT_EQ(mine.code, exit_code::unreachable);
+  EXPECT_THAT(mine.err, HasSubstr("it is not known whether version 2 was accepted"));
+  EXPECT_EQ(version(), 2U);
+}
+
+// Guards against a command that hangs or claims success while a part of the platform is down.
+TEST_F(apply_command, an_outage_is_exit_code_4_and_changes_nothing) {
+  run({"manifest", "apply", manifest_file(1)});
+  control(m_objects_url, {{"down", true}});
+  EXPECT_EQ(run({"manifest", "apply", manifest_file(2)}).code, exit_code::unreachable);
+  EXPECT_EQ(run({"manifest", "diff", manifest_file(2)}).code, exit_code::unreachable);
+  control(m_objects_url, {{"down", false}});
+  EXPECT_EQ(version(), 1U);
+  control(m_table_url, {{"down", true}});
+  EXPECT_EQ(run({"manifest", "apply", manifest_file(2)}).code, exit_code::unreachable);
+  EXPECT_EQ(run({"manifest", "status"}).code, exit_code::unreachable);
+  EXPECT_EQ(run({"manifest", "history"}).code, exit_code::unreachable);
+  control(m_table_url, {{"down", false}});
+  EXPECT_EQ(version(), 1U);
+}
+
+// Guards against a faulty manifest that reaches the platform, and against errors that stop at the first.
+TEST_F(apply_command, a_faulty_manifest_is_refused_with_every_error) {
+  const std::string faulty = file("bad.toml", "[[priority_class]]\nname = \"a\"\nrank = -1\nx = 1\n");
+  for (const char* verb : {"check", "apply", "diff"}) {
+    const outcome refused = run({"manifest", verb, faulty, "--json"});
+    EXPECT_EQ(refused.code, exit_code::usage);
+    EXPECT_THAT(refused.err, HasSubstr("bad.toml:3: priority_class.rank: -1 is not in"));
+    EXPECT_THAT(refused.err, HasSubstr("bad.toml:4: priority_class.x: unknown key"));
+    EXPECT_EQ(refused.document()["errors"].size(), 2U);
+  }
+  EXPECT_EQ(run({"manifest", "check", "/nonexistent/m.toml"}).code, exit_code::usage);
+  EXPECT_EQ(run({"manifest", "check", manifest_file(1)}).code, exit_code::success);
+  EXPECT_EQ(stats(m_table_url)["requests"], 0);
+  EXPECT_EQ(stats(m_objects_url)["requests"], 0);
+}
+
+}  // namespace
+}  // namespace cuminpath::operation
