config, rollout: keep parsed sections between versions

Cause: joining a version with 12,000 upstreams blocks the thread of an entry for tens of milliseconds, while it promises 64 ms between tokens. Ruled out: joining on another thread, because a core has no threads. Change: config::joiner keeps the rows of the last version and parses only the sections that changed; rollout uses it.

--- a/source/core/config/manifest_parser.h
+++ b/source/core/config/manifest_parser.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -54,4 +55,21 @@
 // its digest or format, or if the whole would not pass the checks of parse_manifest().
 result<manifest> join(std::string_view index, const std::map<std::string, std::string>& contents);
 
+// Joins successive versions. It keeps the rows of the last one, so that only changed sections are parsed: at
+// 12,000 upstreams parsing is most of the cost of join().
+class joiner {
+public:
+  joiner();
+  ~joiner();
+  joiner(joiner&&) noexcept;
+  joiner& operator=(joiner&&) noexcept;
+
+  // As the function join().
+  result<manifest> join(std::string_view index, const std::map<std::string, std::string>& contents);
+
+private:
+  class impl;
+  std::unique_ptr<impl> m_impl;
+};
+
 }  // namespace cuminpath::config
--- a/source/core/config/manifest_sections.cpp
+++ b/source/core/config/manifest_sections.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 #include "core/common/hash.h"
 #include "core/config/manifest_checks.h"
@@ -201,8 +202,14 @@
 using contents_map = std::map<std::string, std::string>;
 
 template <class entity>
-result<void> load_section(const std::string& digest, const contents_map& contents,
-                          std::vector<entity>& list) {
+using parsed_sections = std::map<std::string, std::vector<entity>>;  // By digest.
+
+using section_cache =
+    std::tuple<parsed_sections<priority_class>, parsed_sections<model>, parsed_sections<group>,
+               parsed_sections<service>, parsed_sections<workspace>, parsed_sections<upstream>>;
+
+template <class entity>
+result<std::vector<entity>> parse_section(const std::string& digest, const contents_map& contents) {
   const auto found = contents.find(digest);
   if (found == contents.end()) {
     return make_error(error_code::not_found, "section " + digest + " is missing");
@@ -214,6 +221,8 @@
   if (!rows || !rows.value().is_array()) {
     return make_error(error_code::invalid_input, "section " + digest + " is no JSON list");
   }
+  std::vector<entity> list;
+  list.reserve(rows.value().size());
   for (const json& row : rows.value()) {
     row_reader reader(row);
     entity value;
@@ -223,25 +232,62 @@
     }
     list.push_back(std::move(value));
   }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return list;
 }
 
-template <class entity>
-result<void> load(const json& digests, const contents_map& contents, std::vector<entity>& list) {
-  if (digests.is_string()) {
-    return load_section(digests.get<std::string>(), contents, list);
-  }
-  for (const json& digest : digests) {
-    if (!digest.get_ref<const std::string&>().empty()) {
-      if (auto loaded = load_section(digest.get<std::string>(), contents, list); !loaded) {
-        return loaded;
+// Loads the lists of one manifest. Sections come from `old` if it has them, and are kept in `used`.
+class loader {
+public:
+  loader(const contents_map& contents, section_cache& old, section_cache& used)
+      : m_contents(contents), m_old(old), m_used(used) {}
+
+  // `digests` is one digest, or a list with one for each bucket. The list is ordered by name.
+  template <class entity>
+  result<void> load(const json& digests, std::vector<entity>& list) {
+    std::vector<const entity*> rows;
+    for (const json& digest : digests.is_array() ? digests : json::array({digests})) {
+      const auto& text = digest.get_ref<const std::string&>();
+      if (text.empty()) {
+        continue;
+      }
+      const auto section = find<entity>(text);
+      if (!section) {
+        return section.error();
       }
+      for (const entity& row : *section.value()) {
+        rows.push_back(&row);
+      }
+    }
+    std::stable_sort(rows.begin(), rows.end(),
+                     [](const entity* a, const entity* b) { return a->name < b->name; });
+    list.reserve(rows.size());
+    for (const entity* row : rows) {
+      list.push_back(*row);
     }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  std::stable_sort(list.begin(), list.end(),
-                   [](const entity& a, const entity& b) { return a.name < b.name; });
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
+
+private:
+  template <class entity>
+  result<const std::vector<entity>*> find(const std::string& digest) {
+    auto& used = std::get<parsed_sections<entity>>(m_used);
+    if (const auto present = used.find(digest); present != used.end()) {
+      return &present->second;
+    }
+    if (auto node = std::get<parsed_sections<entity>>(m_old).extract(digest)) {
+      return &used.insert(std::move(node)).position->second;
+    }
+    auto parsed = parse_section<entity>(digest, m_contents);
+    if (!parsed) {
+      return parsed.error();
+    }
+    return &used.emplace(digest, std::move(parsed.value())).first->second;
+  }
+
+  const contents_map& m_contents;
+  section_cache& m_old;
+  section_cache& m_used;
+};
 
 constexpr std::array<const char*, 4> k_single_sections{"classes", "models", "groups", "services"};
 constexpr std::array<const char*, 2> k_bucket_sections{"workspaces", "upstreams"};
@@ -365,26 +411,48 @@
   return digests;
 }
 
-result<manifest> join(std::string_view index, const std::map<std::string, std::string>& contents) {
-  const auto parsed = parse_index(index);
-  if (!parsed) {
-    return parsed.error();
-  }
-  const json& names = parsed.value();
-  manifest value;
-  for (const result<void>& loaded :
-       {load(names["classes"], contents, value.classes), load(names["models"], contents, value.models),
-        load(names["groups"], contents, value.groups), load(names["services"], contents, value.services),
-        load(names["workspaces"], contents, value.workspaces),
-        load(names["upstreams"], contents, value.upstreams)}) {
-    if (!loaded) {
-      return loaded.error();
+class joiner::impl {
+public:
+  result<manifest> join(std::string_view index, const contents_map& contents) {
+    const auto parsed = parse_index(index);
+    if (!parsed) {
+      return parsed.error();
     }
+    const json& names = parsed.value();
+    section_cache used;
+    loader from(contents, m_cache, used);
+    manifest value;
+    const std::array<result<void>, 6> loaded{
+        from.load(names["classes"], value.classes),       from.load(names["models"], value.models),
+        from.load(names["groups"], value.groups),         from.load(names["services"], value.services),
+        from.load(names["workspaces"], value.workspaces), from.load(names["upstreams"], value.upstreams)};
+    m_cache = std::move(used);
+    for (const result<void>& one : loaded) {
+      if (!one) {
+        return one.error();
+      }
+    }
+    if (const auto faults = check(value, {}, "index"); !faults.empty()) {
+      return make_error(error_code::invalid_input, to_string(faults.front()));
+    }
+    return value;
   }
-  if (const auto faults = check(value, {}, "index"); !faults.empty()) {
-    return make_error(error_code::invalid_input, to_string(faults.front()));
-  }
-  return value;
+
+private:
+  section_cache m_cache;
+};
+
+joiner::joiner() : m_impl(std::make_unique<impl>()) {}
+joiner::~joiner() = default;
+joiner::joiner(joiner&&) noexcept = default;
+joiner& joiner::operator=(joiner&&) noexcept = default;
+
+result<manifest> joiner::join(std::string_view index, const contents_map& contents) {
+  return m_impl->join(index, contents);
+}
+
+result<manifest> join(std::string_view index, const std::map<std::string, std::string>& contents) {
+  return joiner().join(index, contents);
 }
 
 }  // namespace cuminpath::config
--- a/source/core/rollout/rollout.cpp
+++ b/source/core/rollout/rollout.cpp
@@ -456,7 +456,7 @@
     if (done.version <= m_version) {
       return;
     }
-    auto joined = config::join(done.text, m_contents);
+    auto joined = m_joiner.join(done.text, m_contents);
     if (!joined) {
       if (m_goal.digest == done.digest) {
         reject(done.version);
@@ -497,6 +497,7 @@
   configuration_version m_rejected{};  // Versions up to this one that are not in force are malformed.
   std::deque<kept_index> m_kept;       // Newest first; the first one is in force.
   std::map<std::string, std::string> m_contents;
+  config::joiner m_joiner;
 
   goal m_goal;
   std::optional<collection> m_collection;
--- a/source/unit_tests/config/sections_test.cpp
+++ b/source/unit_tests/config/sections_test.cpp
@@ -52,6 +52,25 @@
   }));
 }
 
+// Guards against kept rows that hide a change or a missing section.
+TEST(sections, a_joiner_gives_the_same_as_a_fresh_join) {
+  EXPECT_TRUE(support::check_property(50, [](std::uint64_t seed) {
+    joiner kept;
+    manifest value = random_manifest(seed);
+    for (std::uint32_t step = 1; step <= 4; ++step) {
+      const sections parts = split(value);
+      const auto joined = kept.join(parts.index, parts.contents);
+      RC_ASSERT(joined.has_value());
+      RC_ASSERT(diff(value, joined.value()).empty());
+      for (upstream& one : value.upstreams) {
+        one.slots += hash64(one.name, step) % 3 == 0 ? 1 : 0;
+      }
+      value.classes[0].worth += step;
+      RC_ASSERT(!kept.join(split(value).index, parts.contents).has_value());
+    }
+  }));
+}
+
 // Guards against damaged content that is accepted or that ends the process.
 TEST(sections, damaged_content_is_an_error) {
   EXPECT_TRUE(support::check_property(100, [](std::uint64_t seed) {
