--- a/source/core/config/manifest_diff.cpp
+++ b/source/core/config/manifest_diff.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <map>
 
 #include "core/config/manifest_parser.h"
@@ -32,7 +34,7 @@
   for (const auto& [name, row] : rows) {
     const auto& [before, after] = row;
     if (before.is_null() || after.is_null()) {
-      lines.push_back((before.is_null() ? "+ " : "- ") + kind + " " + name);
+      lines.push_back(fmt::format("{} {} {}", before.is_null() ? '+' : '-', kind, name));
       continue;
     }
     std::string changes;
@@ -42,7 +44,7 @@
       }
     }
     if (!changes.empty()) {
-      lines.push_back("~ " + kind + " " + name + ": " + changes);
+      lines.push_back(fmt::format("~ {} {}: {}", kind, name, changes));
     }
   }
 }
--- a/source/core/config/manifest_sections.cpp
+++ b/source/core/config/manifest_sections.cpp
@@ -396,6 +396,7 @@
     return parsed.error();
   }
   std::vector<std::string> digests;
+  digests.reserve(k_single_sections.size() + k_upstream_buckets + k_workspace_buckets);
   for (const char* name : k_single_sections) {
     digests.push_back(parsed.value()[name].get<std::string>());
   }
--- a/source/core/operation/fleet.cpp
+++ b/source/core/operation/fleet.cpp
@@ -53,6 +53,7 @@
 std::vector<host_answer> ask_all(session& on, const std::vector<platform::host_entry>& hosts,
                                  const std::string& path) {
   std::vector<host_answer> answers;
+  answers.reserve(hosts.size());
   for (const platform::host_entry& host : hosts) {
     answers.push_back({host});
   }
--- a/source/unit_tests/operation/apply_test.cpp
+++ b/source/unit_tests/operation/apply_test.cpp
@@ -51,9 +51,9 @@
 TEST_F(apply_command, of_concurrent_applies_exactly_one_wins) {
   run({"manifest", "apply", manifest_file(1)});
   for (std::uint64_t round = 1; round <= 5; ++round) {
-    std::vector<std::string> files;
-    for (int i = 0; i < 4; ++i) {
-      files.push_back(manifest_file(static_cast<int>(round) * 10 + i));
+    std::vector<std::string> files(4);
+    for (std::size_t i = 0; i < files.size(); ++i) {
+      files[i] = manifest_file(static_cast<int>(round * 10 + i));
     }
     std::vector<exit_code> codes(files.size());
     std::vector<std::thread> operators;
--- a/source/unit_tests/operation/operation_fixture.cpp
+++ b/source/unit_tests/operation/operation_fixture.cpp
@@ -113,7 +113,7 @@
 }
 
 std::string operation_fixture::file(const std::string& name, const std::string& text) {
-  const std::string path = m_directory + "/" + name;
+  std::string path = m_directory + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
@@ -130,7 +130,7 @@
 json operation_fixture::call(const std::string& url, const http::request& request) {
   session on({});
   return on
-      .wait<json>([&](std::function<void(result<json>)> done) {
+      .wait<json>([&](const std::function<void(result<json>)>& done) {
         on.client().call(url, request, {},
                          [done](const auto& answer) { done(parse_json(answer.value.body)); });
       })
--- a/source/unit_tests/rollout/propagation_test.cpp
+++ b/source/unit_tests/rollout/propagation_test.cpp
@@ -33,10 +33,10 @@
     for (std::size_t i = 0; i < all.processes.size(); ++i) {
       all.update_zone(i);
     }
-    const milliseconds rest = all.run_until_everywhere(k_limit);
+    const milliseconds total = milliseconds(2100) + all.run_until_everywhere(k_limit);
     std::printf("seed %llu: everywhere after %lld ms\n", static_cast<unsigned long long>(seed),
-                static_cast<long long>(rest.count() + 2100));
-    EXPECT_LE(rest + milliseconds(2100), k_limit) << "seed " << seed;
+                static_cast<long long>(total.count()));
+    EXPECT_LE(total, k_limit) << "seed " << seed;
   }
 }
 
