--- a/source/unit_tests/entry/service_call_test.cpp
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -12,13 +12,13 @@
   void win_write() {
     const auto writes = take<write_claim>();
     ASSERT_EQ(writes.size(), 1U);
-    row = writes.front().value;
-    call(&entry_core::on_claim_written, writes.front().caller, true, ++version, json());
+    m_row = writes.front().value;
+    call(&entry_core::on_claim_written, writes.front().caller, true, ++m_version, json());
   }
   void lose_write() {
     const auto writes = take<write_claim>();
     ASSERT_EQ(writes.size(), 1U);
-    call(&entry_core::on_claim_written, writes.front().caller, false, version, row);
+    call(&entry_core::on_claim_written, writes.front().caller, false, m_version, m_row);
   }
   void answer(const submitted& to, const std::string& body) {
     hear(to.peer, wire::answer_head{to.message.request_id, to.message.attempt, 201, {{"X-Made", "1"}}});
@@ -26,8 +26,8 @@
     answer_end(to, body.size());
   }
 
-  json row;
-  std::uint64_t version = 0;
+  json m_row;
+  std::uint64_t m_version = 0;
 };
 
 // Guards against a call that is sent before its claim is held, or answered before its response is stored.
@@ -38,12 +38,12 @@
   const auto sent = take_submitted();
   EXPECT_FALSE(sent.message.repeatable);
   EXPECT_EQ(sent.message.path, "/bookings");
-  EXPECT_EQ(row["peer_address"], sent.peer);
-  EXPECT_EQ(row["token"], sent.message.request_id);
+  EXPECT_EQ(m_row["peer_address"], sent.peer);
+  EXPECT_EQ(m_row["token"], sent.message.request_id);
   answer(sent, "booked");
   EXPECT_TRUE(take<respond>().empty());
   win_write();
-  EXPECT_EQ(row["state"], "finished");
+  EXPECT_EQ(m_row["state"], "finished");
   const auto response = take_response();
   EXPECT_EQ(response.status, 201);
   EXPECT_EQ(response.body, "booked");
@@ -122,7 +122,7 @@
   const auto second = take_submitted();
   EXPECT_NE(second.peer, first.peer);
   EXPECT_EQ(second.message.attempt, attempt_number{2});
-  EXPECT_EQ(row["peer_address"], second.peer);
+  EXPECT_EQ(m_row["peer_address"], second.peer);
 }
 
 // Guards against a second run after the link broke: only the agent's word allows one.
@@ -151,7 +151,7 @@
   win_write();
   EXPECT_TRUE(take_messages<wire::submit_request>().empty());
   win_write();  // The move to another process.
-  EXPECT_EQ(row["agent_incarnation"], "2");
+  EXPECT_EQ(m_row["agent_incarnation"], "2");
   EXPECT_EQ(take_submitted().message.attempt, attempt_number{2});
 }
 
@@ -174,7 +174,7 @@
   EXPECT_TRUE(take_messages<wire::cancel_request>().empty());
   answer(sent, "booked");
   win_write();
-  EXPECT_EQ(row["response"]["body"], "booked");
+  EXPECT_EQ(m_row["response"]["body"], "booked");
   EXPECT_TRUE(take<respond>().empty());
   EXPECT_EQ(core.in_flight(), 0U);
 }
--- a/source/unit_tests/idempotency/claim_test.cpp
+++ b/source/unit_tests/idempotency/claim_test.cpp
@@ -54,62 +54,62 @@
   // A claim that holds the row and has sent its attempt.
   claim sent(const std::string& token, const claim_target& target = k_first) {
     claim machine(token, "print");
-    machine.start(target, actions);
-    execute_write(machine, table, actions);
-    only<send_attempt>(actions);
+    machine.start(target, m_actions);
+    execute_write(machine, m_table, m_actions);
+    only<send_attempt>(m_actions);
     return machine;
   }
 
-  fake_row table;
-  std::vector<action> actions;
+  fake_row m_table;
+  std::vector<action> m_actions;
 };
 
 // Guards against a call that is sent before its claim is known to be held.
 TEST_F(claim_test, nothing_is_sent_before_the_claim_is_held) {
   claim machine("a", "print");
-  machine.start(k_first, actions);
-  const auto write = only<write_row>(actions);
+  machine.start(k_first, m_actions);
+  const auto write = only<write_row>(m_actions);
   EXPECT_EQ(write.if_version, 0U);
-  ASSERT_TRUE(table.write(write));
-  machine.on_write_won(table.version, actions);
-  EXPECT_EQ(only<send_attempt>(actions).attempt, attempt_number{1});
+  ASSERT_TRUE(m_table.write(write));
+  machine.on_write_won(m_table.version, m_actions);
+  EXPECT_EQ(only<send_attempt>(m_actions).attempt, attempt_number{1});
 }
 
 // Guards against a second claim, or a call that is never sent, when the table's response is lost.
 TEST_F(claim_test, lost_table_response_is_resolved_by_reading_back) {
   claim machine("a", "print");
-  machine.start(k_first, actions);
-  ASSERT_TRUE(table.write(only<write_row>(actions)));
-  machine.on_write_unknown(actions);
-  only<read_row>(actions);
-  machine.on_row(k_start, table.version, table.value, actions);
-  EXPECT_EQ(only<send_attempt>(actions).target.upstream, "booking-1");
+  machine.start(k_first, m_actions);
+  ASSERT_TRUE(m_table.write(only<write_row>(m_actions)));
+  machine.on_write_unknown(m_actions);
+  only<read_row>(m_actions);
+  machine.on_row(k_start, m_table.version, m_table.value, m_actions);
+  EXPECT_EQ(only<send_attempt>(m_actions).target.upstream, "booking-1");
 }
 
 // Guards against a write that takes effect after it was read back as absent and then counts as another claim.
 TEST_F(claim_test, late_write_does_not_run_the_call_twice) {
   claim machine("a", "print");
-  machine.start(k_first, actions);
-  const auto late = only<write_row>(actions);
-  machine.on_write_unknown(actions);
-  only<read_row>(actions);
-  machine.on_row(k_start, 0, nullptr, actions);
-  const auto repeated = only<write_row>(actions);
-  ASSERT_TRUE(table.write(late));
-  ASSERT_FALSE(table.write(repeated));
-  machine.on_write_lost(k_start, table.version, table.value, actions);
-  only<send_attempt>(actions);
+  machine.start(k_first, m_actions);
+  const auto late = only<write_row>(m_actions);
+  machine.on_write_unknown(m_actions);
+  only<read_row>(m_actions);
+  machine.on_row(k_start, 0, nullptr, m_actions);
+  const auto repeated = only<write_row>(m_actions);
+  ASSERT_TRUE(m_table.write(late));
+  ASSERT_FALSE(m_table.write(repeated));
+  machine.on_write_lost(k_start, m_table.version, m_table.value, m_actions);
+  only<send_attempt>(m_actions);
 }
 
 // Guards against a call that is sent, or refused with an unknown outcome, while the table is down.
 TEST_F(claim_test, table_down_is_refused_as_not_run) {
   claim machine("a", "print");
-  machine.start(k_first, actions);
-  actions.clear();
-  machine.on_write_unknown(actions);
-  only<read_row>(actions);
-  machine.on_row_failed(actions);
-  const auto refusal = only<refuse>(actions);
+  machine.start(k_first, m_actions);
+  m_actions.clear();
+  machine.on_write_unknown(m_actions);
+  only<read_row>(m_actions);
+  machine.on_row_failed(m_actions);
+  const auto refusal = only<refuse>(m_actions);
   EXPECT_EQ(refusal.status, 503);
   EXPECT_TRUE(refusal.not_run);
   EXPECT_GT(refusal.retry_after.count(), 0);
@@ -118,14 +118,14 @@
 // Guards against a second run when the caller retries after the response was lost on its way.
 TEST_F(claim_test, retry_with_the_same_key_gets_the_stored_response) {
   claim machine = sent("a");
-  machine.on_answer(k_start, {201, {}, "booked"}, actions);
-  execute_write(machine, table, actions);
-  EXPECT_EQ(only<respond>(actions).response.body, "booked");
+  machine.on_answer(k_start, {201, {}, "booked"}, m_actions);
+  execute_write(machine, m_table, m_actions);
+  EXPECT_EQ(only<respond>(m_actions).response.body, "booked");
 
   claim retry("b", "print");
-  retry.start(k_second, actions);
-  execute_write(retry, table, actions);
-  const auto response = only<respond>(actions).response;
+  retry.start(k_second, m_actions);
+  execute_write(retry, m_table, m_actions);
+  const auto response = only<respond>(m_actions).response;
   EXPECT_EQ(response.status, 201);
   EXPECT_EQ(response.body, "booked");
 }
@@ -133,21 +133,21 @@
 // Guards against a lost response when the table fails between the claim and the answer.
 TEST_F(claim_test, response_is_given_although_it_cannot_be_stored) {
   claim machine = sent("a");
-  machine.on_answer(k_start, {201, {}, "booked"}, actions);
-  only<write_row>(actions);
-  machine.tick(k_start + milliseconds(999), actions);
-  EXPECT_TRUE(actions.empty());
-  machine.tick(k_start + milliseconds(1000), actions);
-  EXPECT_EQ(only<respond>(actions).response.body, "booked");
+  machine.on_answer(k_start, {201, {}, "booked"}, m_actions);
+  only<write_row>(m_actions);
+  machine.tick(k_start + milliseconds(999), m_actions);
+  EXPECT_TRUE(m_actions.empty());
+  machine.tick(k_start + milliseconds(1000), m_actions);
+  EXPECT_EQ(only<respond>(m_actions).response.body, "booked");
 }
 
 // Guards against the response of one request being given to another.
 TEST_F(claim_test, another_fingerprint_under_the_same_key_is_refused) {
   sent("a");
   claim other("b", "another print");
-  other.start(k_first, actions);
-  execute_write(other, table, actions);
-  const auto refusal = only<refuse>(actions);
+  other.start(k_first, m_actions);
+  execute_write(other, m_table, m_actions);
+  const auto refusal = only<refuse>(m_actions);
   EXPECT_EQ(refusal.status, 422);
   EXPECT_TRUE(refusal.not_run);
 }
@@ -156,13 +156,13 @@
 TEST_F(claim_test, running_attempt_of_another_claimer_is_a_conflict) {
   sent("a");
   claim retry("b", "print");
-  retry.start(k_second, actions);
-  execute_write(retry, table, actions);
-  const auto question = only<settle>(actions);
+  retry.start(k_second, m_actions);
+  execute_write(retry, m_table, m_actions);
+  const auto question = only<settle>(m_actions);
   EXPECT_EQ(question.token, "a");
   EXPECT_EQ(question.peer_address, k_first.peer_address);
-  retry.on_attempt_status(k_start, k_first.agent, settled_state::running, {}, actions);
-  const auto refusal = only<refuse>(actions);
+  retry.on_attempt_status(k_start, k_first.agent, settled_state::running, {}, m_actions);
+  const auto refusal = only<refuse>(m_actions);
   EXPECT_EQ(refusal.status, 409);
   EXPECT_FALSE(refusal.not_run);
 }
@@ -171,18 +171,18 @@
 TEST_F(claim_test, restarted_or_silent_agent_leaves_the_outcome_unknown) {
   sent("a");
   claim retry("b", "print");
-  retry.start(k_second, actions);
-  execute_write(retry, table, actions);
-  only<settle>(actions);
-  retry.on_attempt_status(k_start, incarnation{99}, settled_state::not_seen, {}, actions);
-  EXPECT_FALSE(only<refuse>(actions).not_run);
+  retry.start(k_second, m_actions);
+  execute_write(retry, m_table, m_actions);
+  only<settle>(m_actions);
+  retry.on_attempt_status(k_start, incarnation{99}, settled_state::not_seen, {}, m_actions);
+  EXPECT_FALSE(only<refuse>(m_actions).not_run);
 
   claim again("c", "print");
-  again.start(k_second, actions);
-  execute_write(again, table, actions);
-  only<settle>(actions);
-  again.tick(k_start + seconds(1), actions);
-  const auto refusal = only<refuse>(actions);
+  again.start(k_second, m_actions);
+  execute_write(again, m_table, m_actions);
+  only<settle>(m_actions);
+  again.tick(k_start + seconds(1), m_actions);
+  const auto refusal = only<refuse>(m_actions);
   EXPECT_EQ(refusal.status, 409);
   EXPECT_FALSE(refusal.not_run);
 }
@@ -190,81 +190,81 @@
 // Guards against two runs when a claimer is paused between its claim and its attempt and another takes over.
 TEST_F(claim_test, paused_claimer_loses_the_claim_and_does_not_move_it) {
   claim paused("a", "print");
-  paused.start(k_first, actions);
-  ASSERT_TRUE(table.write(only<write_row>(actions)));
-  const std::uint64_t claimed_version = table.version;
+  paused.start(k_first, m_actions);
+  ASSERT_TRUE(m_table.write(only<write_row>(m_actions)));
+  const std::uint64_t claimed_version = m_table.version;
 
   claim successor("b", "print");
-  successor.start(k_second, actions);
-  execute_write(successor, table, actions);
-  only<settle>(actions);
-  successor.on_attempt_status(k_start, k_first.agent, settled_state::not_seen, {}, actions);
-  execute_write(successor, table, actions);
-  EXPECT_EQ(only<send_attempt>(actions).attempt, attempt_number{2});
-  EXPECT_EQ(table.row().token, "b");
+  successor.start(k_second, m_actions);
+  execute_write(successor, m_table, m_actions);
+  only<settle>(m_actions);
+  successor.on_attempt_status(k_start, k_first.agent, settled_state::not_seen, {}, m_actions);
+  execute_write(successor, m_table, m_actions);
+  EXPECT_EQ(only<send_attempt>(m_actions).attempt, attempt_number{2});
+  EXPECT_EQ(m_table.row().token, "b");
 
   // The paused claimer sends; its agent refuses the settled attempt; the move then loses the row.
-  paused.on_write_won(claimed_version, actions);
-  EXPECT_EQ(only<send_attempt>(actions).attempt, attempt_number{1});
-  paused.on_refusal(true, "settled", actions);
-  only<choose_target>(actions);
-  paused.on_target(k_second, actions);
-  execute_write(paused, table, actions);
-  EXPECT_EQ(only<settle>(actions).token, "b");
+  paused.on_write_won(claimed_version, m_actions);
+  EXPECT_EQ(only<send_attempt>(m_actions).attempt, attempt_number{1});
+  paused.on_refusal(true, "settled", m_actions);
+  only<choose_target>(m_actions);
+  paused.on_target(k_second, m_actions);
+  execute_write(paused, m_table, m_actions);
+  EXPECT_EQ(only<settle>(m_actions).token, "b");
 }
 
 // Guards against a call that is sent to a second upstream before the row names it.
 TEST_F(claim_test, claim_is_moved_before_another_upstream_is_tried) {
   claim machine = sent("a");
-  machine.on_refusal(true, "draining", actions);
-  only<choose_target>(actions);
-  machine.on_target(k_second, actions);
-  execute_write(machine, table, actions);
-  const auto second = only<send_attempt>(actions);
+  machine.on_refusal(true, "draining", m_actions);
+  only<choose_target>(m_actions);
+  machine.on_target(k_second, m_actions);
+  execute_write(machine, m_table, m_actions);
+  const auto second = only<send_attempt>(m_actions);
   EXPECT_EQ(second.target.upstream, "booking-2");
   EXPECT_EQ(second.attempt, attempt_number{2});
-  EXPECT_EQ(table.row().upstream, "booking-2");
-  EXPECT_EQ(table.row().attempt, attempt_number{2});
+  EXPECT_EQ(m_table.row().upstream, "booking-2");
+  EXPECT_EQ(m_table.row().attempt, attempt_number{2});
 }
 
 // Guards against a key that stays blocked after its request was refused before it ran.
 TEST_F(claim_test, released_claim_is_free_for_the_next_request) {
   claim machine = sent("a");
-  machine.on_refusal(true, "queue full", actions);
-  only<choose_target>(actions);
-  machine.on_no_target({503, true, seconds(1), "no other upstream"}, actions);
-  ASSERT_EQ(actions.size(), 2U);
-  ASSERT_TRUE(table.write(std::get<write_row>(actions[0])));
-  EXPECT_TRUE(std::get<refuse>(actions[1]).not_run);
-  actions.clear();
+  machine.on_refusal(true, "queue full", m_actions);
+  only<choose_target>(m_actions);
+  machine.on_no_target({503, true, seconds(1), "no other upstream"}, m_actions);
+  ASSERT_EQ(m_actions.size(), 2U);
+  ASSERT_TRUE(m_table.write(std::get<write_row>(m_actions[0])));
+  EXPECT_TRUE(std::get<refuse>(m_actions[1]).not_run);
+  m_actions.clear();
 
   claim retry("b", "print");
-  retry.start(k_second, actions);
-  execute_write(retry, table, actions);
-  execute_write(retry, table, actions);
-  EXPECT_EQ(only<send_attempt>(actions).attempt, attempt_number{2});
+  retry.start(k_second, m_actions);
+  execute_write(retry, m_table, m_actions);
+  execute_write(retry, m_table, m_actions);
+  EXPECT_EQ(only<send_attempt>(m_actions).attempt, attempt_number{2});
 }
 
 // Guards against a false not_run, and against a needless unknown, after a broken link to the agent.
 TEST_F(claim_test, lost_attempt_is_settled_with_its_own_agent) {
   claim machine = sent("a");
-  machine.on_attempt_lost(k_start, actions);
-  EXPECT_EQ(only<settle>(actions).token, "a");
-  machine.on_attempt_status(k_start, k_first.agent, settled_state::running, {}, actions);
-  EXPECT_TRUE(actions.empty());
-  machine.tick(k_start + milliseconds(500), actions);
-  only<settle>(actions);
-  machine.on_attempt_status(k_start, k_first.agent, settled_state::finished, {200, {}, "done"}, actions);
-  execute_write(machine, table, actions);
-  EXPECT_EQ(only<respond>(actions).response.body, "done");
+  machine.on_attempt_lost(k_start, m_actions);
+  EXPECT_EQ(only<settle>(m_actions).token, "a");
+  machine.on_attempt_status(k_start, k_first.agent, settled_state::running, {}, m_actions);
+  EXPECT_TRUE(m_actions.empty());
+  machine.tick(k_start + milliseconds(500), m_actions);
+  only<settle>(m_actions);
+  machine.on_attempt_status(k_start, k_first.agent, settled_state::finished, {200, {}, "done"}, m_actions);
+  execute_write(machine, m_table, m_actions);
+  EXPECT_EQ(only<respond>(m_actions).response.body, "done");
 }
 
 TEST_F(claim_test, attempt_without_word_from_its_agent_is_unknown) {
   claim machine = sent("a");
-  machine.on_attempt_lost(k_start, actions);
-  actions.clear();
-  machine.tick(k_start + seconds(1), actions);
-  const auto refusal = only<refuse>(actions);
+  machine.on_attempt_lost(k_start, m_actions);
+  m_actions.clear();
+  machine.tick(k_start + seconds(1), m_actions);
+  const auto refusal = only<refuse>(m_actions);
   EXPECT_EQ(refusal.status, 502);
   EXPECT_FALSE(refusal.not_run);
 }
@@ -272,16 +272,16 @@
 // Guards against `not_run` at the deadline for a call that was sent, and `unknown` for one that was not.
 TEST_F(claim_test, deadline_tells_whether_the_call_was_sent) {
   claim machine = sent("a");
-  machine.expire(actions);
-  EXPECT_FALSE(only<refuse>(actions).not_run);
+  machine.expire(m_actions);
+  EXPECT_FALSE(only<refuse>(m_actions).not_run);
 
   claim waiting("b", "print");
-  waiting.start(k_first, actions);
-  actions.clear();
-  waiting.expire(actions);
-  EXPECT_TRUE(only<refuse>(actions).not_run);
-  waiting.on_write_won(1, actions);
-  EXPECT_TRUE(actions.empty()) << "a claim that is confirmed after the deadline must not be sent";
+  waiting.start(k_first, m_actions);
+  m_actions.clear();
+  waiting.expire(m_actions);
+  EXPECT_TRUE(only<refuse>(m_actions).not_run);
+  waiting.on_write_won(1, m_actions);
+  EXPECT_TRUE(m_actions.empty()) << "a claim that is confirmed after the deadline must not be sent";
 }
 
 // Guards against a stored response that differs from the one the upstream gave.
