entry: keep the share check and the wait for a configuration cheap

Once the entry was crowded, each request looked up every workspace of the manifest (2,100 in two years); now only those with requests in flight. A claim that waits for a newer configuration moved its row every 50 ms; on_configuration() ends the wait at once, so the poll is only a fallback and takes 1 s (250 ms without a claim).

--- a/source/core/entry/answers.cpp
+++ b/source/core/entry/answers.cpp
@@ -9,7 +9,8 @@
 
 // The largest service response; it is held until it is whole, so that a broken one is never passed on.
 constexpr std::size_t k_max_body_bytes = 16U << 20U;
-constexpr milliseconds k_stale_pause{50};
+// A new configuration ends the pause at once; the time only covers a lost message.
+constexpr milliseconds k_stale_pause{250};
 
 template <class... handlers>
 struct overloaded : handlers... {
--- a/source/core/entry/claims.cpp
+++ b/source/core/entry/claims.cpp
@@ -6,7 +6,9 @@
 namespace cuminpath::entry {
 namespace {
 
-constexpr milliseconds k_stale_pause{50};
+// A new configuration ends the pause at once. Each attempt costs a write, so it is longer than for requests
+// without a claim.
+constexpr milliseconds k_stale_pause{1000};
 constexpr milliseconds k_retry_after{1000};
 
 }  // namespace
--- a/source/core/entry/entry_core.cpp
+++ b/source/core/entry/entry_core.cpp
@@ -118,14 +118,13 @@
   if (static_cast<double>(total) < static_cast<double>(m_options.max_requests) * k_crowded) {
     return std::nullopt;
   }
-  double shares = 0;
-  double own = 0;
-  for (const auto& workspace : m_directory.manifest().workspaces) {
-    const bool same = workspace.name == accepted.workspace;
-    if (same || m_requests.in_flight(workspace.name) > 0) {
-      shares += workspace.share;
-    }
-    own = same ? workspace.share : own;
+  // Only workspaces with requests in flight count, so that the check stays cheap in a flood.
+  const auto* workspace = m_directory.find_workspace(accepted.workspace);
+  const double own = workspace == nullptr ? 0 : workspace->share;
+  double shares = own;
+  for (const auto& [name, count] : m_requests.workspaces()) {
+    const auto* other = name == accepted.workspace ? nullptr : m_directory.find_workspace(name);
+    shares += other == nullptr ? 0 : other->share;
   }
   const auto fair = static_cast<std::size_t>(shares > 0 ? limit * own / shares : 0);
   if (m_requests.in_flight(accepted.workspace) >= std::max(fair, k_min_workspace_limit)) {
--- a/source/core/entry/request_table.h
+++ b/source/core/entry/request_table.h
@@ -78,6 +78,10 @@
   // Requests that are not done.
   [[nodiscard]] std::size_t size() const { return m_requests.size() - m_done.size(); }
   [[nodiscard]] std::size_t in_flight(const std::string& workspace) const;
+  // Workspaces with requests in flight, and how many.
+  [[nodiscard]] const std::unordered_map<std::string, std::size_t>& workspaces() const {
+    return m_workspaces;
+  }
 
   // Calls `visit` for each request that is not done. It may finish requests but not insert any.
   template <class visitor>
--- a/source/unit_tests/entry/service_call_test.cpp
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -125,6 +125,19 @@
   EXPECT_EQ(m_row["peer_address"], second.peer);
 }
 
+// Guards against a booking that hangs, or is refused, because the entry's configuration is behind.
+TEST_F(service_call_test, stale_configuration_moves_the_claim_once_it_is_caught_up_with) {
+  book("k-1");
+  win_write();
+  refuse(take_submitted(), execution::not_run, refusal_reason::stale_configuration);
+  run_for(milliseconds(100));
+  EXPECT_TRUE(take<write_claim>().empty());
+  call(&entry_core::on_configuration, configuration_version{2}, sample_manifest());
+  run_for(milliseconds(10));
+  win_write();
+  EXPECT_EQ(take_submitted().message.attempt, attempt_number{2});
+}
+
 // Guards against a second run after the link broke: only the agent's word allows one.
 TEST_F(service_call_test, broken_link_is_settled_and_never_retried_blindly) {
   book("k-1");
