entry: test late frames that come from the agent of the next attempt

A trial that removed the comparison of attempt numbers passed all tests, because the other tests move to another agent, whose address differs. The new test fails without the comparison.

--- a/source/unit_tests/entry/model_request_test.cpp
+++ b/source/unit_tests/entry/model_request_test.cpp
@@ -80,6 +80,26 @@
   EXPECT_EQ(texts_of(take_streamed()), "abc");
 }
 
+// Guards against frames of an abandoned attempt that come from the same agent as those of its successor. The
+// engine may generate other tokens the second time, so mixing the two garbles the response.
+TEST_F(model_request_test, late_frames_from_the_same_agent_are_dropped) {
+  for (const char* peer : {"m2", "m3"}) {
+    call(&entry_core::on_link_lost, std::string_view(peer));
+  }
+  complete(false);
+  const auto first = take_submitted();
+  answer_tokens(first, 1, {"x"});  // A frame is missing, so the attempt is abandoned.
+  const auto second = take_submitted();
+  ASSERT_EQ(second.peer, first.peer);
+  EXPECT_EQ(second.message.attempt, attempt_number{2});
+  answer_tokens(first, 0, {"late", "later"});
+  refuse(first, execution::not_run, refusal_reason::cancelled);
+  answer_tokens(second, 0, {"a", "b"});
+  answer_end(first, 2);
+  answer_end(second, 2);
+  EXPECT_EQ(parse_json(take_response().body).value()["choices"][0]["text"], "ab");
+}
+
 // Guards against a gap in the assembled response after a resume.
 TEST_F(model_request_test, response_without_stream_is_assembled_over_a_resume) {
   complete(false, {{"X-Request-Id", "r-7"}});
