--- a/source/core/scheduling/class_table.cpp
+++ b/source/core/scheduling/class_table.cpp
@@ -70,8 +70,11 @@
     const double owed = row.declared.floor * m_slots;
     const double debt = -std::max(owed * k_debt_s, 2 * k_quantum);
     const double claim = has_jobs(row) ? owed * k_claim_s : 0;
-    const double change = std::max(owed - used, -static_cast<double>(row.running_on_credit));
-    row.credit = std::clamp(row.credit + change * elapsed, debt, claim);
+    const auto on_credit = static_cast<double>(row.running_on_credit);
+    // A debt is paid off by the floor at any time. A claim arises only while the class gets less than that.
+    const double change = row.credit < 0 ? owed - on_credit : std::max(owed - used, -on_credit);
+    const double most = row.credit < 0 && used >= owed ? 0 : claim;
+    row.credit = std::clamp(row.credit + change * elapsed, debt, most);
     row.usage += weight * (used / m_slots - row.usage);
   }
 }
