scheduling: admit urgent work against the runs that it may preempt

Cause: the predicted wait of urgent work counted jobs ahead of it that get a slot at once by preemption, so admission refused work that would have been in time.

Change: as many queued jobs as there are runs to preempt do not delay another one.

--- a/source/core/scheduling/admission.cpp
+++ b/source/core/scheduling/admission.cpp
@@ -48,6 +48,17 @@
   return seconds;
 }
 
+// Jobs in the queues of the class and the more urgent ones.
+std::size_t queued_up_to(const class_table& classes, class_index row) {
+  std::size_t sum = 0;
+  for (const class_index other : classes.order()) {
+    if (classes.at(other).declared.rank <= classes.at(row).declared.rank) {
+      sum += classes.at(other).queue.queued();
+    }
+  }
+  return sum;
+}
+
 struct shortfall {
   double excess_s = 0;  // How much shorter the wait would have to be.
   void require(double wait_s, double allowed_s) { excess_s = std::max(excess_s, wait_s - allowed_s); }
@@ -96,6 +107,9 @@
 
 wait_estimate estimate_wait(const load_view& view, class_index row, const flow* own, double share) {
   const class_state& state = view.classes.at(row);
+  if (queued_up_to(view.classes, row) < view.slots_by_preemption) {
+    return {view.next_slot_s, view.next_slot_s};
+  }
   const double own_s =
       own == nullptr ? 0 : view.times.run_s(own->queued, static_cast<double>(own->queued_tokens));
   const double all_s =
--- a/source/core/scheduling/admission.h
+++ b/source/core/scheduling/admission.h
@@ -19,6 +19,8 @@
   const run_time_estimator& times;
   // Seconds until a slot becomes free for the class, apart from the queue.
   double next_slot_s = 0;
+  // Jobs that can get a slot by preemption; so many in the queue do not delay another one.
+  std::size_t slots_by_preemption = 0;
 };
 
 // Seconds until the first of the running jobs is expected to end; 0 with a free slot.
--- a/source/core/scheduling/class_table.cpp
+++ b/source/core/scheduling/class_table.cpp
@@ -95,10 +95,13 @@
   return sum;
 }
 
-bool class_table::protected_by_floor(class_index row) const {
+std::size_t class_table::runs_kept_by_floor(class_index row) const {
   const class_state& state = at(row);
-  return static_cast<double>(state.running.size()) <= std::ceil(state.declared.floor * m_slots) &&
-         state.credit > -k_quantum;
+  return state.credit > -k_quantum ? static_cast<std::size_t>(std::ceil(state.declared.floor * m_slots)) : 0;
+}
+
+bool class_table::protected_by_floor(class_index row) const {
+  return at(row).running.size() <= runs_kept_by_floor(row);
 }
 
 }  // namespace cuminpath::scheduling
--- a/source/core/scheduling/class_table.h
+++ b/source/core/scheduling/class_table.h
@@ -41,7 +41,9 @@
   [[nodiscard]] std::uint32_t slots() const { return m_slots; }
   [[nodiscard]] std::uint32_t running() const;
   [[nodiscard]] std::uint32_t queued() const;
-  // The class runs no more than its floor: it is not preempted.
+  // Runs that are not preempted because the class has no more than its floor.
+  [[nodiscard]] std::size_t runs_kept_by_floor(class_index row) const;
+  // The class runs no more than that: it is not preempted.
   [[nodiscard]] bool protected_by_floor(class_index row) const;
 
 private:
--- a/source/core/scheduling/preemption.cpp
+++ b/source/core/scheduling/preemption.cpp
@@ -36,6 +36,23 @@
 
 }  // namespace
 
+std::size_t count_victims_below(time_point now, const preempt_running& policy, const class_table& classes,
+                                const job_table& jobs, class_index row) {
+  std::size_t count = 0;
+  for (const class_index other : classes.order()) {
+    const class_state& state = classes.at(other);
+    if (state.declared.rank > classes.at(row).declared.rank) {
+      const auto candidates = static_cast<std::size_t>(
+          std::count_if(state.running.begin(), state.running.end(), [&](const job_id id) {
+            return jobs.at(id).preemptible && now - jobs.at(id).started_at >= policy.min_run;
+          }));
+      const std::size_t kept = classes.runs_kept_by_floor(other);
+      count += std::min(candidates, state.running.size() - std::min(kept, state.running.size()));
+    }
+  }
+  return count;
+}
+
 bool clearly_below_share(const class_state& state, const flow& own) {
   return own.running + 1 <= k_clearly_below * entitled(state, own);
 }
--- a/source/core/scheduling/preemption.h
+++ b/source/core/scheduling/preemption.h
@@ -17,6 +17,10 @@
 std::optional<job_id> choose_victim_below(time_point now, const preempt_running& policy,
                                           const class_table& classes, const job_table& jobs, class_index row);
 
+// Runs below `row` that could be preempted one after the other.
+std::size_t count_victims_below(time_point now, const preempt_running& policy, const class_table& classes,
+                                const job_table& jobs, class_index row);
+
 // Whether a workspace with one run more still has clearly less than its share. Smaller differences are left
 // to the queue: between equal workspaces they come and go, and each exchange costs a restart.
 bool clearly_below_share(const class_state& state, const flow& own);
--- a/source/core/scheduling/scheduler.cpp
+++ b/source/core/scheduling/scheduler.cpp
@@ -60,7 +60,8 @@
 
   workspace_index workspace_row(const std::string& name);
   [[nodiscard]] double share_of(workspace_index row) const;
-  [[nodiscard]] double slot_wait_s(time_point now, class_index row, const flow* own, double share) const;
+  // `own` is the flow of the workspace that asks, if it has one.
+  [[nodiscard]] load_view view_for(time_point now, class_index row, const flow* own, double share) const;
   [[nodiscard]] std::uint32_t slots_open_to(class_index row) const;
   [[nodiscard]] std::optional<milliseconds> over_queue_limit(const class_state& row, const flow* own,
                                                              const load_view& view, class_index index) const;
@@ -115,27 +116,29 @@
   return slots - std::min(held, slots - 1);
 }
 
-// Seconds until a job of the class gets a slot if it is the first in the queue.
-double scheduler::impl::slot_wait_s(time_point now, class_index row, const flow* own, double share) const {
-  const double natural = next_slot_s(now, m_classes, m_jobs, m_times);
+load_view scheduler::impl::view_for(time_point now, class_index row, const flow* own, double share) const {
+  load_view view{m_classes, m_jobs, m_times, next_slot_s(now, m_classes, m_jobs, m_times), 0};
   const auto* policy = std::get_if<preempt_running>(&m_options.urgent);
-  if (policy == nullptr || natural == 0) {
-    return natural;
+  if (policy == nullptr || view.next_slot_s == 0) {
+    return view;
   }
   const class_state& state = m_classes.at(row);
   flow fresh;
   fresh.share = share;
   if (clearly_below_share(state, own == nullptr ? fresh : *own) &&
       choose_victim_in_class(now, *policy, state, m_jobs)) {
-    return 0;
+    view.next_slot_s = 0;
+    return view;
   }
-  const config::priority_class& declared = state.declared;
-  if (!choose_victim_below(now, *policy, m_classes, m_jobs, row)) {
-    return natural;
+  const milliseconds target = state.declared.first_token_target.count() > 0
+                                  ? state.declared.first_token_target
+                                  : state.declared.total_target;
+  view.slots_by_preemption =
+      target.count() > 0 ? count_victims_below(now, *policy, m_classes, m_jobs, row) : 0;
+  if (view.slots_by_preemption > 0) {
+    view.next_slot_s = std::min(view.next_slot_s, seconds_of(target) * policy->patience);
   }
-  const milliseconds target =
-      declared.first_token_target.count() > 0 ? declared.first_token_target : declared.total_target;
-  return target.count() > 0 ? std::min(natural, seconds_of(target) * policy->patience) : natural;
+  return view;
 }
 
 std::optional<milliseconds> scheduler::impl::over_queue_limit(const class_state& row, const flow* own,
@@ -163,7 +166,7 @@
   const workspace_index workspace =
       m_options.fair_queueing ? workspace_row(value.workspace) : workspace_row(std::string());
   const flow* own = m_classes.at(row).queue.find(workspace);
-  const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row, own, share_of(workspace))};
+  const load_view view = view_for(now, row, own, share_of(workspace));
   if (const auto retry_after = over_queue_limit(m_classes.at(row), own, view, row)) {
     return refused{wire::refusal_reason::queue_full, *retry_after};
   }
@@ -380,7 +383,7 @@
     whole.queued = state.queue.queued();
     whole.queued_tokens = state.queue.queued_tokens();
     whole.running = static_cast<std::uint32_t>(state.running.size());
-    const load_view view{m_classes, m_jobs, m_times, slot_wait_s(now, row, &whole, 1)};
+    const load_view view = view_for(now, row, &whole, 1);
     const double wait_s = estimate_wait(view, row, &whole, 1).wait_s;
     result.push_back({state.declared.name, state.queue.queued(),
                       static_cast<std::uint32_t>(state.running.size()),
