agent: test the core on virtual time

A failed or ended run is no longer cancelled once more: the random test found the superfluous cancel_run.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -78,18 +78,6 @@
   return "";
 }
 
-telemetry::log_level level_of(std::string_view name) {
-  using telemetry::log_level;
-  for (const auto& [known, level] :
-       {std::pair("trace", log_level::trace), std::pair("debug", log_level::debug),
-        std::pair("warning", log_level::warning), std::pair("error", log_level::error)}) {
-    if (name == known) {
-      return level;
-    }
-  }
-  return log_level::info;
-}
-
 // All functions run on the thread of the io_context.
 class agent_process {
 public:
@@ -507,10 +495,6 @@
 }  // namespace
 
 int run(const config::daemon_settings& settings) {
-  telemetry::start_logging(settings.name, level_of(settings.log.level));
-  for (const auto& [subsystem, level] : settings.log.subsystems) {
-    telemetry::set_log_level(subsystem, level_of(level));
-  }
   std::signal(SIGPIPE, SIG_IGN);
   agent_process process(settings);
   return process.run();
--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -200,6 +200,7 @@
     return;
   }
   if (value->token_stream) {
+    m_attempts.stop(*value);
     fail(now, *value, "the engine's stream ended without its last event", actions);
   } else {
     finish(now, *value, actions);
@@ -218,6 +219,7 @@
       on_upstream_health(false, actions);
     }
   }
+  m_attempts.stop(*value);
   fail(now, *value, failure.message, actions);
 }
 
--- /dev/null
+++ b/source/unit_tests/agent/attempt_table_test.cpp
@@ -0,0 +1,69 @@
+#include "core/agent/attempt_table.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::agent {
+namespace {
+
+wire::submit_request request(std::string id, bool repeatable) {
+  wire::submit_request value;
+  value.request_id = std::move(id);
+  value.attempt = attempt_number{1};
+  value.repeatable = repeatable;
+  return value;
+}
+
+void run_to_end(attempt_table& table, time_point now, const std::string& id, bool repeatable,
+                std::string body) {
+  auto& value = table.add(now, "entry", request(id, repeatable));
+  value.phase = attempt_phase::queued;
+  table.start(value);
+  value.body = std::move(body);
+  table.end(now, value, ended_state::finished);
+}
+
+// Guards against memory that grows with the number of requests ever served.
+TEST(attempt_table, remembers_for_a_bounded_time_and_count) {
+  attempt_table table({.max_ended = 100});
+  const auto now = time_point() + seconds(1);
+  for (int i = 0; i < 500; ++i) {
+    run_to_end(table, now, "r" + std::to_string(i), true, "");
+  }
+  EXPECT_EQ(table.ended_size(), 100U);
+  run_to_end(table, now, "booking", false, "kept");
+  table.expire(now + std::chrono::minutes(10));
+  EXPECT_EQ(table.ended_size(), 0U);
+  EXPECT_TRUE(table.has_room());
+}
+
+// Guards against stored responses that exhaust the memory, and against an empty one reported as the response.
+TEST(attempt_table, drops_the_oldest_answers_and_says_so) {
+  attempt_table table({.max_answers_bytes = 1000});
+  const auto now = time_point() + seconds(1);
+  run_to_end(table, now, "old", false, std::string(600, 'a'));
+  run_to_end(table, now, "new", false, std::string(600, 'b'));
+  EXPECT_EQ(table.find_ended("old", attempt_number{1})->state, ended_state::failed);
+  EXPECT_EQ(table.find_ended("new", attempt_number{1})->state, ended_state::finished);
+  table.expire(now + std::chrono::hours(1));
+  run_to_end(table, now, "later", false, std::string(900, 'c'));
+  EXPECT_EQ(table.find_ended("later", attempt_number{1})->state, ended_state::finished);
+}
+
+// Guards against a filter that forgets a member, or that takes nearly everything for one.
+TEST(fingerprint_filter, never_forgets_and_is_rarely_wrong) {
+  constexpr std::uint64_t k_members = 200000;
+  constexpr std::uint64_t k_step = 0x9E3779B97F4A7C15;  // Spreads the numbers over 64 bits.
+  fingerprint_filter filter;
+  for (std::uint64_t i = 1; i <= k_members; ++i) {
+    filter.add(i * k_step);
+  }
+  std::uint64_t wrong = 0;
+  for (std::uint64_t i = 1; i <= k_members; ++i) {
+    ASSERT_TRUE(filter.contains(i * k_step));
+    wrong += filter.contains((i + k_members) * k_step) ? 1 : 0;
+  }
+  EXPECT_LT(wrong, k_members / 100);
+}
+
+}  // namespace
+}  // namespace cuminpath::agent
--- /dev/null
+++ b/source/unit_tests/agent/event_stream_test.cpp
@@ -0,0 +1,47 @@
+#include "core/agent/event_stream.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::agent {
+namespace {
+
+// Guards against events that are lost or torn when the network splits the stream at any byte.
+TEST(event_stream, reads_events_split_at_any_byte) {
+  const std::string text =
+      ": comment\r\ndata: {\"index\":0}\r\n\r\nevent: error\ndata:{}\n\ndata: a\ndata: b\n\n";
+  for (std::size_t split = 0; split <= text.size(); ++split) {
+    event_stream stream;
+    std::vector<stream_event> events;
+    ASSERT_TRUE(stream.feed(std::string_view(text).substr(0, split), events));
+    ASSERT_TRUE(stream.feed(std::string_view(text).substr(split), events));
+    ASSERT_EQ(events.size(), 3U) << "split at " << split;
+    EXPECT_EQ(events[0].data, "{\"index\":0}");
+    EXPECT_EQ(events[1].type, "error");
+    EXPECT_EQ(events[2].data, "a b");
+  }
+}
+
+// Guards against an engine that fills the agent's memory with an event that never ends.
+TEST(event_stream, refuses_an_endless_event) {
+  event_stream stream;
+  std::vector<stream_event> events;
+  bool usable = true;
+  for (int i = 0; i < 3000 && usable; ++i) {
+    usable = stream.feed(std::string(1000, 'x'), events);
+  }
+  EXPECT_FALSE(usable);
+}
+
+// Guards against an index read from a nested member or from a text, which would drop or repeat tokens.
+TEST(token_index, reads_only_the_member_of_the_event) {
+  EXPECT_EQ(token_index(R"({"choices":[{"index":7,"text":"\"index\":8"}],"id":"index","index" : 12})"), 12U);
+  EXPECT_EQ(token_index(R"({"id":"a","index":0,"choices":[]})"), 0U);
+  EXPECT_FALSE(token_index(R"({"choices":[{"index":7}]})"));
+  EXPECT_FALSE(token_index(R"({"index":-1})"));
+  EXPECT_FALSE(token_index(R"({"index":"1"})"));
+  EXPECT_FALSE(token_index(R"({"index)"));
+  EXPECT_FALSE(token_index(""));
+}
+
+}  // namespace
+}  // namespace cuminpath::agent
--- /dev/null
+++ b/source/unit_tests/agent/single_run_test.cpp
@@ -0,0 +1,176 @@
+// Calls that may not be repeated.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "core/common/random.h"
+#include "unit_tests/agent/agent_harness.h"
+
+namespace cuminpath::agent {
+namespace {
+
+using support::agent_harness;
+using support::booking;
+using support::k_entry;
+using support::k_other_entry;
+
+constexpr auto k_service = config::upstream_kind::service;
+
+wire::settle_attempt settle(std::string id, std::uint32_t number = 1) {
+  return {.request_id = std::move(id), .attempt = attempt_number{number}};
+}
+
+// Guards against a second run of a booking, also long after the first and whatever the entry asks meanwhile.
+TEST(single_run, runs_once_and_settles_with_the_kept_answer) {
+  agent_harness agent(k_service);
+  agent.message(booking("a"));
+  ASSERT_EQ(agent.runs.size(), 1U);
+  EXPECT_TRUE(agent.runs[0].options.never_reuse_connection);
+  EXPECT_EQ(agent.runs[0].request.target, "/bookings?day=1");
+  EXPECT_FALSE(agent.runs[0].request.header("Connection"));
+  EXPECT_TRUE(agent.runs[0].request.header("Idempotency-Key"));
+  agent.message(settle("a"), k_other_entry);
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::running);
+  agent.head(agent.runs[0].id, 201);
+  agent.data(agent.runs[0].id, "boo");
+  agent.data(agent.runs[0].id, "ked");
+  EXPECT_EQ(agent.last<wire::answer_chunk>().index, 3U);
+  agent.end(agent.runs[0].id);
+  EXPECT_EQ(agent.last<wire::answer_end>().length, 6U);
+  agent.advance(std::chrono::minutes(9));
+  agent.message(settle("a"), k_other_entry);
+  const auto status = agent.last<wire::attempt_status>();
+  EXPECT_EQ(status.state, wire::attempt_state::finished);
+  EXPECT_EQ(status.status, 201);
+  EXPECT_EQ(status.body, "booked");
+  agent.message(booking("a"));
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::duplicate_attempt);
+  EXPECT_EQ(agent.last<wire::refusal>().ran, wire::execution::unknown);
+
+  agent.advance(std::chrono::minutes(5));
+  EXPECT_EQ(agent.core.attempts().ended_size(), 0U);
+  agent.message(settle("a"));
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::failed);
+  agent.message(booking("a"));
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::duplicate_attempt);
+  EXPECT_EQ(agent.runs.size(), 1U);
+}
+
+// Guards against an attempt that runs after another entry was told that it was never seen and took over.
+TEST(single_run, an_attempt_settled_as_not_seen_never_runs) {
+  agent_harness agent(k_service);
+  agent.message(settle("a"), k_other_entry);
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::not_seen);
+  agent.message(booking("a"));
+  EXPECT_EQ(agent.last<wire::refusal>().ran, wire::execution::not_run);
+  agent.message(settle("b"), k_other_entry);
+  agent.advance(std::chrono::minutes(11));
+  agent.message(booking("b"));  // From an entry that was paused.
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::duplicate_attempt);
+  EXPECT_TRUE(agent.runs.empty());
+  // Another attempt of the same request is a new one.
+  auto next = booking("a");
+  next.attempt = attempt_number{2};
+  agent.message(next);
+  EXPECT_EQ(agent.runs.size(), 1U);
+}
+
+// Guards against a booking that is cut off half-way by a lost entry, a cancellation or its deadline.
+TEST(single_run, nothing_cancels_a_run_in_progress) {
+  agent_harness agent(k_service);
+  agent.message(booking("a"));
+  agent.message(wire::cancel_request{.request_id = "a", .attempt = attempt_number{1}});
+  agent.lose(k_entry);
+  agent.advance(seconds(65));
+  EXPECT_TRUE(agent.cancelled.empty());
+  EXPECT_GT(agent.runs[0].options.timeout, seconds(60));
+  agent.head(agent.runs[0].id);
+  agent.end(agent.runs[0].id);
+  agent.message(settle("a"), k_other_entry);
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::finished);
+}
+
+// Guards against a failed run that is reported as not seen, and against a call that never left the agent and
+// is reported as one that may have run.
+TEST(single_run, settles_failures_truthfully) {
+  agent_harness agent(k_service);
+  agent.message(booking("broken"));
+  agent.fail(agent.runs[0].id, true);
+  agent.message(settle("broken"));
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::failed);
+  agent.message(booking("unsent"));
+  agent.fail(agent.runs[1].id, false);
+  EXPECT_EQ(agent.last<wire::refusal>().ran, wire::execution::not_run);
+  agent.message(settle("unsent"));
+  EXPECT_EQ(agent.last<wire::attempt_status>().state, wire::attempt_state::not_seen);
+  agent.message(booking("unsent"));
+  EXPECT_EQ(agent.runs.size(), 2U);
+}
+
+// Guards against second runs and false statements in any order of events: duplicates, settlements, failures,
+// lost entries, cancellations, time and a drain at the end.
+TEST(single_run, holds_under_random_events) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    random_source random(seed);
+    agent_harness agent(k_service, 3);
+    for (int step = 0; step < 600; ++step) {
+      const auto id = "r" + std::to_string(random_index(random, 60));
+      const auto run = agent.runs.empty() ? run_id{} : agent.runs[random_index(random, agent.runs.size())].id;
+      switch (random_index(random, 10)) {
+        case 0:
+        case 1:
+        case 2:
+          agent.message(booking(id));
+          break;
+        case 3:
+          agent.message(settle(id), k_other_entry);
+          break;
+        case 4:
+          agent.head(run);
+          agent.end(run);
+          break;
+        case 5:
+          agent.fail(run, random_index(random, 2) == 0);
+          break;
+        case 6:
+          agent.message(wire::cancel_request{.request_id = id, .attempt = attempt_number{1}});
+          break;
+        case 7:
+          agent.lose(k_entry);
+          break;
+        case 8:
+          agent.head(run);
+          agent.data(run, "x");
+          break;
+        default:
+          agent.advance(milliseconds(100 * random_index(random, 50)));
+      }
+    }
+    agent.drain();
+    for (const auto& run : agent.runs) {
+      agent.end(run.id);
+    }
+    EXPECT_TRUE(agent.core.drained());
+    // An attempt starts once. What was said not to have run has no later start; its only start, if any, is
+    // one of which the service received nothing.
+    std::map<std::string, int> starts;
+    for (const auto& run : agent.runs) {
+      EXPECT_EQ(++starts[std::string(*run.request.header("X-Request-Id"))], 1);
+    }
+    std::map<std::string, bool> ended;
+    for (const auto& end : agent.sent<wire::answer_end>()) {
+      ended[end.request_id] = true;
+    }
+    for (const auto& refusal : agent.sent<wire::refusal>()) {
+      EXPECT_FALSE(refusal.ran == wire::execution::not_run && ended[refusal.request_id]);
+    }
+    for (const auto& status : agent.sent<wire::attempt_status>()) {
+      EXPECT_FALSE(status.state == wire::attempt_state::not_seen && ended[status.request_id]);
+    }
+    EXPECT_TRUE(agent.cancelled.empty());
+  }
+}
+
+}  // namespace
+}  // namespace cuminpath::agent
