agent, transport: end a drain beside periodic reports, close dead links

The drain waited for a moment with nothing queued, but the tick that checked had just queued reports, so agents were killed after 10 s by scripts/run. The check now comes before the tick sends and is bounded for dead peers. Links without a connection and without messages are closed after 10 s; nng would dial replaced peers for ever.

Local trial with entries, engines and services: all agents exit with 0, one of them after it finished the streams that ran when SIGTERM came; 8 of 8 streams complete.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -40,6 +40,7 @@
 constexpr seconds k_min_drain{3};
 // nng has handed the last messages to the socket by then; closing earlier would drop them.
 constexpr milliseconds k_linger{500};
+constexpr milliseconds k_max_linger{2000};
 
 std::uint64_t wall_ms() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -403,6 +404,10 @@
 
   void on_timer() {
     const auto now = clock::now();
+    if (drain_complete(now)) {  // Before this tick queues messages.
+      m_context.stop();
+      return;
+    }
     std::vector<action> actions;
     m_core.tick(now, actions);
     execute(actions);
@@ -416,10 +421,6 @@
     }
     fetch_host_list(now);
     probe_upstream(now);
-    if (drain_complete(now)) {
-      m_context.stop();
-      return;
-    }
     m_next_tick = std::max(m_next_tick + k_tick_interval, now);
     m_timer.expires_at(m_next_tick);
     m_timer.async_wait([this](const std::error_code& code) {
@@ -430,11 +431,14 @@
   }
 
   bool drain_complete(time_point now) {
-    if (!m_core.drained() || m_mailbox->counters().queued_bytes > 0) {
+    if (!m_core.drained()) {
       m_drained_since = now;
       return false;
     }
-    return now >= m_drain_started + k_min_drain && now >= m_drained_since + k_linger;
+    const auto earliest = std::max(m_drain_started + k_min_drain, m_drained_since + k_linger);
+    // A peer that is dead does not take its messages.
+    const bool sent = m_mailbox->counters().queued_bytes == 0 || now >= earliest + k_max_linger;
+    return now >= earliest && sent;
   }
 
   // An engine reports its load; a service has no such path, so it is only asked whether it responds again
--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -27,6 +27,9 @@
 constexpr nng_duration k_reconnect_max_ms = 500;
 // Peers at most; those that have no connection any more are forgotten first.
 constexpr std::size_t k_max_known_peers = 16384;
+// A link without a connection and without messages is closed after this time: its peer has probably been
+// replaced, and nng would dial it for ever.
+constexpr seconds k_idle_disconnected{10};
 // The envelope that nng holds for the io_context may be handled after the end of its connection, but only a
 // few other connections can end between the two.
 constexpr std::size_t k_max_closed = 64;
@@ -165,6 +168,7 @@
     for (const auto& peer : overflowed) {
       drop_link(peer, link_loss::queue_overflow);
     }
+    close_unused_links();
   }
 
   void close_link(std::string_view peer_address) { m_links.erase(std::string(peer_address)); }
@@ -196,6 +200,8 @@
     nng_socket socket{};
     nng_aio* send_aio = nullptr;
     bool sending = false;
+    bool connected = false;
+    time_point disconnected_since = clock::now();
     std::uint64_t sequence = 0;
     std::vector<wire::message> pending;
     std::size_t pending_bytes = 0;
@@ -220,6 +226,7 @@
     CUMINPATH_ASSERT(nng_push0_open(&slot->socket) == 0);
     nng_socket_set_ms(slot->socket, NNG_OPT_RECONNMINT, k_reconnect_min_ms);
     nng_socket_set_ms(slot->socket, NNG_OPT_RECONNMAXT, k_reconnect_max_ms);
+    nng_pipe_notify(slot->socket, NNG_PIPE_EV_ADD_POST, &impl::on_pipe_added, slot.get());
     nng_pipe_notify(slot->socket, NNG_PIPE_EV_REM_POST, &impl::on_pipe_removed, slot.get());
     CUMINPATH_ASSERT(nng_aio_alloc(&slot->send_aio, &impl::on_sent, slot.get()) == 0);
     // A peer that is not there yet is dialled again in the background.
@@ -301,15 +308,39 @@
     start_send(target);
   }
 
+  static void on_pipe_added(nng_pipe, nng_pipe_ev, void* argument) {
+    auto* target = static_cast<link*>(argument);
+    post(target->owner, [peer = target->peer, id = target->id](impl& self) {
+      if (auto* found = self.find_link(peer, id)) {
+        found->connected = true;
+      }
+    });
+  }
+
   static void on_pipe_removed(nng_pipe, nng_pipe_ev, void* argument) {
     auto* target = static_cast<link*>(argument);
     post(target->owner, [peer = target->peer, id = target->id](impl& self) {
-      if (self.find_link(peer, id) != nullptr) {
+      if (auto* found = self.find_link(peer, id)) {
+        found->connected = false;
+        found->disconnected_since = clock::now();
         self.m_handler.lost(peer, link_loss::connection_closed);
       }
     });
   }
 
+  void close_unused_links() {
+    const auto now = clock::now();
+    if (now < m_next_sweep) {
+      return;
+    }
+    m_next_sweep = now + k_idle_disconnected;
+    std::erase_if(m_links, [now](const auto& item) {
+      const auto& target = *item.second;
+      return !target.connected && target.pending.empty() && target.sealed.empty() &&
+             now - target.disconnected_since > k_idle_disconnected;
+    });
+  }
+
   link* find_link(const std::string& peer, std::uint64_t id) {
     const auto found = m_links.find(peer);
     return found == m_links.end() || found->second->id != id ? nullptr : found->second.get();
@@ -430,6 +461,7 @@
   nng_aio* m_receive_aio = nullptr;
   std::uint64_t m_last_link_id = 0;
   std::unordered_map<std::string, std::unique_ptr<link>> m_links;
+  time_point m_next_sweep{};
   std::vector<std::string> m_unflushed;  // Peers with pending messages.
   std::unordered_map<std::string, peer_state> m_peers;
   std::deque<int> m_closed;                         // Incoming connections that ended last.
