--- a/source/unit_tests/agent/agent_harness.cpp
+++ b/source/unit_tests/agent/agent_harness.cpp
@@ -81,7 +81,8 @@
   std::string bytes;
   for (auto i = first; i < first + count; ++i) {
     const auto text = std::to_string(i);
-    bytes += R"(data: {"choices":[{"index":0,"text":"t)" + text + R"("}],"index":)" + text + "}\n\n";
+    bytes.append(R"(data: {"choices":[{"index":0,"text":"t)").append(text);
+    bytes.append(R"("}],"index":)").append(text).append("}\n\n");
   }
   data(run, bytes);
 }
