--- a/source/emulator/engine_role.cpp
+++ b/source/emulator/engine_role.cpp
@@ -109,8 +109,9 @@
     return;
   }
   order.prefill = m_options.first_token / (m_cache.touch(now, order.prompt) ? 4 : 1);
+  auto prompt = order.prompt;
   const auto stream = m_batch.add(now, std::move(order));
-  m_streams.emplace(stream, open_stream{id, to, request.path() == "/v1/chat/completions"});
+  m_streams.emplace(stream, open_stream{id, std::move(prompt), to, request.path() == "/v1/chat/completions"});
   to->on_closed([this, stream] {
     ++m_cancelled;
     close_stream(stream);
@@ -130,6 +131,7 @@
     const auto found = m_streams.find(id);
     if (found != m_streams.end()) {
       ++m_starts[found->second.request_id];
+      ++m_starts_by_prompt[found->second.prompt];
     }
   }
   m_max_running = std::max(m_max_running, m_batch.running());
@@ -187,6 +189,7 @@
 json engine_role::stats() const {
   return {{"arrivals", m_arrivals},
           {"starts", m_starts},
+          {"starts_by_prompt", m_starts_by_prompt},
           {"completed", m_completed},
           {"cancelled", m_cancelled},
           {"broken", m_broken},
--- a/source/emulator/engine_role.h
+++ b/source/emulator/engine_role.h
@@ -32,7 +32,7 @@
   engine_role(asio::io_context& context, http::client& client, engine_options options);
 
   void handle(const http::request& request, const responder_ptr& to) override;
-  // {"arrivals":{ID:N},"starts":{ID:N},"completed","cancelled","broken","tokens","resumed",
+  // {"arrivals":{ID:N},"starts":{ID:N},"starts_by_prompt":{PROMPT:N},"completed","cancelled","broken","tokens","resumed",
   //  "resume_mismatches","running","waiting","max_running","step","switch":{...},"map_history":[...],
   //  "mixed_map_steps","weight_bytes"}
   [[nodiscard]] json stats() const override;
@@ -44,6 +44,7 @@
 private:
   struct open_stream {
     std::string request_id;
+    std::string prompt;
     responder_ptr to;
     bool chat = false;
     bool head_sent = false;
@@ -108,6 +109,8 @@
   bool m_refusing = false;
   std::map<std::string, std::uint64_t> m_arrivals;
   std::map<std::string, std::uint64_t> m_starts;
+  // An entry gives each request an id of its own; a caller knows its request by the prompt.
+  std::map<std::string, std::uint64_t> m_starts_by_prompt;
   std::uint64_t m_completed = 0;
   std::uint64_t m_cancelled = 0;
   std::uint64_t m_broken = 0;
--- a/source/emulator/load_generator.cpp
+++ b/source/emulator/load_generator.cpp
@@ -10,6 +10,7 @@
 
 constexpr milliseconds k_send_interval{5};
 constexpr std::size_t k_kept_problems = 10;
+constexpr std::size_t k_kept_refusals = 5000;
 
 json quantiles(std::vector<double> values) {
   if (values.empty()) {
@@ -86,11 +87,15 @@
   }
   ++m_results[chosen->name].sent;
   ++m_in_flight;
+  auto identity = order.idempotency_key.empty() ? order.prompt : order.idempotency_key;
   send_call(m_client, order,
-            [this, name = chosen->name](const call_outcome& outcome) { on_done(name, outcome); });
+            [this, name = chosen->name, identity = std::move(identity)](const call_outcome& outcome) {
+              on_done(name, identity, outcome);
+            });
 }
 
-void load_generator::on_done(const std::string& share, const call_outcome& outcome) {
+void load_generator::on_done(const std::string& share, const std::string& identity,
+                             const call_outcome& outcome) {
   --m_in_flight;
   auto& result = m_results[share];
   ++result.outcomes[to_string(outcome.what)];
@@ -101,6 +106,10 @@
       result.total_ms.push_back(outcome.total_ms);
       return;
     case call_outcome::kind::not_run:
+      if (m_not_run.size() < k_kept_refusals) {
+        m_not_run.push_back(identity);
+      }
+      return;
     case call_outcome::kind::unknown:
       return;
     case call_outcome::kind::refused:
@@ -124,11 +133,9 @@
                     {"first_ms", quantiles(result.first_ms)},
                     {"total_ms", quantiles(result.total_ms)}};
   }
-  return {{"sent", m_sent},
-          {"skipped", m_skipped},
-          {"in_flight", m_in_flight},
-          {"shares", std::move(shares)},
-          {"problems", m_problems}};
+  return {{"sent", m_sent},           {"skipped", m_skipped},
+          {"in_flight", m_in_flight}, {"shares", std::move(shares)},
+          {"not_run", m_not_run},     {"problems", m_problems}};
 }
 
 }  // namespace cuminpath::emulator
--- a/source/emulator/load_generator.h
+++ b/source/emulator/load_generator.h
@@ -38,8 +38,9 @@
   // True when all requests have been sent and have ended.
   [[nodiscard]] bool done() const { return m_stopped && m_in_flight == 0; }
   // {"sent","skipped","in_flight","shares":{NAME:{"sent","outcomes":{KIND:N},"statuses":{CODE:N},
-  //  "first_ms":{"p50","p95","p99"},"total_ms":{...}}},"problems":[...]}; latencies are of complete
-  // requests; problems are the first details of broken and wrong ones.
+  //  "first_ms":{"p50","p95","p99"},"total_ms":{...}}},"not_run":[...],"problems":[...]}; latencies are
+  // of complete requests; not_run names the refused ones by their prompt or idempotency key; problems are the
+  // first details of broken and wrong ones.
   [[nodiscard]] json summary() const;
 
 private:
@@ -54,7 +55,7 @@
   void schedule();
   void send_due();
   void send_one();
-  void on_done(const std::string& share, const call_outcome& outcome);
+  void on_done(const std::string& share, const std::string& identity, const call_outcome& outcome);
 
   http::client& m_client;
   load_options m_options;
@@ -68,6 +69,7 @@
   std::uint64_t m_skipped = 0;
   std::uint32_t m_in_flight = 0;
   std::map<std::string, share_result> m_results;
+  std::vector<std::string> m_not_run;
   std::vector<std::string> m_problems;
 };
 
--- a/tests/scenarios/support/system.lua
+++ b/tests/scenarios/support/system.lua
@@ -233,6 +233,60 @@
   return found
 end
 
+-- How often the engines started streams for each prompt.
+function system:starts_by_prompt()
+  local counts = {}
+  for _, agent in ipairs(self.agents) do
+    if agent.kind == "engine" then
+      for prompt, starts in pairs(stats(agent.emulator).starts_by_prompt) do
+        counts[prompt] = (counts[prompt] or 0) + starts
+      end
+    end
+  end
+  return counts
+end
+
+-- Fails if one of these requests, named by prompt or idempotency key, was run although its refusal says that it
+-- was not. The emulators must have kept their counts.
+function system:check_not_run(identities)
+  local starts = self:starts_by_prompt()
+  for _, identity in ipairs(identities) do
+    local runs = (starts[identity] or 0) + self:runs(identity)
+    expect_equal(runs, 0, "runs of a request that was refused as not run: " .. identity)
+  end
+end
+
+-- Fails unless each request ended with one complete response or a refusal that says truthfully whether it ran.
+function system:check_outcomes(requests)
+  local not_run = {}
+  for _, one in ipairs(requests) do
+    local what = one.outcome
+    expect(what == "complete" or what == "not_run" or what == "unknown" or what == "failed", describe(one))
+    if what == "not_run" then not_run[#not_run + 1] = one.order.idempotency_key or one.order.prompt end
+  end
+  self:check_not_run(not_run)
+end
+
+-- The same for a summary of a flood. `allowed` has further outcomes that may occur.
+function system:check_summary(summary, allowed)
+  for name, share in pairs(summary.shares) do
+    for what, count in pairs(share.outcomes) do
+      expect(what == "complete" or what == "not_run" or what == "unknown" or what == "failed" or
+             (allowed or {})[what], name .. ": " .. count .. " " .. what .. ": " .. runner.encode(summary.problems))
+    end
+  end
+  self:check_not_run(summary.not_run)
+end
+
+-- Fails unless every request of a flood was complete.
+function system:check_all_complete(summary)
+  for name, share in pairs(summary.shares) do
+    expect_equal(share.outcomes.complete, share.sent, name .. " complete responses; " ..
+                 runner.encode(share.outcomes) .. runner.encode(share.statuses) .. runner.encode(summary.problems))
+  end
+  expect_equal(summary.skipped, 0, "skipped requests")
+end
+
 -- Total starts of requests at the engines.
 function system:starts()
   local total = 0
