--- a/source/emulator/role.cpp
+++ b/source/emulator/role.cpp
@@ -103,7 +103,7 @@
   return value;
 }
 
-void emulator_server::on_request(http::request request, responder_ptr to) {
+void emulator_server::on_request(http::request request, const responder_ptr& to) {
   if (request.path() == "/control" && request.method == "POST") {
     on_control(request, to);
     return;
--- a/source/emulator/role.h
+++ b/source/emulator/role.h
@@ -57,7 +57,7 @@
 
 private:
   emulator_server(asio::io_context& context, role& served) : m_context(context), m_role(served) {}
-  void on_request(http::request request, responder_ptr to);
+  void on_request(http::request request, const responder_ptr& to);
   void on_control(const http::request& request, const responder_ptr& to);
   void serve(const http::request& request, const responder_ptr& to);
 
--- a/source/scenario/child_process.cpp
+++ b/source/scenario/child_process.cpp
@@ -40,6 +40,7 @@
   std::vector<std::string> texts = arguments;
   texts.insert(texts.begin(), program);
   std::vector<char*> pointers;
+  pointers.reserve(texts.size() + 1);
   for (auto& text : texts) {
     pointers.push_back(text.data());
   }
--- a/source/scenario/forwarder.cpp
+++ b/source/scenario/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <charconv>
+#include <functional>
 #include <list>
 #include <optional>
 #include <vector>
@@ -40,13 +41,80 @@
   tcp::socket far;
 };
 
+// What the test sets for all connections of a forwarder.
+struct link_state {
+  bool cut = false;
+  milliseconds delay{0};
+};
+
+// Calls `done` once data may pass.
+void pass(const std::shared_ptr<asio::steady_timer>& timer, const std::shared_ptr<const link_state>& state,
+          milliseconds wait, std::function<void()> done) {
+  timer->expires_after(wait);
+  timer->async_wait([timer, state, done = std::move(done)](const std::error_code& failure) mutable {
+    if (failure) {
+      return;
+    }
+    if (state->cut) {
+      pass(timer, state, k_cut_check, std::move(done));
+    } else {
+      done();
+    }
+  });
+}
+
+// Copies one direction of a connection.
+class copier : public std::enable_shared_from_this<copier> {
+public:
+  copier(std::shared_ptr<connection_pair> pair, tcp::socket& from, tcp::socket& to,
+         std::shared_ptr<const link_state> state)
+      : m_pair(std::move(pair)),
+        m_from(from),
+        m_to(to),
+        m_state(std::move(state)),
+        m_timer(std::make_shared<asio::steady_timer>(from.get_executor())),
+        m_buffer(k_buffer_bytes) {}
+
+  void read() {
+    m_from.async_read_some(asio::buffer(m_buffer),
+                           [self = shared_from_this()](std::error_code failure, std::size_t size) {
+                             pass(self->m_timer, self->m_state, self->m_state->delay,
+                                  [self, failure, size] { self->on_read(failure, size); });
+                           });
+  }
+
+private:
+  void on_read(std::error_code failure, std::size_t size) {
+    if (failure == asio::error::eof) {
+      m_to.shutdown(tcp::socket::shutdown_send, failure);
+    } else if (failure) {
+      m_pair->close();
+    } else {
+      asio::async_write(m_to, asio::buffer(m_buffer, size),
+                        [self = shared_from_this()](const std::error_code& problem, std::size_t) {
+                          if (problem) {
+                            self->m_pair->close();
+                          } else {
+                            self->read();
+                          }
+                        });
+    }
+  }
+
+  std::shared_ptr<connection_pair> m_pair;
+  tcp::socket& m_from;
+  tcp::socket& m_to;
+  std::shared_ptr<const link_state> m_state;
+  std::shared_ptr<asio::steady_timer> m_timer;
+  std::vector<char> m_buffer;
+};
+
 }  // namespace
 
 class forwarder::impl : public std::enable_shared_from_this<impl> {
 public:
-  impl(asio::io_context& context, const tcp::endpoint& target)
-      : m_context(context),
-        m_target(target),
+  impl(asio::io_context& context, tcp::endpoint target)
+      : m_target(std::move(target)),
         m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
 
   [[nodiscard]] std::string address() const {
@@ -58,26 +126,24 @@
       if (failure) {
         return;
       }
+      self->m_pairs.remove_if([](const auto& weak) { return weak.expired(); });
       const auto opened = std::make_shared<connection_pair>(std::move(socket));
-      self->m_links.push_back(opened);
-      asio::co_spawn(self->m_context, run(self, opened), asio::detached);
+      self->m_pairs.push_back(opened);
+      pass(std::make_shared<asio::steady_timer>(opened->near.get_executor()), self->m_state,
+           self->m_state->delay, [self, opened] { self->connect(opened); });
       self->accept();
     });
   }
 
-  void set(bool cut, milliseconds delay) {
-    m_cut = cut;
-    m_delay = delay;
-  }
-  void set_delay(milliseconds delay) { m_delay = delay; }
+  [[nodiscard]] link_state& state() { return *m_state; }
 
   void reset_connections() {
-    for (const auto& weak : m_links) {
+    for (const auto& weak : m_pairs) {
       if (const auto open = weak.lock()) {
         open->close();
       }
     }
-    m_links.clear();
+    m_pairs.clear();
   }
 
   void stop() {
@@ -87,61 +153,23 @@
   }
 
 private:
-  // Waits until data may pass.
-  static asio::awaitable<void> pass(std::shared_ptr<impl> self) {
-    asio::steady_timer timer(self->m_context, self->m_delay);
-    if (self->m_delay.count() > 0) {
-      co_await timer.async_wait(asio::use_awaitable);
-    }
-    while (self->m_cut) {
-      timer.expires_after(k_cut_check);
-      co_await timer.async_wait(asio::use_awaitable);
-    }
-  }
-
-  static asio::awaitable<void> run(std::shared_ptr<impl> self, std::shared_ptr<connection_pair> open) {
-    co_await pass(self);
-    std::error_code failure;
-    co_await open->far.async_connect(self->m_target, asio::redirect_error(asio::use_awaitable, failure));
-    if (failure) {
-      open->close();
-      co_return;
-    }
-    open->near.set_option(tcp::no_delay(true), failure);
-    open->far.set_option(tcp::no_delay(true), failure);
-    asio::co_spawn(self->m_context, copy(self, open, open->near, open->far), asio::detached);
-    co_await copy(self, open, open->far, open->near);
-  }
-
-  static asio::awaitable<void> copy(std::shared_ptr<impl> self, std::shared_ptr<connection_pair> open,
-                                    tcp::socket& from, tcp::socket& to) {
-    std::vector<char> buffer(k_buffer_bytes);
-    std::error_code failure;
-    for (;;) {
-      const auto size = co_await from.async_read_some(asio::buffer(buffer),
-                                                      asio::redirect_error(asio::use_awaitable, failure));
-      co_await pass(self);
-      if (failure == asio::error::eof) {
-        to.shutdown(tcp::socket::shutdown_send, failure);
-        co_return;
-      }
-      if (!failure) {
-        co_await asio::async_write(to, asio::buffer(buffer, size),
-                                   asio::redirect_error(asio::use_awaitable, failure));
-      }
+  void connect(const std::shared_ptr<connection_pair>& pair) {
+    pair->far.async_connect(m_target, [state = m_state, pair](std::error_code failure) {
       if (failure) {
-        open->close();
-        co_return;
+        pair->close();
+        return;
       }
-    }
+      pair->near.set_option(tcp::no_delay(true), failure);
+      pair->far.set_option(tcp::no_delay(true), failure);
+      std::make_shared<copier>(pair, pair->near, pair->far, state)->read();
+      std::make_shared<copier>(pair, pair->far, pair->near, state)->read();
+    });
   }
 
-  asio::io_context& m_context;
   tcp::endpoint m_target;
   tcp::acceptor m_acceptor;
-  std::list<std::weak_ptr<connection_pair>> m_links;
-  bool m_cut = false;
-  milliseconds m_delay{0};
+  std::list<std::weak_ptr<connection_pair>> m_pairs;
+  std::shared_ptr<link_state> m_state = std::make_shared<link_state>();
 };
 
 result<std::unique_ptr<forwarder>> forwarder::start(asio::io_context& context, const std::string& target) {
@@ -162,13 +190,13 @@
   return m_impl->address();
 }
 void forwarder::cut() {
-  m_impl->set(true, milliseconds(0));
+  m_impl->state().cut = true;
 }
 void forwarder::heal() {
-  m_impl->set(false, milliseconds(0));
+  m_impl->state() = {};
 }
 void forwarder::set_delay(milliseconds delay) {
-  m_impl->set_delay(delay);
+  m_impl->state().delay = delay;
 }
 void forwarder::reset_connections() {
   m_impl->reset_connections();
