entry, agent, wire: name the agent process that a claim is for

Cause: the model of at-most-once execution (tests/models/at_most_once.pml) was refuted, and the developer of the entry described the same sequence: entry A claims and pauses; entry B settles the attempt as not seen, takes over and runs the call; the agent restarts and forgets the refusal; A wakes up and sends, and the call runs again. Ruled out: a check in the entry before it sends, which a pause right after the check defeats. Change: submit_request carries the incarnation of the agent that the claim names; another process refuses it as not_run (agent_restarted).

--- a/source/core/agent/agent_core.cpp
+++ b/source/core/agent/agent_core.cpp
@@ -121,6 +121,9 @@
 
 std::optional<wire::refusal_reason> agent_core::early_refusal(const message_source& from,
                                                               const attempt& value) const {
+  if (value.request.receiver != incarnation{} && value.request.receiver != m_options.number) {
+    return wire::refusal_reason::agent_restarted;
+  }
   if (m_draining) {
     return wire::refusal_reason::draining;
   }
--- a/source/core/agent/agent_core.h
+++ b/source/core/agent/agent_core.h
@@ -19,7 +19,8 @@
 namespace cuminpath::agent {
 
 struct agent_options {
-  std::string host;  // Host name; the manifest's upstream on this host is the one that the agent serves.
+  std::string host;      // Host name; the manifest's upstream on this host is the one that the agent serves.
+  incarnation number{};  // Of this process.
   std::uint32_t max_queued = 10000;
   // Bodies of requests that have not ended. Half of the memory that a node may use (section 1.4).
   std::size_t max_request_bytes = 128U << 20U;
--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -75,6 +75,8 @@
       return "unknown_upstream";
     case wire::refusal_reason::cancelled:
       return "cancelled";
+    case wire::refusal_reason::agent_restarted:
+      return "agent_restarted";
   }
   return "";
 }
@@ -90,7 +92,10 @@
         m_client(m_context),
         m_objects(m_client, settings.platform.objects),
         m_hosts(m_client, settings.platform.hosts),
-        m_core({.host = settings.host, .max_queued = settings.agent.max_queued, .attempts = {}}),
+        m_core({.host = settings.host,
+                .number = m_incarnation,
+                .max_queued = settings.agent.max_queued,
+                .attempts = {}}),
         m_members({.name = settings.host,
                    .role = platform::host_role::agent,
                    .availability_zone = settings.availability_zone,
--- a/source/core/entry/answers.cpp
+++ b/source/core/entry/answers.cpp
@@ -55,6 +55,7 @@
     case wire::refusal_reason::upstream_failed:
     case wire::refusal_reason::unknown_upstream:
     case wire::refusal_reason::cancelled:
+    case wire::refusal_reason::agent_restarted:
       value.status = message.ran == wire::execution::not_run ? 503 : 502;
       break;
   }
--- a/source/core/entry/attempts.cpp
+++ b/source/core/entry/attempts.cpp
@@ -61,7 +61,7 @@
 }
 
 void entry_core::send_attempt(step& step, request& value, routing::upstream_id upstream,
-                              attempt_number number) {
+                              attempt_number number, incarnation receiver) {
   if (value.last_attempt == attempt_number{}) {
     ++m_counters.first_attempts;
     m_budgets[value.accepted.priority_class].on_first_attempt();
@@ -92,6 +92,7 @@
   message.resume_index = value.answer.next_index;
   message.resume_text = value.answer.text;
   message.repeatable = accepted.repeatable;
+  message.receiver = receiver;
   if (message.resume_index > 0) {
     ++m_counters.resumed_streams;
   }
--- a/source/core/entry/claims.cpp
+++ b/source/core/entry/claims.cpp
@@ -111,7 +111,7 @@
     value.claim->on_refusal(true, value.last_refusal.detail, more);
     return;
   }
-  send_attempt(step, value, *upstream, order.attempt);
+  send_attempt(step, value, *upstream, order.attempt, order.target.agent);
 }
 
 void entry_core::settle(step& step, request& value, const idempotency::settle& order) {
--- a/source/core/entry/entry_core.h
+++ b/source/core/entry/entry_core.h
@@ -103,7 +103,8 @@
   // attempts.cpp: attempts of requests without a claim, and what both kinds share.
   std::optional<routing::upstream_id> choose(step& step, request& value);
   void start_attempt(step& step, request& value);
-  void send_attempt(step& step, request& value, routing::upstream_id upstream, attempt_number number);
+  void send_attempt(step& step, request& value, routing::upstream_id upstream, attempt_number number,
+                    incarnation receiver = {});
   void close_attempt(step& step, request& value, routing::attempt_outcome outcome, bool cancel);
   void retry(step& step, request& value, retry_cost cost, milliseconds pause);
   bool take_retry(request& value, retry_cost cost);
--- a/source/core/wire/codec.cpp
+++ b/source/core/wire/codec.cpp
@@ -19,7 +19,7 @@
 auto fields(m& v) {
   return std::tie(v.request_id, v.attempt, v.kind, v.workspace, v.priority_class, v.model_or_service, v.method,
                   v.path, v.headers, v.body, v.remaining_ms, v.expected_tokens, v.resume_index, v.resume_text,
-                  v.repeatable);
+                  v.repeatable, v.receiver);
 }
 template <class m> requires std::same_as<std::remove_const_t<m>, cancel_request>
 auto fields(m& v) { return std::tie(v.request_id, v.attempt); }
@@ -150,7 +150,7 @@
   } else if constexpr (std::is_same_v<type, execution>) {
     return execution::unknown;
   } else if constexpr (std::is_same_v<type, refusal_reason>) {
-    return refusal_reason::cancelled;
+    return refusal_reason::agent_restarted;
   } else if constexpr (std::is_same_v<type, attempt_state>) {
     return attempt_state::failed;
   } else if constexpr (std::is_same_v<type, member_state>) {
--- a/source/core/wire/messages.h
+++ b/source/core/wire/messages.h
@@ -32,6 +32,7 @@
   upstream_failed,    // The upstream refused the connection, failed or broke off.
   unknown_upstream,   // The agent does not serve what the request names.
   cancelled,
+  agent_restarted,  // The message names another incarnation of the agent.
 };
 
 // Entry to agent: one attempt of one request.
@@ -51,6 +52,9 @@
   std::uint32_t resume_index = 0;     // First token index that the entry still needs.
   std::string resume_text;            // Text of the tokens before resume_index.
   bool repeatable = true;
+  // Calls that may not be repeated: the agent process that the claim names. Another process would not know
+  // what the named one was told to refuse. 0 for other calls.
+  incarnation receiver{};
 };
 
 // Entry to agent: stop the attempt; nobody waits for it.
--- a/source/unit_tests/agent/agent_harness.cpp
+++ b/source/unit_tests/agent/agent_harness.cpp
@@ -29,7 +29,9 @@
 }
 
 agent_harness::agent_harness(config::upstream_kind upstream_kind, std::uint32_t upstream_slots)
-    : kind(upstream_kind), slots(upstream_slots), core({.host = "host-1", .attempts = {}}) {
+    : kind(upstream_kind),
+      slots(upstream_slots),
+      core({.host = "host-1", .number = k_agent_incarnation, .attempts = {}}) {
   configure(1);
 }
 
--- a/source/unit_tests/agent/agent_harness.h
+++ b/source/unit_tests/agent/agent_harness.h
@@ -10,6 +10,7 @@
 namespace cuminpath::agent::support {
 
 constexpr std::string_view k_entry = "10.0.0.1:1";
+constexpr incarnation k_agent_incarnation{7};
 constexpr std::string_view k_other_entry = "10.0.0.2:1";
 
 wire::submit_request completion(std::string id, std::string priority_class = "urgent");
--- a/source/unit_tests/agent/single_run_test.cpp
+++ b/source/unit_tests/agent/single_run_test.cpp
@@ -172,5 +172,23 @@
   }
 }
 
+// Guards against a second run: an entry that was paused after its claim sends to an agent that has restarted
+// since and has forgotten that it was told to refuse the attempt.
+TEST(single_run, a_message_for_the_process_before_a_restart_is_refused_as_not_run) {
+  agent_harness agent(config::upstream_kind::service);
+  auto request = booking("r1");
+  request.receiver = incarnation{6};
+  agent.message(request);
+  agent.advance(milliseconds(100));
+  EXPECT_TRUE(agent.runs.empty());
+  EXPECT_EQ(agent.last<wire::refusal>().ran, wire::execution::not_run);
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::agent_restarted);
+  auto current = booking("r2");
+  current.receiver = support::k_agent_incarnation;
+  agent.message(current);
+  agent.advance(milliseconds(100));
+  EXPECT_EQ(agent.runs.size(), 1U);
+}
+
 }  // namespace
 }  // namespace cuminpath::agent
--- a/source/unit_tests/entry/service_call_test.cpp
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -39,6 +39,7 @@
   EXPECT_FALSE(sent.message.repeatable);
   EXPECT_EQ(sent.message.path, "/bookings");
   EXPECT_EQ(m_row["peer_address"], sent.peer);
+  EXPECT_EQ(m_row["agent_incarnation"], std::to_string(to_integer(sent.message.receiver)));
   EXPECT_EQ(m_row["token"], sent.message.request_id);
   answer(sent, "booked");
   EXPECT_TRUE(take<respond>().empty());
--- a/tests/models/at_most_once.pml
+++ b/tests/models/at_most_once.pml
@@ -7,7 +7,7 @@
  *
  * Properties: the call runs at most once; an entry that answers not_run is right at that time and for ever, unless
  * another entry has run it under a claim of its own.
- * Mutants (-D): NO_CONDITION, SETTLE_WITHOUT_REFUSAL, RETRY_AFTER_UNKNOWN, IGNORE_INCARNATION.
+ * Mutants (-D): NO_CONDITION, SETTLE_WITHOUT_REFUSAL, RETRY_AFTER_UNKNOWN, IGNORE_INCARNATION, ANY_PROCESS_MAY_RUN.
  */
 #define ENTRIES 2
 #define AGENTS 2
@@ -22,20 +22,31 @@
 bool seen[8];  /* agent * ATTEMPTS + attempt: started, or refused for ever. */
 bool ran[8];
 
-/* Submitted attempts under way, in any order: agent, attempt, entry. */
-chan submitted = [2] of { byte, byte, byte };
+/* Submitted attempts under way, in any order: agent, its incarnation that the claim names, attempt, entry. */
+chan submitted = [2] of { byte, byte, byte, byte };
 /* Answers to an entry: 1 finished, 2 not run. */
 chan answers[ENTRIES] = [2] of { byte, byte };
 
 proctype agents() {
-  byte a, n, e;
+  byte a, i, n, e;
   byte restarts = 0;
 end:
   do
   :: atomic {
-      submitted??a, n, e ->
+      submitted??a, i, n, e ->
       if
-      :: seen[a * ATTEMPTS + n] -> skip /* duplicate_attempt: says nothing about the run. */
+#ifndef ANY_PROCESS_MAY_RUN
+      :: i != incarnation_of[a] ->
+        if /* agent_restarted: not run. */
+        :: nfull(answers[e]) -> answers[e]!n, 2
+        :: skip
+        fi
+#endif
+#ifndef ANY_PROCESS_MAY_RUN
+      :: i == incarnation_of[a] && seen[a * ATTEMPTS + n] -> skip /* duplicate_attempt: says nothing about the run. */
+#else
+      :: seen[a * ATTEMPTS + n] -> skip
+#endif
       :: else ->
         seen[a * ATTEMPTS + n] = true;
         if
@@ -51,12 +62,12 @@
         fi
       fi
     }
-  :: atomic { submitted??a, n, e -> skip } /* Lost. */
+  :: atomic { submitted??a, i, n, e -> skip } /* Lost. */
   :: atomic {
       restarts < 1 -> restarts++;
       /* What was sent to the old process goes with its connections. */
       do
-      :: submitted??[0, _, _] -> submitted??0, n, e
+      :: submitted??[0, _, _, _] -> submitted??0, i, n, e
       :: else -> break
       od;
       incarnation_of[0]++;
@@ -107,7 +118,7 @@
 send:
   atomic {
     if
-    :: nfull(submitted) -> submitted!agent, attempt, e
+    :: nfull(submitted) -> submitted!agent, inc, attempt, e
     :: skip /* Lost. */
     fi
   };
@@ -145,7 +156,7 @@
     :: row_version == version && !row_finished ->
       attempt = row_attempt + 1;
       agent = 1 - agent;
-      row_owner = e + 1; row_agent = agent; row_incarnation = incarnation_of[agent]; row_attempt = attempt;
+      row_owner = e + 1; row_agent = agent; inc = incarnation_of[agent]; row_incarnation = inc; row_attempt = attempt;
       row_version++;
       version = row_version
     :: else -> goto ended
--- a/tests/models/expert_map_switch.pml
+++ b/tests/models/expert_map_switch.pml
@@ -11,6 +11,11 @@
 #define STEPS 5
 #define SWITCHES 2
 #define COORDINATORS 2
+#ifdef NO_FENCING
+#define FENCING_OFF 1
+#else
+#define FENCING_OFF 0
+#endif
 
 mtype = { prepare, arm, go, abort, query, prepared, armed, state };
 mtype = { idle, is_prepared, is_armed, committed, aborted };
@@ -45,8 +50,8 @@
 
   do
   :: atomic {
-      next_step[me] < STEPS && next_step[0] >= next_step[me] && next_step[1] >= next_step[me]
-      && !(phase == is_armed && next_step[me] == switch_step) ->
+      (next_step[me] < STEPS && next_step[0] >= next_step[me] && next_step[1] >= next_step[me] &&
+       !(phase == is_armed && next_step[me] == switch_step)) ->
       if
       :: phase == committed && next_step[me] == switch_step -> map = new_map
       :: else
@@ -66,7 +71,7 @@
 #ifndef NO_FENCING
       :: c < token -> skip
 #endif
-      :: else ->
+      :: c >= token || FENCING_OFF ->
         token = (c > token -> c : token);
         pending = (phase == committed && next_step[me] <= switch_step);
 #ifdef PREPARE_OVER_PENDING
