--- a/source/emulator/load_generator.cpp
+++ b/source/emulator/load_generator.cpp
@@ -100,23 +100,13 @@
   auto& result = m_results[share];
   ++result.outcomes[to_string(outcome.what)];
   ++result.statuses[std::to_string(outcome.status)];
-  switch (outcome.what) {
-    case call_outcome::kind::complete:
-      result.first_ms.push_back(outcome.first_ms);
-      result.total_ms.push_back(outcome.total_ms);
-      return;
-    case call_outcome::kind::not_run:
-      if (m_not_run.size() < k_kept_refusals) {
-        m_not_run.push_back(identity);
-      }
-      break;
-    case call_outcome::kind::unknown:
-      break;
-    case call_outcome::kind::refused:
-    case call_outcome::kind::failed:
-    case call_outcome::kind::broken:
-    case call_outcome::kind::wrong:
-      break;
+  if (outcome.what == call_outcome::kind::complete) {
+    result.first_ms.push_back(outcome.first_ms);
+    result.total_ms.push_back(outcome.total_ms);
+    return;
+  }
+  if (outcome.what == call_outcome::kind::not_run && m_not_run.size() < k_kept_refusals) {
+    m_not_run.push_back(identity);
   }
   auto& examples = result.examples[to_string(outcome.what)];
   if (examples.size() < k_kept_problems) {
--- a/source/scenario/runner.cpp
+++ b/source/scenario/runner.cpp
@@ -211,9 +211,11 @@
       lines.push_back(line);
     }
     const auto first = lines.size() > k_log_lines ? lines.size() - k_log_lines : 0;
-    text += lines.empty() ? "" : "--- " + name + "\n";
+    if (!lines.empty()) {
+      text.append("--- ").append(name).append("\n");
+    }
     for (auto i = first; i < lines.size(); ++i) {
-      text += lines[i] + "\n";
+      text.append(lines[i]).append("\n");
     }
   }
   return text;
