scenario: wait until a restarted entry serves; correct lint findings

pair_entry_killed_and_table_response_lost.lua failed in one of two runs: the entry says that it is ready before it has read the host list, and a booking was refused as not run before any claim was written.

--- a/source/emulator/role.cpp
+++ b/source/emulator/role.cpp
@@ -92,10 +92,10 @@
   http::server_options options;
   options.address = address;
   options.max_body_bytes = 64U << 20U;
-  auto server =
-      http::server::start(context, options, [self = value.get()](http::request request, responder_ptr to) {
-        self->on_request(std::move(request), std::move(to));
-      });
+  auto server = http::server::start(context, options,
+                                    [self = value.get()](http::request request, const responder_ptr& to) {
+                                      self->on_request(std::move(request), to);
+                                    });
   if (!server) {
     return server.error();
   }
--- a/source/scenario/runner.cpp
+++ b/source/scenario/runner.cpp
@@ -226,9 +226,9 @@
     return program;
   }
   for (const auto& directory : m_program_directories) {
-    auto path = directory + "/" + program;
+    const auto path = std::filesystem::path(directory) / program;
     if (std::filesystem::is_regular_file(path)) {
-      return path;
+      return path.string();
     }
   }
   return program;
--- a/tests/scenarios/pair_entry_killed_and_table_response_lost.lua
+++ b/tests/scenarios/pair_entry_killed_and_table_response_lost.lua
@@ -21,6 +21,7 @@
   end)
   expect_equal(system:runs(key), 1, "runs of " .. key)
   system:start_daemon(system.entries[1])
-  within(20, "all processes are ready", function() return system:ready() end)
+  -- An entry is ready before it has read the host list; until then it refuses bookings as not run.
+  system:wait_ready()
 end
 system:check_invariants()
