scheduling: bound the table of deadlines

Cause: the entry of a job that has ended stayed until its deadline, which callers may set hours ahead.

--- a/source/core/scheduling/scheduler.cpp
+++ b/source/core/scheduling/scheduler.cpp
@@ -19,6 +19,7 @@
 // Workspaces in the order of the queue that are looked at for one that is clearly below its share. Bounds
 // the cost of a tick; such a workspace is near the front, because it has used little.
 constexpr std::size_t k_preference_depth = 8;
+constexpr std::size_t k_spare_deadlines = 1000;
 
 struct queued_deadline {
   time_point at{};
@@ -68,6 +69,7 @@
   void enqueue(job_id id, job_state& state, bool in_front);
   void remove_running(const job_state& state, job_id id);
   void expire(time_point now, std::vector<decision>& decisions);
+  void prune();
   bool start_next(time_point now, std::vector<decision>& decisions);
   void start(time_point now, class_index row, job_id id, bool on_credit, std::vector<decision>& decisions);
   bool preempt_next(time_point now, const preempt_running& policy, std::vector<decision>& decisions);
@@ -296,9 +298,23 @@
   }
   if (now - m_pruned_at >= k_prune_interval) {
     m_pruned_at = now;
-    for (const class_index row : m_classes.order()) {
-      m_classes.at(row).queue.prune();
+    prune();
+  }
+}
+
+void scheduler::impl::prune() {
+  for (const class_index row : m_classes.order()) {
+    m_classes.at(row).queue.prune();
+  }
+  // Callers may set deadlines hours ahead; without this, the entries of jobs that have ended stay until then.
+  if (m_deadlines.size() > 2 * m_jobs.size() + k_spare_deadlines) {
+    std::vector<queued_deadline> rows;
+    for (const auto& [id, state] : m_jobs) {
+      if (!state.running) {
+        rows.push_back({state.deadline, id, state.sequence});
+      }
     }
+    m_deadlines = decltype(m_deadlines)(std::greater<>(), std::move(rows));
   }
 }
 
