transport: end a mailbox although its socket does not close

Cause: mailbox.can_be_destroyed_while_messages_arrive hung in nng_close() of the PULL socket, always with messages of 10,000 bytes under way and never with drained ones; nng's reaper waits for a task that never runs. Ruled out (each run, each still hung): closing before stopping the receive, no callback for ended connections, no time limit on sends, closing the listener first. A receiver alone in its process hangs as well, the sender does not. Change: the socket is closed on a detached thread; the callback for ended connections has a target of its own that outlives the mailbox. The test that reuses the address waits until it is free.

--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -13,7 +13,9 @@
 #include <charconv>
 #include <cstring>
 #include <deque>
+#include <mutex>
 #include <span>
+#include <thread>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -105,12 +107,16 @@
     m_links.clear();
     if (m_receive_aio != nullptr) {
       nng_aio_stop(m_receive_aio);
+      nng_aio_free(m_receive_aio);
     }
     if (m_listening) {
-      nng_close(m_pull);
-    }
-    if (m_receive_aio != nullptr) {
-      nng_aio_free(m_receive_aio);
+      {
+        const std::lock_guard lock(m_closed_connections->mutex);
+        m_closed_connections->owner = nullptr;
+      }
+      // nng 1.5.2 may never return from closing a PULL socket or its listener while a message of several
+      // kilobytes arrives, and a process that has drained must still end.
+      std::thread([socket = m_pull, kept = m_closed_connections] { nng_close(socket); }).detach();
     }
   }
   impl(const impl&) = delete;
@@ -121,8 +127,9 @@
       return make_error(error_code::internal, nng_strerror(code));
     }
     m_listening = true;
+    m_closed_connections->owner = this;
     nng_socket_set_size(m_pull, NNG_OPT_RECVMAXSZ, wire::k_max_envelope_bytes);
-    nng_pipe_notify(m_pull, NNG_PIPE_EV_REM_POST, &impl::on_incoming_closed, this);
+    nng_pipe_notify(m_pull, NNG_PIPE_EV_REM_POST, &impl::on_incoming_closed, m_closed_connections.get());
     nng_listener listener{};
     if (const int code = nng_listen(m_pull, nng_url(m_options.address).c_str(), &listener, 0); code != 0) {
       return make_error(error_code::unreachable,
@@ -209,6 +216,12 @@
     std::size_t queued_bytes = 0;
   };
 
+  // Target of nng's callback for ended connections. It outlives the mailbox until the socket is closed.
+  struct closed_connections {
+    std::mutex mutex;
+    impl* owner = nullptr;
+  };
+
   struct peer_state {
     incarnation number{};
     std::uint64_t sequence = 0;
@@ -355,7 +368,12 @@
   // The sender of the last envelopes on a connection that broke may not send any more, so that no gap shows
   // what was lost.
   static void on_incoming_closed(nng_pipe pipe, nng_pipe_ev, void* argument) {
-    post(static_cast<impl*>(argument), [id = nng_pipe_id(pipe)](impl& self) {
+    auto& notice = *static_cast<closed_connections*>(argument);
+    const std::lock_guard lock(notice.mutex);
+    if (notice.owner == nullptr) {
+      return;
+    }
+    post(notice.owner, [id = nng_pipe_id(pipe)](impl& self) {
       self.remember_closed(id);
       const auto found = self.m_incoming.find(id);
       if (found == self.m_incoming.end()) {
@@ -457,6 +475,7 @@
   mailbox_handler m_handler;
   std::string m_address;
   nng_socket m_pull{};
+  std::shared_ptr<closed_connections> m_closed_connections = std::make_shared<closed_connections>();
   bool m_listening = false;
   nng_aio* m_receive_aio = nullptr;
   std::uint64_t m_last_link_id = 0;
--- a/source/unit_tests/transport/mailbox_test.cpp
+++ b/source/unit_tests/transport/mailbox_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <optional>
 
 #include "unit_tests/support/run_until.h"
@@ -13,6 +14,20 @@
 
 using support::run_until;
 
+// Whether an address of the loopback network can be listened on.
+bool is_free(asio::io_context& context, const std::string& address) {
+  const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
+  asio::ip::tcp::acceptor acceptor(context, endpoint.protocol());
+  asio::error_code failure;
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint, failure);
+  if (!failure) {
+    acceptor.listen(1, failure);
+  }
+  return !failure;
+}
+
 struct peer {
   std::vector<wire::envelope> received;
   std::vector<link_loss> losses;
@@ -62,6 +77,8 @@
   ASSERT_TRUE(run_until(context, [&] { return !first.losses.empty(); }));
   EXPECT_EQ(first.losses.front(), link_loss::connection_closed);
 
+  // The socket is closed in the background.
+  ASSERT_TRUE(run_until(context, [&] { return is_free(context, address); }));
   peer again(context, "second", 3, address);
   first.losses.clear();
   again.box->send(first.box->address(), wire::subscribe_load{});
