emulator: report the map state and keep it as engines do

An agent that restarts during a switch has to learn from its engine how far the switch came, and the engine must not forget a committed map before its first step has run. The emulator had no endpoint for its state, forgot aborted switches and prepared a new map in place of an armed or committed one.

GET /v1/map_state reports the state of the last switch also after it has ended. prepare_map is refused while another switch is armed, while the first step of a committed one has not run, and for a switch that was aborted. A preparation that was aborted while its weights were loading ends with 409 instead of 200. Tests cover each of these.

--- a/source/emulator/engine_orders.cpp
+++ b/source/emulator/engine_orders.cpp
@@ -36,7 +36,12 @@
     const auto kind = body["order"].get<std::string>();
     const auto name = body["switch"].dump();
     if (kind == "prepare_map") {
-      m_maps.prepare(name, body.value("digest", std::string()), body.value("map", json()));
+      const auto verdict =
+          m_maps.prepare(name, body.value("digest", std::string()), body.value("map", json()));
+      if (verdict != expert_maps::verdict::accepted) {
+        respond_order(to, verdict);
+        return;
+      }
       auto work = std::make_shared<preparation>();
       work->switch_name = name;
       work->missing = m_options.weights_url.empty() ? decltype(work->missing)() : m_maps.missing();
@@ -90,7 +95,11 @@
         work, "/v1/weights/" + m_options.model + "/" + std::to_string(layer) + "/" + std::to_string(expert));
   }
   if (work->open == 0) {
-    m_maps.set_prepared(work->switch_name);
+    if (const auto verdict = m_maps.set_prepared(work->switch_name);
+        verdict != expert_maps::verdict::accepted) {
+      respond_order(work->to, verdict);
+      return;
+    }
     auto body = m_maps.state();
     body["step"] = m_step;
     body["loaded"] = work->missing.size();
--- a/source/emulator/engine_role.cpp
+++ b/source/emulator/engine_role.cpp
@@ -67,6 +67,8 @@
   } else if (path == "/v1/cache_events") {
     const auto after = to_number(query_value(request.query(), "after"));
     respond_json(to, 200, {{"events", m_cache.events_after(clock::now(), after)}});
+  } else if (path == "/v1/map_state") {
+    respond_json(to, 200, m_maps.map_state(m_step + 1));
   } else if (path == "/v1/expert_load") {
     respond_json(to, 200,
                  {{"layers", m_maps.load_counts()}, {"step", m_step}, {"step_ms", m_step_time.count()}});
--- a/source/emulator/expert_maps.cpp
+++ b/source/emulator/expert_maps.cpp
@@ -9,6 +9,8 @@
 // Popularity falls by this factor from one expert to the next one; it gives a skew of the kind that
 // replication of hot experts is for.
 constexpr double k_popularity_ratio = 0.75;
+// In the order of expert_maps::phase.
+constexpr const char* k_phase_names[] = {"idle", "preparing", "prepared", "armed", "committed", "aborted"};
 
 json initial_map(const expert_options& options) {
   auto layers = json::array();
@@ -56,11 +58,17 @@
   return true;
 }
 
-void expert_maps::prepare(const std::string& switch_name, std::string digest, json map) {
+expert_maps::verdict expert_maps::prepare(const std::string& switch_name, std::string digest, json map) {
   const bool same = m_pending.name == switch_name && m_pending.state != phase::idle;
-  if (!same && switch_name != m_last_applied) {
-    m_pending = {switch_name, std::move(digest), std::move(map), 0, phase::preparing};
+  if (same || switch_name == m_last_applied) {
+    return verdict::accepted;
+  }
+  const bool aborted = m_last.state == phase::aborted && m_last.name == switch_name;
+  if (aborted || m_pending.state == phase::armed || m_pending.state == phase::committed) {
+    return verdict::wrong_switch;
   }
+  m_pending = {switch_name, std::move(digest), std::move(map), 0, phase::preparing};
+  return verdict::accepted;
 }
 
 std::vector<expert_maps::expert_position> expert_maps::missing() const {
@@ -78,10 +86,12 @@
   return positions;
 }
 
-void expert_maps::set_prepared(const std::string& switch_name) {
+expert_maps::verdict expert_maps::set_prepared(const std::string& switch_name) {
   if (m_pending.name == switch_name && m_pending.state == phase::preparing) {
     m_pending.state = phase::prepared;
   }
+  const bool known = m_pending.name == switch_name && m_pending.state != phase::idle;
+  return known || switch_name == m_last_applied ? verdict::accepted : verdict::wrong_switch;
 }
 
 expert_maps::verdict expert_maps::arm(const std::string& switch_name, std::uint64_t step,
@@ -124,6 +134,9 @@
     return verdict::wrong_switch;
   }
   if (m_pending.name == switch_name) {
+    m_last = std::move(m_pending);
+    m_last.state = phase::aborted;
+    m_last.map = json();
     m_pending = {};
   }
   return verdict::accepted;
@@ -189,9 +202,20 @@
   return layers;
 }
 
+json expert_maps::map_state(std::uint64_t next_step) const {
+  const auto& shown = m_pending.state == phase::idle ? m_last : m_pending;
+  const auto name = parse_json(shown.name);
+  return {{"fencing", m_options.ignore_fencing ? 0 : m_fencing},
+          {"switch", name ? name.value() : json(0)},
+          {"phase", k_phase_names[static_cast<std::size_t>(shown.state)]},
+          {"switch_step", shown.step},
+          {"step", next_step},
+          {"digest", m_digest},
+          {"new_digest", shown.digest}};
+}
+
 json expert_maps::state() const {
-  static constexpr const char* k_names[] = {"idle", "preparing", "prepared", "armed", "committed"};
-  return {{"switch", m_pending.name},     {"phase", k_names[static_cast<std::size_t>(m_pending.state)]},
+  return {{"switch", m_pending.name},     {"phase", k_phase_names[static_cast<std::size_t>(m_pending.state)]},
           {"armed_step", m_pending.step}, {"last_switch", m_last_applied},
           {"digest", m_digest},           {"fencing", m_fencing}};
 }
@@ -225,6 +249,7 @@
 }
 
 void expert_maps::use_pending(std::uint64_t step) {
+  m_last = {m_pending.name, m_pending.digest, json(), step, phase::committed};
   m_map = std::move(m_pending.map);
   m_digest = std::move(m_pending.digest);
   m_last_applied = std::move(m_pending.name);
--- a/source/emulator/expert_maps.h
+++ b/source/emulator/expert_maps.h
@@ -30,10 +30,13 @@
   // Remembers the fencing token. False if it is stale and tokens are checked.
   bool accept_fencing(std::uint64_t token);
   void set_ignore_fencing(bool ignore) { m_options.ignore_fencing = ignore; }
-  // Starts a preparation, in place of an earlier one. The weights of missing() are still to be loaded.
-  void prepare(const std::string& switch_name, std::string digest, json map);
+  // Starts a preparation, in place of one that is not armed. The weights of missing() are still to be loaded.
+  // Refused while another switch is armed, while the first step of a committed one has not run, and for a
+  // switch that was aborted: the rank would forget the map that the other ranks switch to.
+  verdict prepare(const std::string& switch_name, std::string digest, json map);
   [[nodiscard]] std::vector<expert_position> missing() const;
-  void set_prepared(const std::string& switch_name);
+  // Accepted if the switch is now prepared, or further; it may have been aborted meanwhile.
+  verdict set_prepared(const std::string& switch_name);
   // The first step on the new map. The rank holds before that step until go() or abort().
   verdict arm(const std::string& switch_name, std::uint64_t step, std::uint64_t current_step);
   // `joined`: whether the rank takes part in its group; one that does not takes the map at once.
@@ -50,11 +53,14 @@
   [[nodiscard]] double relative_load(std::uint64_t step) const;
 
   [[nodiscard]] json load_counts() const;
-  [[nodiscard]] json state() const;    // {"switch","phase","armed_step","digest","fencing"}
+  [[nodiscard]] json state() const;  // {"switch","phase","armed_step","digest","fencing"}
+  // {"fencing","switch","phase","switch_step","step","digest","new_digest"} as in group_switch::engine_state.
+  // A switch that has ended stays visible until the next one, so that a restarted agent learns how it ended.
+  [[nodiscard]] json map_state(std::uint64_t next_step) const;
   [[nodiscard]] json history() const;  // [{"step","digest"}]: the map used from each step on.
 
 private:
-  enum class phase : std::uint8_t { idle, preparing, prepared, armed, committed };
+  enum class phase : std::uint8_t { idle, preparing, prepared, armed, committed, aborted };
   struct pending_switch {
     std::string name;
     std::string digest;
@@ -73,6 +79,7 @@
   json m_map;
   std::string m_digest;
   pending_switch m_pending;
+  pending_switch m_last;       // The last switch that has ended, without its map.
   std::string m_last_applied;  // Name of the last switch that took effect.
   std::vector<std::vector<double>> m_tokens;
   std::vector<std::pair<std::uint64_t, std::string>> m_history;
--- a/source/unit_tests/emulator/expert_maps_test.cpp
+++ b/source/unit_tests/emulator/expert_maps_test.cpp
@@ -63,6 +63,59 @@
   EXPECT_TRUE(ignoring.accept_fencing(2));
 }
 
+// Guards against an engine that forgets the map that the other ranks switch to, because it prepares another
+// one before it has run the first step on it.
+TEST(expert_maps, no_other_switch_is_prepared_before_an_armed_or_committed_one_took_effect) {
+  auto maps = two_ranks();
+  ASSERT_EQ(maps.prepare("1", "new", k_new_map), verdict::accepted);
+  ASSERT_EQ(maps.set_prepared("1"), verdict::accepted);
+  ASSERT_EQ(maps.arm("1", 10, 5), verdict::accepted);
+  EXPECT_EQ(maps.prepare("2", "other", k_new_map), verdict::wrong_switch);
+  ASSERT_EQ(maps.go("1", 8, true), verdict::accepted);
+  EXPECT_EQ(maps.prepare("2", "other", k_new_map), verdict::wrong_switch);
+  EXPECT_EQ(maps.digest_at(10), "new");
+  maps.run_step(10, 0);
+  EXPECT_EQ(maps.prepare("2", "other", k_new_map), verdict::accepted);
+}
+
+// Guards against a restarted agent that takes its engine for idle, and against the aborted switch's messages
+// that come late: the engine reports how its last switch ended.
+TEST(expert_maps, the_state_tells_how_the_last_switch_ended) {
+  auto maps = two_ranks();
+  const auto field = [&maps](std::uint64_t next_step, const char* key) {
+    return maps.map_state(next_step)[key];
+  };
+  EXPECT_EQ(maps.map_state(1), json({{"fencing", 0},
+                                     {"switch", 0},
+                                     {"phase", "idle"},
+                                     {"switch_step", 0},
+                                     {"step", 1},
+                                     {"digest", "initial"},
+                                     {"new_digest", ""}}));
+  ASSERT_TRUE(maps.accept_fencing(4));
+  maps.prepare("1", "new", k_new_map);
+  EXPECT_EQ(field(2, "phase"), "preparing");
+  ASSERT_EQ(maps.abort("1"), verdict::accepted);
+  EXPECT_EQ(maps.set_prepared("1"), verdict::wrong_switch);  // Its weights are loaded only now.
+  EXPECT_EQ(field(2, "phase"), "aborted");
+  EXPECT_EQ(field(2, "switch"), 1);
+  EXPECT_EQ(maps.prepare("1", "new", k_new_map), verdict::wrong_switch);
+  maps.prepare("2", "new", k_new_map);
+  maps.set_prepared("2");
+  maps.arm("2", 10, 5);
+  EXPECT_EQ(field(6, "phase"), "armed");
+  maps.go("2", 8, true);
+  EXPECT_EQ(field(10, "digest"), "initial");
+  maps.run_step(10, 0);
+  EXPECT_EQ(maps.map_state(11), json({{"fencing", 4},
+                                      {"switch", 2},
+                                      {"phase", "committed"},
+                                      {"switch_step", 10},
+                                      {"step", 11},
+                                      {"digest", "new"},
+                                      {"new_digest", "new"}}));
+}
+
 // Guards against expert loads that do not drift, so that a planner is never needed.
 TEST(expert_maps, popularity_is_skewed_and_drifts) {
   auto maps = two_ranks();
