agent: switch expert maps of engine groups

Participant, coordinator, planner and drift estimator were finished as cores, but the agent dropped their messages. expert_service owns them and carries out their actions: orders to the engine, the fencing token and the digest of the map in the groups table, messages to the other ranks, expert loads. group_record resolves a lost response of the table by the token of the writer; the digest is written again until the table responds. An agent that was paused and whose engine does not check fencing tokens gives no order before it has read the token from the table.

GET /expert-map, GET /expert-map/plan and POST /expert-map on rank 0 serve the expert-map commands. The settings expert_interval_ms, expert_spare_slots and weight_store_bytes_per_s are new. The metric of dropped group messages is gone, because none are dropped.

--- a/source/core/agent/agent_admin.cpp
+++ b/source/core/agent/agent_admin.cpp
@@ -78,6 +78,11 @@
     view.drain();
     return document(k_accepted, {{"draining", true}});
   }
+  if (path == "/expert-map" && request.method == "POST") {
+    return authorized(request, view.operator_key_sha256)
+               ? view.expert_map(request)
+               : problem(k_unauthorized, "Unauthorized", "the operator key is missing or wrong");
+  }
   if (request.method != "GET") {
     return problem(k_method_not_allowed, "Method not allowed", "use GET");
   }
@@ -96,6 +101,9 @@
   if (path == "/status") {
     return document(k_ok, status_document(now, view));
   }
+  if (path == "/expert-map" || path == "/expert-map/plan") {
+    return view.expert_map(request);
+  }
   if (path == "/timeline") {
     return document(k_ok, view.timeline.to_json());
   }
--- a/source/core/agent/agent_admin.h
+++ b/source/core/agent/agent_admin.h
@@ -20,6 +20,8 @@
   const telemetry::timeline& timeline;
   transport::mailbox_counters links;
   std::function<void()> drain;
+  // GET and POST /expert-map and below; the operator key has been checked.
+  std::function<http::response(const http::request&)> expert_map;
 };
 
 http::response respond_to_operator(time_point now, const http::request& request, const admin_view& view);
--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -11,6 +11,7 @@
 
 #include "core/agent/agent_admin.h"
 #include "core/agent/agent_core.h"
+#include "core/agent/expert_service.h"
 #include "core/common/hash.h"
 #include "core/http/client.h"
 #include "core/http/server.h"
@@ -125,6 +126,15 @@
       return false;
     }
     m_mailbox = std::move(box.value());
+    m_experts.emplace(
+        m_client, m_settings, m_mailbox->address(),
+        m_settings.name + "/" + std::to_string(to_integer(m_incarnation)),
+        expert_service_hooks{
+            .send = [this](std::string_view peer, wire::message message) { send(peer, std::move(message)); },
+            .record =
+                [this](std::string_view kind, std::string detail) {
+                  m_timeline.record(m_hybrid_clock.tick(wall_ms()), kind, std::move(detail));
+                }});
     auto admin = http::server::start(m_context, {.address = m_settings.admin_address},
                                      [this](const http::request& request, const auto& responder) {
                                        responder->respond(respond_to_operator(clock::now(), request, view()));
@@ -146,7 +156,9 @@
             .metrics = m_metrics,
             .timeline = m_timeline,
             .links = m_mailbox->counters(),
-            .drain = [this] { start_drain(); }};
+            .drain = [this] { start_drain(); },
+            .expert_map =
+                [this](const http::request& request) { return m_experts->respond(clock::now(), request); }};
   }
 
   void wait_for_signal() {
@@ -301,12 +313,8 @@
     m_timeline.record(m_hybrid_clock.tick(wall_ms()), value.kind, std::move(value.detail));
   }
 
-  // The group switch participant and coordinator handle these messages once they exist; until then a peer
-  // that sends one gets no response.
   void execute_one(const pass_group_message& value) {
-    m_metrics.add("cuminpath_agent_group_messages_dropped_total");
-    telemetry::log(telemetry::log_level::debug, "agent", "no handler for a group message",
-                   {{"peer", value.peer_address}});
+    m_experts->on_message(clock::now(), value.peer_address, value.message);
   }
 
   template <class function>
@@ -359,7 +367,8 @@
     telemetry::log(telemetry::log_level::info, "agent", "configuration in force",
                    {{"version", static_cast<std::int64_t>(version)}});
     std::vector<action> actions;
-    m_core.on_configuration(now, value.version, std::move(value.manifest), actions);
+    m_core.on_configuration(now, value.version, value.manifest, actions);
+    m_experts->on_configuration(std::move(value.manifest), m_core.upstream());
     execute(actions);
   }
 
@@ -420,6 +429,7 @@
       send(heartbeat.peer_address, std::move(heartbeat.message));
     }
     fetch_host_list(now);
+    m_experts->tick(now);
     probe_upstream(now);
     m_next_tick = std::max(m_next_tick + k_tick_interval, now);
     m_timer.expires_at(m_next_tick);
@@ -482,6 +492,7 @@
   rollout::rollout m_rollout;
   std::unique_ptr<transport::mailbox> m_mailbox;
   std::unique_ptr<http::server> m_admin;
+  std::optional<expert_service> m_experts;  // Set as long as the mailbox is open.
   std::unordered_map<run_id, http::call_id> m_calls;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
--- /dev/null
+++ b/source/core/agent/engine_orders.cpp
@@ -0,0 +1,151 @@
+#include "core/agent/engine_orders.h"
+
+#include <array>
+#include <utility>
+
+namespace cuminpath::agent {
+namespace {
+
+constexpr int k_ok = 200;
+constexpr int k_conflict = 409;
+// Loading weights takes the longest; the coordinator gives up after the same time.
+constexpr milliseconds k_prepare_timeout{120000};
+constexpr milliseconds k_timeout{2000};
+
+struct phase_name {
+  std::string_view name;
+  wire::switch_phase phase;
+};
+constexpr std::array<phase_name, 6> k_phases{{{"idle", wire::switch_phase::idle},
+                                              {"preparing", wire::switch_phase::preparing},
+                                              {"prepared", wire::switch_phase::prepared},
+                                              {"armed", wire::switch_phase::armed},
+                                              {"committed", wire::switch_phase::committed},
+                                              {"aborted", wire::switch_phase::aborted}}};
+
+const char* name_of(group_switch::engine_command command) {
+  switch (command) {
+    case group_switch::engine_command::prepare_map:
+      return "prepare_map";
+    case group_switch::engine_command::arm_map:
+      return "arm_map";
+    case group_switch::engine_command::go_map:
+      return "go_map";
+    case group_switch::engine_command::abort_map:
+      return "abort_map";
+  }
+  return "";
+}
+
+std::optional<json> document_of(const http::client::whole_response& answer, int status) {
+  if (answer.failure || answer.value.status != status) {
+    return std::nullopt;
+  }
+  auto parsed = parse_json(answer.value.body);
+  if (!parsed || !parsed.value().is_object()) {
+    return std::nullopt;
+  }
+  return std::move(parsed.value());
+}
+
+std::optional<engine_load> to_engine_load(const json& document) {
+  try {
+    return engine_load{document.at("step").get<std::uint64_t>(), document.at("step_ms").get<float>(),
+                       document.at("layers").get<std::vector<std::vector<std::uint64_t>>>()};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::optional<group_switch::engine_state> to_engine_state(const json& document) {
+  try {
+    group_switch::engine_state state;
+    state.token = fencing_token{document.at("fencing").get<std::uint64_t>()};
+    state.switch_id = document.at("switch").get<std::uint64_t>();
+    state.switch_step = document.at("switch_step").get<std::uint64_t>();
+    state.step = document.at("step").get<std::uint64_t>();
+    state.digest = document.at("digest").get<std::string>();
+    state.new_digest = document.at("new_digest").get<std::string>();
+    const auto name = document.at("phase").get<std::string>();
+    for (const auto& item : k_phases) {
+      if (item.name == name) {
+        state.phase = item.phase;
+        return state;
+      }
+    }
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+json to_engine_map(const placement::expert_map& map, std::uint32_t ranks) {
+  auto layers = json::array();
+  for (const auto& layer : map.layers) {
+    std::vector<std::vector<std::size_t>> experts_of(ranks);
+    for (std::size_t expert = 0; expert < layer.experts.size(); ++expert) {
+      for (const auto& replica : layer.experts[expert]) {
+        experts_of[replica.rank].push_back(expert);
+      }
+    }
+    layers.emplace_back(experts_of);
+  }
+  return {{"layers", std::move(layers)}, {"replicas", placement::to_json(map)["layers"]}};
+}
+
+placement::expert_map initial_map(const placement::group_shape& shape) {
+  placement::layer_map layer;
+  for (std::uint32_t expert = 0; expert < shape.experts; ++expert) {
+    layer.experts.push_back({placement::replica{.rank = expert % shape.ranks, .share = 1.0F}});
+  }
+  return placement::expert_map{std::vector<placement::layer_map>(shape.layers, layer)};
+}
+
+engine_orders::engine_orders(http::client& client, std::string engine_url)
+    : m_client(client), m_url(std::move(engine_url)) {}
+
+void engine_orders::send(const group_switch::engine_order& order, json map, order_done done) {
+  json body = {
+      {"order", name_of(order.command)}, {"fencing", to_integer(order.token)}, {"switch", order.switch_id}};
+  const bool prepare = order.command == group_switch::engine_command::prepare_map;
+  if (prepare) {
+    body["digest"] = order.digest;
+    body["map"] = std::move(map);
+  } else if (order.command == group_switch::engine_command::arm_map) {
+    body["step"] = order.step;
+  }
+  m_client.call(m_url, {.method = "POST", .target = "/v1/orders", .body = body.dump()},
+                {.timeout = prepare ? k_prepare_timeout : k_timeout, .never_reuse_connection = true},
+                [done = std::move(done)](const http::client::whole_response& answer) {
+                  const auto accepted = document_of(answer, k_ok);
+                  const auto refused = document_of(answer, k_conflict);
+                  const auto& body_of = accepted ? accepted : refused;
+                  if (!body_of || !body_of->contains("step") || !(*body_of)["step"].is_number_unsigned()) {
+                    done(verdict::unknown, 0);
+                    return;
+                  }
+                  // The response has the last step that was run.
+                  done(accepted ? verdict::accepted : verdict::refused,
+                       (*body_of)["step"].get<std::uint64_t>() + 1);
+                });
+}
+
+void engine_orders::read_state(std::function<void(std::optional<group_switch::engine_state>)> done) {
+  m_client.call(m_url, {.target = "/v1/map_state"}, {.timeout = k_timeout},
+                [done = std::move(done)](const http::client::whole_response& answer) {
+                  const auto document = document_of(answer, k_ok);
+                  done(document ? to_engine_state(*document) : std::nullopt);
+                });
+}
+
+void engine_orders::read_load(std::function<void(std::optional<engine_load>)> done) {
+  m_client.call(m_url, {.target = "/v1/expert_load"}, {.timeout = k_timeout},
+                [done = std::move(done)](const http::client::whole_response& answer) {
+                  const auto document = document_of(answer, k_ok);
+                  done(document ? to_engine_load(*document) : std::nullopt);
+                });
+}
+
+}  // namespace cuminpath::agent
--- /dev/null
+++ b/source/core/agent/group_record.cpp
@@ -0,0 +1,123 @@
+#include "core/agent/group_record.h"
+
+#include <utility>
+
+namespace cuminpath::agent {
+namespace {
+
+constexpr std::string_view k_table = "groups";
+constexpr milliseconds k_record_again{1000};
+
+std::uint64_t number_in(const json& object, const char* key) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+std::string text_in(const json& object, const char* key) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+}  // namespace
+
+group_record::group_record(platform::table_client& table, std::string group, std::string writer)
+    : m_table(table), m_group(std::move(group)), m_writer(std::move(writer)) {}
+
+group_record::content group_record::to_content(const std::optional<platform::row>& value) {
+  content found;
+  if (value) {
+    found.version = value->version;
+    if (value->value.is_object()) {
+      found.fencing = number_in(value->value, "fencing");
+      found.digest = text_in(value->value, "digest");
+      found.writer = text_in(value->value, "writer");
+    }
+  }
+  return found;
+}
+
+void group_record::read(std::function<void(const content*)> done) {
+  m_table.read(k_table, m_group,
+               [done = std::move(done)](const result<std::optional<platform::row>>& answer) {
+                 if (!answer) {
+                   done(nullptr);
+                   return;
+                 }
+                 const auto found = to_content(answer.value());
+                 done(&found);
+               });
+}
+
+void group_record::acquire(std::function<void(fencing_token)> done) {
+  if (m_acquiring) {
+    return;
+  }
+  m_acquiring = true;
+  read([this, done = std::move(done)](const content* found) {
+    if (found == nullptr) {
+      m_acquiring = false;
+      return;
+    }
+    if (found->writer == m_writer) {  // The response to an earlier write was lost.
+      m_acquiring = false;
+      done(fencing_token{found->fencing});
+      return;
+    }
+    const auto token = found->fencing + 1;
+    m_table.write(k_table, m_group, {{"fencing", token}, {"digest", found->digest}, {"writer", m_writer}},
+                  found->version, [this, token, done](const result<platform::write_outcome>& answer) {
+                    m_acquiring = false;
+                    if (answer && answer.value().won) {
+                      done(fencing_token{token});
+                    }
+                  });
+  });
+}
+
+void group_record::read_token(std::function<void(std::optional<fencing_token>)> done) {
+  read([done = std::move(done)](const content* found) {
+    done(found == nullptr ? std::nullopt : std::optional(fencing_token{found->fencing}));
+  });
+}
+
+void group_record::record_digest(fencing_token token, std::string digest) {
+  m_unrecorded = unrecorded{token, std::move(digest)};
+  write_digest();
+}
+
+void group_record::tick(time_point now) {
+  if (m_unrecorded && now >= m_next_record) {
+    m_next_record = now + k_record_again;
+    write_digest();
+  }
+}
+
+void group_record::write_digest() {
+  if (m_recording) {
+    return;
+  }
+  m_recording = true;
+  const auto wanted = *m_unrecorded;
+  read([this, wanted](const content* found) {
+    if (found == nullptr) {
+      m_recording = false;
+      return;
+    }
+    if (found->fencing != to_integer(wanted.token) || found->writer != m_writer) {
+      m_recording = false;  // Another coordinator has taken the group over; the row is its own.
+      m_unrecorded.reset();
+      return;
+    }
+    m_table.write(
+        k_table, m_group, {{"fencing", found->fencing}, {"digest", wanted.digest}, {"writer", m_writer}},
+        found->version, [this, wanted](const result<platform::write_outcome>& answer) {
+          m_recording = false;
+          // A lost write is read and tried again by the next tick.
+          if (answer && answer.value().won && m_unrecorded && m_unrecorded->digest == wanted.digest) {
+            m_unrecorded.reset();
+          }
+        });
+  });
+}
+
+}  // namespace cuminpath::agent
--- a/source/core/config/settings.cpp
+++ b/source/core/config/settings.cpp
@@ -150,6 +150,10 @@
     table_reader reader(*table, "agent.", m_faults);
     read_url(reader, "upstream_url", value.upstream_url, required);
     reader.optional().read("max_queued", value.max_queued, {1U, 1'000'000U});
+    reader.optional().read("expert_interval_ms", value.expert_interval, {0, 24 * k_hour_ms});
+    reader.optional().read("expert_spare_slots", value.expert_spare_slots, {0U, 1'000U});
+    reader.optional().read("weight_store_bytes_per_s", value.weight_store_bytes_per_s,
+                           {std::uint64_t{1}, std::uint64_t{1} << 50U});
     reader.finish();
   }
 
--- a/source/core/config/settings.h
+++ b/source/core/config/settings.h
@@ -46,6 +46,11 @@
   struct agent_settings {
     std::string upstream_url;  // http://IP:PORT of the engine or service on this host.
     std::uint32_t max_queued = 10000;
+    // Between plans of the group's expert map; 0 turns planning off. Rank 0 only. Key expert_interval_ms.
+    milliseconds expert_interval{60000};
+    // Experts of one layer that a rank can hold beyond its even share.
+    std::uint32_t expert_spare_slots = 1;
+    std::uint64_t weight_store_bytes_per_s = 1'000'000'000;  // Rate that the weight store gives a group.
   } agent;
 
   struct log_settings {
--- a/tests/scenarios/support/system.lua
+++ b/tests/scenarios/support/system.lua
@@ -24,7 +24,10 @@
     add('[[priority_class]]\nname = "${class}"\nrank = ${rank}\nfloor = ${floor}\n' .. (target and
       "total_target_ms = " .. target .. "\n" or ""), {class = class, rank = rank - 1, floor = floors[class]})
   end
-  add('[[model]]\nname = "member-messages"\nmax_tokens = 4096\n')
+  add('[[model]]\nname = "member-messages"\nmax_tokens = 4096\nlayers = 2\nexperts = 8\nexpert_bytes = 65536\n')
+  if self.options.ranks > 0 then
+    add('[[group]]\nname = "tuning"\nmodel = "member-messages"\nranks = ${ranks}\n', self.options)
+  end
   add('[[service]]\nname = "bookings"\n' ..
       '[[service.rule]]\nmethod = "POST"\npath_prefix = "/quotes"\nrepeatable = true\n')
   local workspaces = {{"narmada", 2}, {"calabaza", changes.workspace_share or 1}}
@@ -40,6 +43,10 @@
         kind_key = agent.kind == "engine" and "model" or "service",
         target = agent.kind == "engine" and "member-messages" or "bookings",
         slots = changes.slots or self.options.slots})
+    if agent.rank then
+      add('group = "tuning"\nrank = ${rank}\nchecks_fencing = ${checks}\n',
+          {rank = agent.rank, checks = not self.options.ignore_fencing})
+    end
   end
   return table.concat(parts, "\n")
 end
@@ -90,7 +97,7 @@
     region = "guj-south", availability_zone = process.zone, operator_key_sha256 = runner.sha256(operator_key),
     seed_peers = table.concat(seeds, ", "), entries_ttl_ms = self.options.entries_ttl_ms,
     table = self.links.table, objects = self.links.objects, hosts = self.links.hosts,
-    weights = self.links.weights}, {__index = process})))
+    weights = self.links.weights}, {__index = process})) .. (process.settings or ""))
   start(process.name, "cuminpathd", {"--settings", file})
 end
 
@@ -124,16 +131,23 @@
 end
 
 -- Starts everything. Options: entries, engines, services (counts), slots, token_interval_ms, first_token_ms,
--- service_delay_ms, entries_ttl_ms, targets (of classes, in ms).
+-- service_delay_ms, entries_ttl_ms, targets (of classes, in ms). With `ranks` the engines are the ranks of one
+-- group, and expert_interval_ms, drift_steps and ignore_fencing hold for it; see group.lua.
 function system.start(options)
   local defaults = {entries = 2, engines = 4, services = 2, slots = 8, token_interval_ms = 20, first_token_ms = 30,
-                    service_delay_ms = 5, entries_ttl_ms = 1000, targets = {}}
+                    service_delay_ms = 5, entries_ttl_ms = 1000, targets = {}, ranks = 0, expert_interval_ms = 0,
+                    drift_steps = 200, ignore_fencing = false}
   local self = setmetatable({options = setmetatable(options or {}, {__index = defaults}), entries = {}, agents = {},
                              links = {}, key = "narmada-key", zones = {"bharuch", "vadodara"}}, system)
   for _, role in ipairs{"table", "objects", "hosts", "weights"} do
     self[role] = start_emulator(role, role)
     self.links[role] = forward(role, self[role])
   end
+  if self.options.ranks > 0 then
+    self.options.engines = self.options.ranks
+    self.rank_addresses = {}
+    for number = 1, self.options.ranks do self.rank_addresses[number] = runner.free_address() end
+  end
   for number = 1, self.options.engines do self:add_agent("engine", number) end
   for number = 1, self.options.services do self:add_agent("service", number) end
   for number = 1, self.options.entries do
@@ -162,8 +176,10 @@
   local upstream = kind .. "-" .. number
   local agent = {name = "agent-" .. upstream, upstream = upstream, kind = kind, role = "agent"}
   if kind == "engine" then
-    agent.emulator = start_emulator(upstream, "engine", {slots = self.options.slots, model = "member-messages",
-      token_interval_ms = self.options.token_interval_ms, first_token_ms = self.options.first_token_ms})
+    local options = {slots = self.options.slots, model = "member-messages",
+      token_interval_ms = self.options.token_interval_ms, first_token_ms = self.options.first_token_ms}
+    if self.options.ranks > 0 then self:add_rank(agent, number, options) end
+    agent.emulator = start_emulator(upstream, "engine", options, self.rank_addresses and self.rank_addresses[number])
   else
     agent.emulator = start_emulator(upstream, "service", {delay_ms = self.options.service_delay_ms})
   end
@@ -172,6 +188,20 @@
   self.agents[#self.agents + 1] = agent
 end
 
+-- Options of an engine that is rank `number - 1` of the group.
+function system:add_rank(agent, number, options)
+  agent.rank = number - 1
+  agent.settings = "expert_interval_ms = " .. self.options.expert_interval_ms .. "\n"
+  options.ranks, options.rank, options.weights = self.options.ranks, agent.rank, self.weights
+  options.drift_steps = self.options.drift_steps
+  options.ignore_fencing = self.options.ignore_fencing or nil
+  local peers = {}
+  for other, address in ipairs(self.rank_addresses) do
+    if other ~= number then peers[#peers + 1] = "http://" .. address end
+  end
+  options.group_peers = table.concat(peers, ",")
+end
+
 -- Sends a completion. Fields of request(), and `entry`: its number.
 function system:complete(order)
   order = order or {}
