--- a/source/unit_tests/config/settings_test.cpp
+++ b/source/unit_tests/config/settings_test.cpp
@@ -44,6 +44,9 @@
   EXPECT_EQ(parsed.value.kind, role::agent);
   EXPECT_EQ(parsed.value.agent.upstream_url, "http://127.0.0.1:4");
   EXPECT_EQ(parsed.value.agent.max_queued, 10000U);
+  EXPECT_EQ(parsed.value.agent.expert_interval, milliseconds(60000));
+  EXPECT_EQ(parsed.value.agent.expert_spare_slots, 1U);
+  EXPECT_EQ(parsed.value.agent.weight_store_bytes_per_s, 1'000'000'000U);
   EXPECT_EQ(parsed.value.entry.entries_ttl, milliseconds(30000));
   EXPECT_EQ(parsed.value.log.subsystems.at("router"), "debug");
 }
@@ -67,6 +70,10 @@
       {"127.0.0.1:9000", "peer", "s.toml:8: seed_peers: \"peer\" is not IP:PORT"},
       {"http://127.0.0.1:2", "https://x", "s.toml:11: platform.objects: must be http://IP:PORT"},
       {"upstream_url = \"http://127.0.0.1:4\"", "max_queued = 0", "agent.max_queued: 0 is not in 1.."},
+      {"upstream_url = \"http://127.0.0.1:4\"", "expert_interval_ms = -1",
+       "agent.expert_interval_ms: -1 is not in 0.."},
+      {"upstream_url = \"http://127.0.0.1:4\"", "weight_store_bytes_per_s = 0",
+       "agent.weight_store_bytes_per_s: 0 is not in 1.."},
       {"upstream_url = \"http://127.0.0.1:4\"", "", "s.toml:13: agent.upstream_url: missing"},
       {"\"warning\"", "\"loud\"", "s.toml:16: log.level: must be trace"},
       {"\"debug\"", "7", "log.subsystems.router: expected string, found integer"},
