--- a/source/core/agent/expert_service.h
+++ b/source/core/agent/expert_service.h
@@ -61,7 +61,7 @@
   };
 
   void join(const config::upstream& own);
-  bool concerns_group(const wire::message& message) const;
+  [[nodiscard]] bool concerns_group(const wire::message& message) const;
   void note_sender(std::string_view peer, const wire::message& message);
   void deliver(time_point now, std::string_view peer, const wire::message& message);
 
@@ -72,7 +72,7 @@
   void execute_one(const group_switch::reply& value);
   void finish_order(const group_switch::engine_order& order, engine_orders::verdict verdict,
                     std::uint64_t step);
-  std::optional<json> engine_map_of(const group_switch::engine_order& order) const;
+  [[nodiscard]] std::optional<json> engine_map_of(const group_switch::engine_order& order) const;
 
   void execute(std::vector<group_switch::coordinator_action>& actions);
   void execute_one(const group_switch::acquire_token&);
@@ -91,11 +91,11 @@
   void learn_map(time_point now);
   void set_map(std::string digest, placement::expert_map map);
   // Why no switch to a new plan may start now; empty if it may.
-  std::string obstacle() const;
+  [[nodiscard]] std::string obstacle() const;
   void plan_switch(time_point now);
   void start_switch(const placement::plan& value);
   http::response respond_order(time_point now);
-  json map_document() const;
+  [[nodiscard]] json map_document() const;
 
   http::client& m_client;
   const config::daemon_settings& m_settings;
--- a/source/unit_tests/agent/expert_service_test.cpp
+++ b/source/unit_tests/agent/expert_service_test.cpp
@@ -90,17 +90,18 @@
     m_ended.push_back(std::move(owner.service));  // Its calls may still end.
     owner.service = std::make_unique<expert_service>(
         m_client, owner.settings, address, writer + address,
-        expert_service_hooks{.send =
-                                 [this, &owner, address](std::string_view peer, wire::message message) {
-                                   owner.sent.push_back({std::string(peer), message});
-                                   for (std::size_t to = 0; to < m_agents.size(); ++to) {
-                                     if (peer == "rank-" + std::to_string(to) && owner.connected) {
-                                       m_agents[to]->service->on_message(clock::now(), address, message);
-                                     }
-                                   }
-                                 },
-                             .record = [&owner](std::string_view kind,
-                                                const std::string&) { owner.events.emplace_back(kind); }});
+        expert_service_hooks{
+            .send =
+                [this, &owner, address](std::string_view peer, const wire::message& message) {
+                  owner.sent.push_back({std::string(peer), message});
+                  for (std::size_t to = 0; to < m_agents.size(); ++to) {
+                    if (peer == "rank-" + std::to_string(to) && owner.connected) {
+                      m_agents[to]->service->on_message(clock::now(), address, message);
+                    }
+                  }
+                },
+            .record = [&owner](std::string_view kind,
+                               const std::string&) { owner.events.emplace_back(kind); }});
     owner.service->on_configuration(m_manifest, &m_manifest->upstreams[rank]);
   }
 
