--- a/source/scenario/runner.cpp
+++ b/source/scenario/runner.cpp
@@ -211,9 +211,11 @@
       lines.push_back(line);
     }
     const auto first = lines.size() > k_log_lines ? lines.size() - k_log_lines : 0;
-    text += lines.empty() ? "" : "--- " + name + "\n";
+    if (!lines.empty()) {
+      text.append("--- ").append(name).append("\n");
+    }
     for (auto i = first; i < lines.size(); ++i) {
-      text += lines[i] + "\n";
+      text.append(lines[i]).append("\n");
     }
   }
   return text;
@@ -224,9 +226,9 @@
     return program;
   }
   for (const auto& directory : m_program_directories) {
-    auto path = directory + "/" + program;
+    const auto path = std::filesystem::path(directory) / program;
     if (std::filesystem::is_regular_file(path)) {
-      return path;
+      return path.string();
     }
   }
   return program;
