scenario: hold back the order to arm a rank

In a trial, a coordinator that decides before all ranks are armed passed group_rank_frozen: an agent that freezes does so before or after its engine is armed, never between. The scenario now also cuts the link to an engine while the order to arm is on its way. With that fault in the coordinator it fails; without it, it passes.

--- a/tests/scenarios/group_rank_frozen.lua
+++ b/tests/scenarios/group_rank_frozen.lua
@@ -1,5 +1,6 @@
 -- Property: a rank whose agent is frozen during a switch never runs a step on another map than the other ranks;
--- the switch ends after it is resumed, and the group can switch again.
+-- the switch ends after it is resumed, and the group can switch again. The same holds for a rank whose engine an
+-- order does not reach.
 local system = require("group").start{ranks = 3, entries = 1}
 local rank = system.ranks[2]
 local load = system:flood{rate = 10, seconds = 60, seed = 13}
@@ -20,6 +21,15 @@
   system:check_maps()
   system:check_steps()
 end
+-- The order to arm is held back on its way to the engine of rank 2, which steps on: the others must not commit.
+local planned, before = system:switch_until(0, "armed")
+cut("engine-3")
+runner.poll(3000)
+heal("engine-3")
+local found = system:wait_idle(30)
+expect(found == planned or found == before, "a map that nobody planned after an order was held back")
+system:check_maps()
+system:check_steps()
 load.stop()
 system:check_summary(load.finish(60))
 system:complete_switch()
