transport: export the counters of the mailbox on /metrics

Cause: messages and bytes between processes could not be read from outside, so control traffic could not be measured. Ruled out: counting in the roles, which do not see envelopes. Change: link_metrics exports the growth of mailbox_counters as cuminpath_peer_*; entry and agent update it when the admin address is asked.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -19,6 +19,7 @@
 #include "core/platform/object_client.h"
 #include "core/rollout/rollout.h"
 #include "core/telemetry/log.h"
+#include "core/transport/link_metrics.h"
 #include "core/transport/mailbox.h"
 
 namespace cuminpath::agent {
@@ -127,6 +128,7 @@
     m_mailbox = std::move(box.value());
     auto admin = http::server::start(m_context, {.address = m_settings.admin_address},
                                      [this](const http::request& request, const auto& responder) {
+                                       m_link_metrics.update(m_metrics, m_mailbox->counters());
                                        responder->respond(respond_to_operator(clock::now(), request, view()));
                                      });
     if (!admin) {
@@ -481,6 +483,7 @@
   membership::member_table m_members;
   rollout::rollout m_rollout;
   std::unique_ptr<transport::mailbox> m_mailbox;
+  transport::link_metrics m_link_metrics;
   std::unique_ptr<http::server> m_admin;
   std::unordered_map<run_id, http::call_id> m_calls;
   asio::signal_set m_signals;
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -25,6 +25,7 @@
 #include "core/telemetry/log.h"
 #include "core/telemetry/metrics.h"
 #include "core/telemetry/timeline.h"
+#include "core/transport/link_metrics.h"
 #include "core/transport/mailbox.h"
 
 namespace cuminpath::entry {
@@ -553,6 +554,7 @@
     grow("cuminpath_tokens_total", now.tokens, m_exported.tokens);
     grow("cuminpath_slow_callers_total", now.slow_callers, m_exported.slow_callers);
     m_exported = now;
+    m_link_metrics.update(m_metrics, m_mailbox->counters());
     m_metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_core.in_flight()));
     m_metrics.set("cuminpath_configuration_version",
                   static_cast<double>(to_integer(m_core.configuration().version())));
@@ -578,6 +580,7 @@
   std::unordered_map<caller_id, std::shared_ptr<http::responder>> m_callers;
   std::uint64_t m_last_caller = 0;
   entry_counters m_exported;
+  transport::link_metrics m_link_metrics;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
   time_point m_next_tick{};
