--- /dev/null
+++ b/source/bench/capacity/configuration_slope.cpp
@@ -0,0 +1,209 @@
+// A configuration of any size and its changes: the operators' split, the transfer between two processes and
+// what putting it in force costs an entry and an agent.
+#include <fmt/format.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "bench/capacity/measure.h"
+#include "bench/capacity/sample_fleet.h"
+#include "core/agent/agent_core.h"
+#include "core/common/assert.h"
+#include "core/common/hash.h"
+#include "core/config/manifest_parser.h"
+#include "core/entry/entry_core.h"
+#include "core/rollout/rollout.h"
+#include "core/wire/codec.h"
+
+namespace cuminpath::bench {
+namespace {
+
+// Fills the versions that a process keeps to answer with differences, and some more.
+constexpr int k_changes = 40;
+constexpr int k_max_steps = 2000;
+constexpr milliseconds k_tick{10};
+
+// One process that takes part in the rollout.
+struct participant {
+  std::string name;
+  std::string address;
+  rollout::rollout core;
+  double cpu = 0;
+  double bytes_sent = 0;
+  std::shared_ptr<const config::manifest> manifest = {};
+};
+
+class pair_of_processes {
+public:
+  explicit pair_of_processes(random_source& random)
+      : m_random(random),
+        m_poller{"entry-00000", "10.0.0.1:1", rollout::rollout({"entry-00000", zone_name(0), true})},
+        m_follower{"host-00000", "10.0.0.2:1", rollout::rollout({"host-00000", zone_name(0), false})} {
+    m_poller.core.set_zone_entries(std::vector<std::string>{"entry-00000"});
+  }
+
+  // Until both have the version in force.
+  void bring_in_force(configuration_version version, const config::sections& parts) {
+    const auto digest = sha256_hex(parts.index);
+    run(
+        m_poller,
+        [&](auto& actions) {
+          m_poller.core.on_head(m_now, {version, digest}, actions);
+        },
+        parts, digest);
+    for (int i = 0; i < k_max_steps && m_follower.core.version() < version; ++i) {
+      m_now += k_tick;
+      for (auto* process : {&m_poller, &m_follower}) {
+        run(
+            *process, [&](auto& actions) { process->core.tick(m_now, m_random, actions); }, parts, digest);
+      }
+      run(
+          m_follower,
+          [&](auto& actions) {
+            m_follower.core.on_peer_version(m_now, m_poller.address, m_poller.core.version(), actions);
+          },
+          parts, digest);
+    }
+    CUMINPATH_ASSERT(m_follower.core.version() == version);
+  }
+
+  [[nodiscard]] const participant& poller() const { return m_poller; }
+  [[nodiscard]] const participant& follower() const { return m_follower; }
+  void reset_counts() {
+    for (auto* process : {&m_poller, &m_follower}) {
+      process->cpu = 0;
+      process->bytes_sent = 0;
+    }
+  }
+
+private:
+  using rollout_event = std::function<void(std::vector<rollout::action>&)>;
+
+  // Not a template: it calls itself with other lambdas.
+  void run(participant& process, const rollout_event& event, const config::sections& parts,
+           const std::string& digest) {
+    std::vector<rollout::action> actions;
+    process.cpu += cpu_us_of([&] { event(actions); });
+    for (auto& item : actions) {
+      if (auto* fetch = std::get_if<rollout::fetch_object>(&item)) {
+        auto content = fetch->digest == digest ? parts.index : parts.contents.at(fetch->digest);
+        run(
+            process,
+            [&](auto& more) { process.core.on_object(m_now, fetch->digest, std::move(content), more); },
+            parts, digest);
+      } else if (auto* sent = std::get_if<rollout::send_message>(&item)) {
+        process.bytes_sent += static_cast<double>(wire::encode({.messages = {sent->message}}).size());
+        deliver(process, sent->message, parts, digest);
+      } else if (auto* ready = std::get_if<rollout::configuration_in_force>(&item)) {
+        process.manifest = std::move(ready->manifest);
+      }
+    }
+  }
+
+  void deliver(const participant& from, const wire::message& message, const config::sections& parts,
+               const std::string& digest) {
+    auto& to = &from == &m_poller ? m_follower : m_poller;
+    run(
+        to,
+        [&](auto& actions) {
+          if (const auto* fetch = std::get_if<wire::configuration_fetch>(&message)) {
+            to.core.on_fetch(m_now, from.address, *fetch, actions);
+          } else if (const auto* sections = std::get_if<wire::configuration_sections>(&message)) {
+            to.core.on_sections(m_now, from.address, *sections, actions);
+          }
+        },
+        parts, digest);
+  }
+
+  random_source& m_random;
+  time_point m_now = k_start;
+  participant m_poller;
+  participant m_follower;
+};
+
+struct roles {
+  double entry_state = 0;
+  double entry_us = 0;
+  double hosts_us = 0;
+  double agent_state = 0;
+  double agent_us = 0;
+};
+
+roles measure_roles(const std::shared_ptr<const config::manifest>& manifest, std::uint32_t upstreams,
+                    random_source& random) {
+  roles value;
+  std::vector<entry::host_location> hosts;
+  for (std::uint32_t i = 0; i < upstreams; ++i) {
+    hosts.push_back(
+        {fmt::format("host-{:05}", i), zone_name(i / k_ranks), region_name(i / k_ranks), peer_address(i)});
+  }
+  std::vector<entry::action> actions;
+  entry::step step{k_start, random, actions};
+  double before = heap_bytes();
+  entry::entry_core entry(
+      {.name = "entry-00000", .availability_zone = zone_name(0), .region = region_name(0)});
+  entry.on_configuration(step, configuration_version{1}, manifest);
+  value.hosts_us = cpu_us_of([&] { entry.on_hosts(step, hosts); });
+  value.entry_state = heap_bytes() - before;
+  value.entry_us = cpu_us_of([&] { entry.on_configuration(step, configuration_version{2}, manifest); });
+  std::vector<agent::action> agent_actions;
+  before = heap_bytes();
+  agent::agent_core agent({.host = "host-00000"});
+  agent.on_configuration(k_start, configuration_version{1}, manifest, agent_actions);
+  value.agent_state = heap_bytes() - before;
+  value.agent_us =
+      cpu_us_of([&] { agent.on_configuration(k_start, configuration_version{2}, manifest, agent_actions); });
+  return value;
+}
+
+void measure(std::uint32_t upstreams) {
+  random_source random(1);
+  auto manifest = sample_manifest(upstreams, upstreams * k_full_workspaces / k_full_upstreams);
+  config::sections parts;
+  const double split_us = cpu_us_of([&] { parts = config::split(manifest); });
+  double total = static_cast<double>(parts.index.size());
+  for (const auto& [digest, content] : parts.contents) {
+    total += static_cast<double>(content.size());
+  }
+  const double before = heap_bytes();
+  pair_of_processes processes(random);
+  processes.bring_in_force(configuration_version{1}, parts);
+  const double first_us = processes.follower().cpu;
+  const double first_bytes = processes.poller().bytes_sent;
+  processes.reset_counts();
+  for (int i = 0; i < k_changes; ++i) {
+    auto& changed = manifest.upstreams[static_cast<std::size_t>(i) * 31 % upstreams];
+    changed.slots = changed.slots == 8 ? 7 : 8;
+    parts = config::split(manifest);
+    processes.bring_in_force(configuration_version{static_cast<std::uint64_t>(i) + 2}, parts);
+  }
+  const double state = (heap_bytes() - before) / 2;
+  const roles cost = measure_roles(processes.follower().manifest, upstreams, random);
+  print_point("configuration", "upstreams", upstreams,
+              {{"manifest_bytes", total},
+               {"index_bytes", static_cast<double>(parts.index.size())},
+               {"split_us", split_us},
+               {"rollout_state_bytes", state},
+               {"first_transfer_bytes", first_bytes},
+               {"first_join_us", first_us},
+               {"change_reply_bytes", processes.poller().bytes_sent / k_changes},
+               {"change_ask_bytes", processes.follower().bytes_sent / k_changes},
+               {"change_poller_us", processes.poller().cpu / k_changes},
+               {"change_follower_us", processes.follower().cpu / k_changes},
+               {"entry_in_force_us", cost.entry_us},
+               {"entry_hosts_us", cost.hosts_us},
+               {"entry_core_bytes", cost.entry_state},
+               {"agent_in_force_us", cost.agent_us},
+               {"agent_core_bytes", cost.agent_state}});
+}
+
+}  // namespace
+
+void configuration_slope() {
+  for (const std::uint32_t upstreams : {1536U, 3008U, 6016U, 12000U}) {
+    measure(upstreams);
+  }
+}
+
+}  // namespace cuminpath::bench
--- /dev/null
+++ b/source/bench/capacity/measure.h
@@ -0,0 +1,35 @@
+// Processor time, heap and output of the capacity slopes. One JSON line for each point of a slope.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cuminpath::bench {
+
+// Processor time of this process in microseconds.
+double cpu_us();
+// Bytes that the allocator has handed out.
+double heap_bytes();
+
+template <class function>
+double cpu_us_of(function work) {
+  const double from = cpu_us();
+  work();
+  return cpu_us() - from;
+}
+
+using values = std::vector<std::pair<std::string_view, double>>;
+
+// {"slope":SLOPE,"x_name":X_NAME,"x":X,"values":{...}}
+void print_point(std::string_view slope, std::string_view x_name, double x, const values& measured);
+
+void membership_slope();
+void routing_slope();
+void scheduling_slope();
+void configuration_slope();
+void planner_slope();
+
+}  // namespace cuminpath::bench
--- a/source/emulator/load_main.cpp
+++ b/source/emulator/load_main.cpp
@@ -28,6 +28,7 @@
   add("rate", options::value<double>()->default_value(10), "requests per second");
   add("seconds", options::value<double>()->default_value(5), "time of sending, at most 600");
   add("max-tokens", options::value<std::uint32_t>()->default_value(16), "of each completion");
+  add("whole", options::bool_switch(), "ask for whole responses instead of streams");
   add("timeout-ms", options::value<int>()->default_value(30000), "after which a request counts as broken");
   add("seed", options::value<std::uint64_t>()->default_value(1), "of the order of the shares");
   return known;
@@ -57,6 +58,7 @@
     share.order.model = given["model"].as<std::string>();
     share.order.prompt = "load " + share.name;
     share.order.max_tokens = given["max-tokens"].as<std::uint32_t>();
+    share.order.stream = !given["whole"].as<bool>();
   } else {
     throw options::error("unknown kind in share " + text);
   }
