transport, entry, membership: keep shutdown and pollers from waiting for others

Change: links are closed on threads of their own and nng's callbacks reach the mailbox through a target that outlives it; pollers are chosen from entries that are not suspected; readiness waits for the host list. A test covers the suspected poller.

--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -44,6 +44,7 @@
 // The connections have sent the last responses by then; stopping earlier would cut them.
 constexpr milliseconds k_linger{500};
 constexpr seconds k_min_host_list_interval{2};
+constexpr milliseconds k_pollers_interval{500};
 // A host takes about 200 bytes of the list; fetching is paced to a third of a node's 10 KB a second.
 constexpr std::size_t k_host_list_hosts_per_second = 16;
 constexpr std::string_view k_claims_table = "claims";
@@ -78,7 +79,8 @@
         m_members({.name = settings.host,
                    .role = platform::host_role::entry,
                    .availability_zone = settings.availability_zone,
-                   .number = m_incarnation}),
+                   .number = m_incarnation,
+                   .address = settings.address}),
         m_rollout({.name = settings.host, .availability_zone = settings.availability_zone, .may_poll = true}),
         m_signals(m_context, SIGTERM, SIGINT),
         m_timer(m_context) {}
@@ -154,6 +156,7 @@
             .metrics = m_metrics,
             .timeline = m_timeline,
             .links = m_mailbox->counters(),
+            .hosts_known = m_hosts_known || m_settings.platform.hosts.empty(),
             .draining = m_draining,
             .known_entries = m_members.members(platform::host_role::entry).size(),
             .drain = [this] { start_drain(); }};
@@ -437,6 +440,7 @@
       m_next_host_list = received + std::max<duration>(paced, k_min_host_list_interval) +
                          milliseconds(random_index(m_random, 1000));
       m_members.on_host_list(received, hosts.value());
+      m_hosts_known = true;
     });
   }
 
@@ -452,12 +456,8 @@
     }
     report([&](step& step) { m_core.on_hosts(step, agents); });
 
-    std::vector<std::string> zone_entries;
     std::vector<std::string> peers = m_settings.seed_peers;
     for (const auto& entry : m_members.members(platform::host_role::entry)) {
-      if (entry.availability_zone == m_settings.availability_zone && !entry.leaving) {
-        zone_entries.push_back(entry.name);
-      }
       if (entry.name != m_settings.host && peers.size() < k_max_configuration_peers) {
         peers.push_back(entry.peer_address);
       }
@@ -465,16 +465,24 @@
     for (std::size_t i = 0; i < agents.size() && peers.size() < k_max_configuration_peers; ++i) {
       peers.push_back(agents[i].peer_address);
     }
-    m_rollout.set_zone_entries(zone_entries);
     m_rollout.set_peers(peers);
   }
 
+  // A poller that has died is replaced when it is suspected, not when the lagging host list drops it.
+  void update_pollers(time_point now) {
+    if (now >= m_next_pollers) {
+      m_next_pollers = now + k_pollers_interval;
+      m_rollout.set_zone_entries(m_members.live_zone_entries());
+    }
+  }
+
   // --- Time ---
 
   void on_timer() {
     const auto now = clock::now();
     fetch_host_list(now);
     update_members();
+    update_pollers(now);
     report([&](step& step) { m_core.tick(step); });
     report_rollout([&](time_point, auto& actions) { m_rollout.tick(now, m_random, actions); });
     std::vector<membership::send_heartbeat> heartbeats;
@@ -588,6 +596,8 @@
   time_point m_accept_until{};
   time_point m_idle_since{};
   std::uint64_t m_member_generation = 0;
+  bool m_hosts_known = false;  // The host list has been read.
+  time_point m_next_pollers{};
   bool m_draining = false;
   bool m_refusing = false;
   bool m_signalled = false;
--- a/source/core/entry/status_pages.cpp
+++ b/source/core/entry/status_pages.cpp
@@ -34,7 +34,7 @@
   return {{"name", view.name},
           {"role", "entry"},
           {"configuration_version", to_integer(view.core.configuration().version())},
-          {"ready", view.core.ready() && !view.draining},
+          {"ready", view.core.ready() && view.hosts_known && !view.draining},
           {"draining", view.draining},
           {"requests_in_flight", view.core.in_flight()},
           {"requests", counters.requests},
--- a/source/core/entry/status_pages.h
+++ b/source/core/entry/status_pages.h
@@ -20,6 +20,7 @@
   const telemetry::metrics& metrics;
   const telemetry::timeline& timeline;
   transport::mailbox_counters links;
+  bool hosts_known = false;  // Without the host list no agent can be reached.
   bool draining = false;
   std::size_t known_entries = 0;
   std::function<void()> drain;
--- a/source/core/membership/member_table.cpp
+++ b/source/core/membership/member_table.cpp
@@ -156,6 +156,13 @@
     return {m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(count)};
   }
 
+  const std::vector<std::string>& live_zone_entries() {
+    if (m_entries_stale) {
+      collect_entries();
+    }
+    return m_zone_entries;
+  }
+
   [[nodiscard]] std::optional<platform::host_entry> find(std::string_view host) const {
     const auto found = m_members.find(std::string(host));
     if (found == m_members.end() || found->second.leaving()) {
@@ -479,8 +486,12 @@
     }
     order_for_callers(m_options.name, m_options.availability_zone, usable);
     m_entries.clear();
+    m_zone_entries.clear();
     for (const auto* host : usable) {
       m_entries.push_back({host->address, host->availability_zone});
+      if (host->availability_zone == m_options.availability_zone) {
+        m_zone_entries.push_back(host->name);
+      }
     }
   }
 
@@ -497,7 +508,8 @@
   // Peer addresses to answer, or with the time of the last answer.
   std::unordered_map<std::string, time_point> m_answers;
   event_queue m_events;
-  std::vector<entry_address> m_entries;  // For callers.
+  std::vector<entry_address> m_entries;     // For callers.
+  std::vector<std::string> m_zone_entries;  // Names of those in the own availability zone.
   bool m_entries_stale = true;
   bool m_targets_stale = true;
   time_point m_last_tick{};
@@ -531,6 +543,9 @@
 std::vector<entry_address> member_table::entries_for_callers(std::size_t limit) const {
   return m_impl->entries_for_callers(limit);
 }
+std::vector<std::string> member_table::live_zone_entries() const {
+  return m_impl->live_zone_entries();
+}
 std::optional<platform::host_entry> member_table::find(std::string_view host) const {
   return m_impl->find(host);
 }
--- a/source/core/membership/member_table.h
+++ b/source/core/membership/member_table.h
@@ -75,6 +75,8 @@
 
   // Addresses for callers: own availability zone first, none that is leaving or suspected, at most `limit`.
   [[nodiscard]] std::vector<entry_address> entries_for_callers(std::size_t limit) const;
+  // Names of the entries of the own availability zone that callers may be sent to.
+  [[nodiscard]] std::vector<std::string> live_zone_entries() const;
   // The host of an agent or entry, if it is known and not leaving. Suspected hosts are included: routing
   // suspects the upstreams that it uses itself.
   [[nodiscard]] std::optional<platform::host_entry> find(std::string_view host) const;
--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -104,19 +104,18 @@
       : m_context(context), m_options(std::move(options)), m_handler(std::move(handler)) {}
 
   ~impl() {
-    m_links.clear();
+    while (!m_links.empty()) {
+      erase_link(m_links.begin()->first);
+    }
     if (m_receive_aio != nullptr) {
       nng_aio_stop(m_receive_aio);
       nng_aio_free(m_receive_aio);
     }
     if (m_listening) {
-      {
-        const std::lock_guard lock(m_closed_connections->mutex);
-        m_closed_connections->owner = nullptr;
-      }
+      m_pull_target->release();
       // nng 1.5.2 may never return from closing a PULL socket or its listener while a message of several
       // kilobytes arrives, and a process that has drained must still end.
-      std::thread([socket = m_pull, kept = m_closed_connections] { nng_close(socket); }).detach();
+      std::thread([socket = m_pull, kept = m_pull_target] { nng_close(socket); }).detach();
     }
   }
   impl(const impl&) = delete;
@@ -127,9 +126,9 @@
       return make_error(error_code::internal, nng_strerror(code));
     }
     m_listening = true;
-    m_closed_connections->owner = this;
+    m_pull_target->owner = this;
     nng_socket_set_size(m_pull, NNG_OPT_RECVMAXSZ, wire::k_max_envelope_bytes);
-    nng_pipe_notify(m_pull, NNG_PIPE_EV_REM_POST, &impl::on_incoming_closed, m_closed_connections.get());
+    nng_pipe_notify(m_pull, NNG_PIPE_EV_REM_POST, &impl::on_incoming_closed, m_pull_target.get());
     nng_listener listener{};
     if (const int code = nng_listen(m_pull, nng_url(m_options.address).c_str(), &listener, 0); code != 0) {
       return make_error(error_code::unreachable,
@@ -178,7 +177,7 @@
     close_unused_links();
   }
 
-  void close_link(std::string_view peer_address) { m_links.erase(std::string(peer_address)); }
+  void close_link(std::string_view peer_address) { erase_link(std::string(peer_address)); }
 
   [[nodiscard]] mailbox_counters counters() const {
     auto value = m_counters;
@@ -190,6 +189,17 @@
   }
 
 private:
+  // nng's callbacks reach the mailbox through this, which lives until their socket is closed.
+  struct callback_target {
+    std::mutex mutex;
+    impl* owner = nullptr;  // Null once the mailbox does not want to hear of it any more.
+
+    void release() {
+      const std::lock_guard lock(mutex);
+      owner = nullptr;
+    }
+  };
+
   struct link {
     ~link() {
       // Stopping the send first makes sure that no callback runs into a freed link.
@@ -201,7 +211,7 @@
         nng_aio_free(send_aio);
       }
     }
-    impl* owner = nullptr;
+    callback_target target;
     std::uint64_t id = 0;
     std::string peer;
     nng_socket socket{};
@@ -216,12 +226,6 @@
     std::size_t queued_bytes = 0;
   };
 
-  // Target of nng's callback for ended connections. It outlives the mailbox until the socket is closed.
-  struct closed_connections {
-    std::mutex mutex;
-    impl* owner = nullptr;
-  };
-
   struct peer_state {
     incarnation number{};
     std::uint64_t sequence = 0;
@@ -233,7 +237,7 @@
       return *slot;
     }
     slot = std::make_unique<link>();
-    slot->owner = this;
+    slot->target.owner = this;
     slot->id = ++m_last_link_id;
     slot->peer = peer_address;
     CUMINPATH_ASSERT(nng_push0_open(&slot->socket) == 0);
@@ -301,7 +305,7 @@
     if (code == NNG_ECLOSED || code == NNG_ECANCELED) {
       return;
     }
-    post(target->owner, [peer = target->peer, id = target->id, code](impl& self) {
+    post(target->target, [peer = target->peer, id = target->id, code](impl& self) {
       if (self.find_link(peer, id) == nullptr) {
         return;
       }
@@ -323,7 +327,7 @@
 
   static void on_pipe_added(nng_pipe, nng_pipe_ev, void* argument) {
     auto* target = static_cast<link*>(argument);
-    post(target->owner, [peer = target->peer, id = target->id](impl& self) {
+    post(target->target, [peer = target->peer, id = target->id](impl& self) {
       if (auto* found = self.find_link(peer, id)) {
         found->connected = true;
       }
@@ -332,7 +336,7 @@
 
   static void on_pipe_removed(nng_pipe, nng_pipe_ev, void* argument) {
     auto* target = static_cast<link*>(argument);
-    post(target->owner, [peer = target->peer, id = target->id](impl& self) {
+    post(target->target, [peer = target->peer, id = target->id](impl& self) {
       if (auto* found = self.find_link(peer, id)) {
         found->connected = false;
         found->disconnected_since = clock::now();
@@ -347,11 +351,28 @@
       return;
     }
     m_next_sweep = now + k_idle_disconnected;
-    std::erase_if(m_links, [now](const auto& item) {
-      const auto& target = *item.second;
-      return !target.connected && target.pending.empty() && target.sealed.empty() &&
-             now - target.disconnected_since > k_idle_disconnected;
-    });
+    std::vector<std::string> unused;
+    for (const auto& [peer, target] : m_links) {
+      if (!target->connected && target->pending.empty() && target->sealed.empty() &&
+          now - target->disconnected_since > k_idle_disconnected) {
+        unused.push_back(peer);
+      }
+    }
+    for (const auto& peer : unused) {
+      erase_link(peer);
+    }
+  }
+
+  // Closes the link on a thread of its own. Closing waits for nng's one thread that ends connections, and
+  // that thread can wait for ever on another connection (see the destructor); the event loop must go on.
+  void erase_link(const std::string& peer) {
+    const auto found = m_links.find(peer);
+    if (found == m_links.end()) {
+      return;
+    }
+    found->second->target.release();
+    std::thread([closing = std::move(found->second)]() mutable { closing.reset(); }).detach();
+    m_links.erase(found);
   }
 
   link* find_link(const std::string& peer, std::uint64_t id) {
@@ -361,19 +382,14 @@
 
   // The next message opens a new link. Its envelopes are numbered from 1, which the peer takes for a gap.
   void drop_link(const std::string& peer, link_loss loss) {
-    m_links.erase(peer);
+    erase_link(peer);
     m_handler.lost(peer, loss);
   }
 
   // The sender of the last envelopes on a connection that broke may not send any more, so that no gap shows
   // what was lost.
   static void on_incoming_closed(nng_pipe pipe, nng_pipe_ev, void* argument) {
-    auto& notice = *static_cast<closed_connections*>(argument);
-    const std::lock_guard lock(notice.mutex);
-    if (notice.owner == nullptr) {
-      return;
-    }
-    post(notice.owner, [id = nng_pipe_id(pipe)](impl& self) {
+    post(*static_cast<callback_target*>(argument), [id = nng_pipe_id(pipe)](impl& self) {
       self.remember_closed(id);
       const auto found = self.m_incoming.find(id);
       if (found == self.m_incoming.end()) {
@@ -461,6 +477,14 @@
     std::erase_if(m_peers, [&open](const auto& item) { return !open.contains(item.first); });
   }
 
+  template <class function>
+  static void post(callback_target& target, function action) {
+    const std::lock_guard lock(target.mutex);
+    if (target.owner != nullptr) {
+      post(target.owner, std::move(action));
+    }
+  }
+
   template <class function>
   static void post(impl* self, function action) {
     asio::post(self->m_context, [weak = self->weak_from_this(), action = std::move(action)]() mutable {
@@ -475,7 +499,7 @@
   mailbox_handler m_handler;
   std::string m_address;
   nng_socket m_pull{};
-  std::shared_ptr<closed_connections> m_closed_connections = std::make_shared<closed_connections>();
+  std::shared_ptr<callback_target> m_pull_target = std::make_shared<callback_target>();
   bool m_listening = false;
   nng_aio* m_receive_aio = nullptr;
   std::uint64_t m_last_link_id = 0;
--- a/source/unit_tests/membership/member_table_test.cpp
+++ b/source/unit_tests/membership/member_table_test.cpp
@@ -209,6 +209,20 @@
   EXPECT_TRUE(all.time_until_offered(5, false, seconds(6)));
 }
 
+// Guards against a dead poller of the configuration that is replaced only when the host list drops it.
+TEST(member_table, live_zone_entries_exclude_the_suspected_and_other_zones) {
+  auto table = table_of(0);
+  const auto start = time_point() + std::chrono::hours(1);
+  table.on_host_list(start, list_of(6));
+  EXPECT_EQ(table.live_zone_entries().size(), 2U);  // Entries 0 and 3.
+  random_source random{20261204};
+  std::vector<send_heartbeat> heartbeats;
+  for (auto now = start; now < start + seconds(5); now += k_tick) {
+    table.tick(now, random, heartbeats);
+  }
+  EXPECT_EQ(table.live_zone_entries(), std::vector<std::string>{name_of(0)});
+}
+
 // Guards against an entry that is alive before the list shows it and is then taken for another or for dead.
 TEST(member_table, knows_an_entry_that_spoke_before_it_was_listed) {
   random_source random(3);
