--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -49,7 +49,7 @@
 LIST_BYTES = 200 * (ENTRIES + AGENTS)
 AGENT_LIST_INTERVAL = 1800
 LOAD_AGENTS = 4  # Of the load measurement, which gives means over the agents.
-EXPERT_LOAD_INTERVAL = 300  # scripts/bench placement plans this often.
+EXPERT_LOAD_INTERVAL = 2.0  # Seconds; k_load_interval of the agent.
 TABLE_WRITES = 300  # Several hundred.
 TABLE_READS = 2000
 CONTROL_BYTES = 10000
@@ -166,15 +166,15 @@
         last("scheduling", "busy_tick_us"), None, "", "`fair_queue`")
 
     add("rank-0 agent", "expert loads received a second", f"31 x {last('planner', 'expert_load_bytes'):,.0f} B / "
-        "300 s", 31 * last("planner", "expert_load_bytes") / EXPERT_LOAD_INTERVAL, CONTROL_BYTES,
+        "2 s", 31 * last("planner", "expert_load_bytes") / EXPERT_LOAD_INTERVAL, CONTROL_BYTES,
         f"one report in {31 * last('planner', 'expert_load_bytes') / CONTROL_BYTES:.0f} s",
-        "none yet: the agent drops group messages")
+        "`expert_service` (`k_load_interval`)")
     add("rank-0 agent", "longest plan, ms of its thread", "60 layers, 32 x 256 experts",
         last("planner", "longest_plan_us") / 1e3, 64.0,
-        f"{64e3 / (last('planner', 'longest_plan_us') / 60):.0f} layers if it ran on the event loop",
-        "none yet: nothing in the agent calls `make_plan`")
+        f"{64e3 / (last('planner', 'longest_plan_us') / 60):.0f} layers, on the event loop",
+        "`expert_planning`")
     add("rank-0 agent", "map sent at a switch, bytes", "to each of 31 ranks", last("planner", "map_bytes"), None, "",
-        "none yet in the agent; `group_switch` alone")
+        "`expert_coordinator`, `group_switch`")
 
     writes = last("changes", "table_writes_per_change")
     add("operators", "processor of one apply, ms", "split of 12,000 upstreams",
