entry, cuminpathd: drop a second parser and dead build guards

Cause: the entry parsed the head row itself although rollout::parse_head does, and the daemon's build still had guards for libraries that were once missing, with a branch for a build without an agent that can't happen any more. Change: the entry calls rollout::parse_head; the guards are gone.

--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -389,18 +389,15 @@
   }
 
   static std::optional<rollout::head> read_head(const result<std::optional<platform::row>>& row) {
-    if (!row || !row.value() || !row.value()->value.is_object()) {
+    if (!row || !row.value()) {
       return std::nullopt;
     }
-    const json& value = row.value()->value;
-    const auto version = value.find("version");
-    const auto index = value.find("index");
-    if (version == value.end() || !version->is_number_unsigned() || index == value.end() ||
-        !index->is_string()) {
+    const auto head = rollout::parse_head(row.value()->value);
+    if (!head) {
       telemetry::log(log_level::error, "entry", "the head row of the configuration is malformed");
       return std::nullopt;
     }
-    return rollout::head{configuration_version{version->get<std::uint64_t>()}, index->get<std::string>()};
+    return head.value();
   }
 
   void execute_one(rollout::fetch_object& value) {
--- a/source/programs/cuminpathd/main.cpp
+++ b/source/programs/cuminpathd/main.cpp
@@ -8,16 +8,11 @@
 #include <optional>
 #include <string>
 
+#include "core/agent/agent_process.h"
 #include "core/config/settings.h"
 #include "core/entry/entry_process.h"
 #include "core/telemetry/log.h"
 
-// The agent's library is developed on its own branch.
-#if __has_include("core/agent/agent_process.h")
-#include "core/agent/agent_process.h"
-#define CUMINPATH_HAS_AGENT 1
-#endif
-
 namespace {
 
 using namespace cuminpath;
@@ -64,12 +59,7 @@
     case config::role::entry:
       return entry::run(settings);
     case config::role::agent:
-#ifdef CUMINPATH_HAS_AGENT
       return agent::run(settings);
-#else
-      std::cerr << "this build has no agent\n";
-      return k_bad_settings;
-#endif
   }
   return k_bad_settings;
 }
