--- a/source/core/config/settings.cpp
+++ b/source/core/config/settings.cpp
@@ -1,11 +1,6 @@
 #include "core/config/settings.h"
 
-#include <arpa/inet.h>
-
-#include <algorithm>
-#include <array>
-#include <charconv>
-
+#include "core/config/addresses.h"
 #include "core/config/toml_reader.h"
 
 namespace cuminpath::config {
@@ -13,32 +8,6 @@
 
 constexpr std::size_t k_max_settings_bytes = 64U << 10U;
 constexpr std::int64_t k_hour_ms = 3'600'000;
-constexpr std::array<std::string_view, 5> k_levels{"trace", "debug", "info", "warning", "error"};
-
-// True for a numeric IPv4 address or a bracketed IPv6 address with a port. Port 0 takes a free one.
-bool is_address(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return false;
-  }
-  std::array<unsigned char, sizeof(in6_addr)> bytes{};
-  const std::string ip = text.substr(0, colon);
-  if (ip.starts_with('[') && ip.ends_with(']')) {
-    return inet_pton(AF_INET6, ip.substr(1, ip.size() - 2).c_str(), bytes.data()) == 1;
-  }
-  return inet_pton(AF_INET, ip.c_str(), bytes.data()) == 1;
-}
-
-bool is_url(const std::string& text) {
-  constexpr std::string_view k_scheme = "http://";
-  return text.starts_with(k_scheme) && is_address(text.substr(k_scheme.size()));
-}
 
 class settings_reader {
 public:
@@ -165,14 +134,11 @@
     table_reader reader(*table, "log.", m_faults);
     reader.optional().read("level", value.level);
     reader.optional().read("subsystems", value.subsystems);
-    const auto known = [](const std::string& level) {
-      return std::find(k_levels.begin(), k_levels.end(), level) != k_levels.end();
-    };
-    if (!known(value.level)) {
+    if (!is_log_level(value.level)) {
       reader.add_error("level", "must be trace, debug, info, warning or error");
     }
     for (const auto& [subsystem, level] : value.subsystems) {
-      if (!known(level)) {
+      if (!is_log_level(level)) {
         reader.add_error("subsystems", subsystem + " must be trace, debug, info, warning or error");
       }
     }
--- /dev/null
+++ b/source/core/gateway/admission.cpp
@@ -0,0 +1,40 @@
+#include "core/gateway/admission.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminpath::gateway {
+namespace {
+
+// Fill of an engine up to which each rank is placed; later ranks use the last figure. Above 1 the engine
+// queues, in the order of urgency.
+constexpr std::array<double, 3> k_engine_fill{1.5, 1.25, 1.0};
+// A plain service runs a request in each slot and queues a few more.
+constexpr double k_service_fill = 2.5;
+// Bounds of Retry-After. Callers honour up to a third of the time that they have left.
+constexpr milliseconds k_min_retry_after{100};
+constexpr double k_max_share_of_time_left = 0.3;
+
+}  // namespace
+
+double max_fill(const admission_request& request) {
+  if (!request.engine) {
+    return k_service_fill;
+  }
+  return k_engine_fill.at(std::min<std::size_t>(request.rank, k_engine_fill.size() - 1));
+}
+
+milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
+                         const admission_request& request, random_source& random) {
+  const double places = std::max(1.0, max_fill(request) * totals.slots);
+  const double excess = std::max(0.0, totals.outstanding - places) + 1;
+  const double wait_ms = static_cast<double>(mean_service.count()) * excess / places;
+  const double most_ms = k_max_share_of_time_left * static_cast<double>(request.time_left.count());
+  // Spread over the second half, so that callers refused together don't come back together.
+  const double spread = 0.5 + std::uniform_real_distribution<double>(0, 0.5)(random);
+  const double least_ms = static_cast<double>(k_min_retry_after.count());
+  return milliseconds(
+      static_cast<std::int64_t>(std::clamp(wait_ms, least_ms, std::max(least_ms, most_ms)) * spread));
+}
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/attempt_policy.cpp
@@ -0,0 +1,34 @@
+#include "core/gateway/attempt_policy.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+bool may_try_another(attempt_end end, const attempt_facts& facts) {
+  if (!facts.upstream_left || facts.time_left < k_min_time_for_attempt) {
+    return false;
+  }
+  if (end == attempt_end::not_sent) {
+    return true;  // No upstream got it, so neither the budget nor the number of attempts is touched.
+  }
+  if (facts.sent >= facts.max_attempts || !facts.budget_left) {
+    return false;
+  }
+  return facts.repeatable || !facts.may_have_run;
+}
+
+}  // namespace
+
+next_step after_attempt(attempt_end end, const attempt_facts& facts) {
+  if (may_try_another(end, facts)) {
+    return next_step::try_another;
+  }
+  if (facts.caller_has_bytes) {
+    return next_step::break_off;
+  }
+  if (end == attempt_end::failed) {
+    return next_step::deliver_failure;
+  }
+  return facts.may_have_run ? next_step::fail : next_step::refuse;
+}
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/configuration.cpp
@@ -0,0 +1,61 @@
+#include "core/gateway/configuration.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cuminpath::gateway {
+namespace {
+
+std::string lower_host(std::string_view host) {
+  std::string out(host.substr(0, host.find(':')));
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return out;
+}
+
+}  // namespace
+
+void configuration::build_index() {
+  m_route_of_prefix.clear();
+  m_service_of_name.clear();
+  for (std::uint32_t i = 0; i < routes.size(); ++i) {
+    m_route_of_prefix.try_emplace(lower_host(routes[i].host) + routes[i].path_prefix, i);
+  }
+  for (std::uint32_t i = 0; i < services.size(); ++i) {
+    m_service_of_name.try_emplace(services[i].name, i);
+  }
+}
+
+const route* configuration::find_route(std::string_view host, std::string_view path) const {
+  // Host and prefix make up one key, so neither may reach into the other.
+  if (host.empty() || host.find('/') != std::string_view::npos || !path.starts_with('/')) {
+    return nullptr;
+  }
+  std::string key = lower_host(host);
+  const std::size_t host_size = key.size();
+  key.append(path);
+  // Prefixes end with a slash, so only those positions can match.
+  for (std::size_t end = key.rfind('/'); end != std::string::npos && end >= host_size;) {
+    key.resize(end + 1);
+    if (const auto found = m_route_of_prefix.find(key); found != m_route_of_prefix.end()) {
+      return &routes[found->second];
+    }
+    if (end == 0) {
+      break;
+    }
+    end = key.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const workspace* configuration::find_workspace(std::string_view key) const {
+  const auto found = workspace_of_key.find(std::string(key));
+  return found == workspace_of_key.end() ? nullptr : &workspaces[found->second];
+}
+
+const service* configuration::find_service(std::string_view name) const {
+  const auto found = m_service_of_name.find(std::string(name));
+  return found == m_service_of_name.end() ? nullptr : &services[found->second];
+}
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/configuration.h
@@ -0,0 +1,96 @@
+// The routing configuration that callers' requests are served under: one immutable version at a time.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/common/time.h"
+
+namespace cuminpath::gateway {
+
+enum class call_kind : std::uint8_t {
+  repeatable,    // May run more than once.
+  at_most_once,  // May run once for each attempt of the caller.
+  stream,        // Server-sent events; repeatable only where the route allows resuming.
+};
+
+struct service_share {
+  std::string service;
+  double weight = 1;
+};
+
+struct route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  call_kind kind = call_kind::at_most_once;
+  bool resumable = false;             // Streams only: may go on at another upstream after the last event.
+  bool is_public = false;             // Needs no key.
+  milliseconds timeout{30000};        // Longest time until the final answer.
+  milliseconds target_latency{1000};  // To the whole answer, or to the first event of a stream.
+  milliseconds event_gap{0};          // Longest pause between events of a punctual stream; 0 if none is set.
+  std::uint32_t rank = 0;             // 0 is the most urgent.
+  std::uint32_t max_attempts = 1;     // Upstreams that one attempt of the caller may be sent to.
+  std::vector<service_share> shares;  // At least one.
+
+  // True if a second upstream may get the request after the first may have run it.
+  [[nodiscard]] bool repeatable() const {
+    return kind == call_kind::repeatable || (kind == call_kind::stream && resumable);
+  }
+};
+
+// Published cost of an engine's passes; times in milliseconds.
+struct engine_cost {
+  double step_ms = 0;
+  double per_sequence_ms = 0;
+  double read_tokens_per_ms = 0;
+  std::uint32_t steps_per_pass = 1;
+};
+
+struct service {
+  std::string name;
+  std::uint32_t max_connections = 0;  // To one upstream, of all gateways together; 0 if not limited.
+  std::optional<engine_cost> engine;  // Absent for plain services.
+};
+
+struct caller_limits {
+  std::uint32_t max_header_bytes = 16U << 10U;
+  std::uint64_t max_body_bytes = 4U << 20U;
+  milliseconds header_timeout{10000};
+  milliseconds idle_timeout{60000};
+};
+
+struct workspace {
+  std::string name;
+  std::optional<std::uint32_t> rank;  // Goes before the rank of the route.
+};
+
+class configuration {
+public:
+  std::uint64_t version = 0;
+  std::vector<route> routes;
+  std::vector<service> services;
+  caller_limits limits;
+  std::vector<workspace> workspaces;
+  std::unordered_map<std::string, std::uint32_t> workspace_of_key;  // Index into `workspaces`.
+  bool keys_required = false;
+
+  // Builds the look-up tables; call it once after the members are filled.
+  void build_index();
+
+  // The route of that host with the longest prefix of `path`; null if none matches. A port in `host` is
+  // ignored.
+  [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
+  [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
+  [[nodiscard]] const service* find_service(std::string_view name) const;
+
+private:
+  std::unordered_map<std::string, std::uint32_t> m_route_of_prefix;  // Key: host and prefix.
+  std::unordered_map<std::string, std::uint32_t> m_service_of_name;
+};
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/member_list.cpp
@@ -0,0 +1,148 @@
+#include "core/gateway/member_list.h"
+
+#include <algorithm>
+
+#include "core/common/hash.h"
+#include "core/common/json.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+constexpr int k_format = 1;
+constexpr std::size_t k_max_loads = 512;
+
+}  // namespace
+
+std::string encode_report(const member_report& report) {
+  json loads = json::array();
+  for (std::size_t i = 0; i < std::min(report.loads.size(), k_max_loads); ++i) {
+    loads.push_back(report.loads[i].upstream_hash);
+    loads.push_back(report.loads[i].outstanding);
+  }
+  const json document =
+      json::array({k_format, report.name, report.incarnation, report.sequence, report.caller_address,
+                   report.report_address, report.mirror_address, report.availability_zone,
+                   static_cast<int>(report.state), report.mirror_version, std::move(loads)});
+  std::string bytes;
+  json::to_msgpack(document, bytes);
+  return bytes;
+}
+
+result<member_report> decode_report(std::string_view bytes) {
+  const json document = json::from_msgpack(bytes, true, false);
+  try {
+    if (!document.is_array() || document.size() != 11 || document[0] != k_format) {
+      return make_error(error_code::invalid_input, "not a report of a gateway");
+    }
+    member_report report;
+    report.name = document[1].get<std::string>();
+    report.incarnation = document[2].get<std::uint64_t>();
+    report.sequence = document[3].get<std::uint64_t>();
+    report.caller_address = document[4].get<std::string>();
+    report.report_address = document[5].get<std::string>();
+    report.mirror_address = document[6].get<std::string>();
+    report.availability_zone = document[7].get<std::string>();
+    const int state = document[8].get<int>();
+    if (state < 0 || state > static_cast<int>(member_state::leaving) || report.name.empty()) {
+      return make_error(error_code::invalid_input, "report of a gateway with an unknown state");
+    }
+    report.state = static_cast<member_state>(state);
+    report.mirror_version = document[9].get<std::uint64_t>();
+    const json& loads = document[10];
+    for (std::size_t i = 0; i + 1 < loads.size() && i < 2 * k_max_loads; i += 2) {
+      report.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
+    }
+    return report;
+  } catch (const json::exception& failure) {
+    return make_error(error_code::invalid_input, failure.what());
+  }
+}
+
+member_list::outcome member_list::on_report(member_report report, time_point now) {
+  const auto found = std::find_if(m_members.begin(), m_members.end(),
+                                  [&](const member& known) { return known.report.name == report.name; });
+  if (found == m_members.end()) {
+    m_members.push_back({std::move(report), now});
+    return outcome::joined;
+  }
+  const member_report& known = found->report;
+  const bool same = known.incarnation == report.incarnation;
+  if (same && report.sequence <= known.sequence) {
+    return outcome::ignored;
+  }
+  const bool joined = !alive(*found, now) || !same;
+  const bool changed = known.state != report.state;
+  found->report = std::move(report);
+  found->heard_at = now;
+  std::erase(m_reported_silent, found->report.name);
+  return joined ? outcome::joined : changed ? outcome::state_changed : outcome::known;
+}
+
+void member_list::on_row(member_report report) {
+  const auto found = std::find_if(m_members.begin(), m_members.end(),
+                                  [&](const member& known) { return known.report.name == report.name; });
+  if (found == m_members.end()) {
+    m_members.push_back({std::move(report), time_point{}});
+  } else if (found->heard_at == time_point{}) {
+    found->report = std::move(report);
+  }
+}
+
+std::vector<std::string> member_list::take_silent(time_point now) {
+  std::vector<std::string> names;
+  for (const member& known : m_members) {
+    const bool reported = std::find(m_reported_silent.begin(), m_reported_silent.end(), known.report.name) !=
+                          m_reported_silent.end();
+    if (known.heard_at != time_point{} && !alive(known, now) && !reported) {
+      names.push_back(known.report.name);
+      m_reported_silent.push_back(known.report.name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> member_list::take_forgotten(time_point now) {
+  std::vector<std::string> names;
+  std::erase_if(m_members, [&](const member& known) {
+    const bool forgotten = known.heard_at != time_point{} && now - known.heard_at > m_options.forgotten_after;
+    if (forgotten) {
+      names.push_back(known.report.name);
+      std::erase(m_reported_silent, known.report.name);
+    }
+    return forgotten;
+  });
+  return names;
+}
+
+std::vector<const member_list::member*> member_list::usable(std::string_view availability_zone,
+                                                            std::size_t limit, time_point now) const {
+  std::vector<const member*> found;
+  for (const member& known : m_members) {
+    if (known.report.state == member_state::ready && alive(known, now)) {
+      found.push_back(&known);
+    }
+  }
+  if (found.size() > limit) {
+    const auto order = [&](const member* value) {
+      return std::pair(value->report.availability_zone != availability_zone,
+                       rendezvous_weight(availability_zone, value->report.name));
+    };
+    std::sort(found.begin(), found.end(), [&](auto* a, auto* b) { return order(a) < order(b); });
+    found.resize(limit);
+  }
+  return found;
+}
+
+const member_list::member* member_list::newer_mirror(std::uint64_t version, time_point now,
+                                                     random_source& random) const {
+  const member* chosen = nullptr;
+  std::size_t seen = 0;
+  for (const member& known : m_members) {
+    if (alive(known, now) && known.report.mirror_version > version && random_index(random, ++seen) == 0) {
+      chosen = &known;
+    }
+  }
+  return chosen;
+}
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/upstream_table.cpp
@@ -0,0 +1,248 @@
+#include "core/gateway/upstream_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_set>
+
+#include "core/common/hash.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+// Failures of plain services are part of their answers; only broken connections and refusals count here, so
+// a few in a row show an upstream that is down.
+constexpr routing::ejection_options k_ejection{.consecutive_failures = 3,
+                                               .failure_rate = 0.5,
+                                               .min_samples = 8,
+                                               .base_duration = milliseconds{1000},
+                                               .max_duration = milliseconds{4000},
+                                               .trials_at_once = 1,
+                                               .trials_to_restore = 2};
+// Load that a request adds in another availability zone, in slots: enough to prefer the own zone at equal
+// load.
+constexpr double k_other_zone_slots = 0.5;
+// Each recent failure counts as this many requests, so that an upstream that fails at once attracts none.
+constexpr double k_failure_slots = 3;
+
+// Rows that vanish together without notice lapsed while the store was away, even if no call to it failed.
+constexpr std::size_t k_min_lapse = 3;
+constexpr double k_lapse_share = 0.3;
+
+std::uint32_t short_hash(std::string_view id) {
+  return static_cast<std::uint32_t>(hash64(id));
+}
+
+}  // namespace
+
+const upstream_table::upstream* upstream_table::find(std::string_view id) const {
+  const auto found = m_index.find(std::string(id));
+  return found == m_index.end() ? nullptr : &m_upstreams[found->second];
+}
+
+upstream_table::upstream* upstream_table::find_mutable(std::string_view id) {
+  const auto found = m_index.find(std::string(id));
+  return found == m_index.end() ? nullptr : &m_upstreams[found->second];
+}
+
+void upstream_table::add(const upstream_record& record) {
+  upstream added{.record = record, .hash = short_hash(record.id)};
+  for (const auto& [peer, loads] : m_peer_loads) {
+    for (const upstream_load& load : loads) {
+      added.peers += load.upstream_hash == added.hash ? load.outstanding : 0;
+    }
+  }
+  m_index.insert_or_assign(record.id, m_upstreams.size());
+  m_upstreams.push_back(std::move(added));
+}
+
+void upstream_table::erase_index(std::size_t index) {
+  m_index.erase(m_upstreams[index].record.id);
+  if (index + 1 != m_upstreams.size()) {
+    m_upstreams[index] = std::move(m_upstreams.back());
+    m_index.insert_or_assign(m_upstreams[index].record.id, index);
+  }
+  m_upstreams.pop_back();
+}
+
+std::vector<upstream_table::change> upstream_table::apply(std::span<const upstream_record> records,
+                                                          time_point now, bool store_disturbed) {
+  using kind = change::kind;
+  std::vector<change> changes;
+  std::unordered_set<std::string_view> listed;
+  for (const upstream_record& record : records) {
+    listed.insert(record.id);
+    upstream* known = find_mutable(record.id);
+    if (known == nullptr) {
+      add(record);
+      changes.push_back({kind::added, record.id});
+      continue;
+    }
+    known->removed_at.reset();
+    if (known->record == record) {
+      continue;
+    }
+    if (known->record.started_ms != record.started_ms || known->record.address != record.address) {
+      known->health = {};
+      changes.push_back({kind::restarted, record.id});
+    }
+    if (record.leaving && !known->record.leaving) {
+      changes.push_back({kind::leaving, record.id});
+    }
+    known->wrong_instance = false;
+    known->record = record;
+  }
+  const auto vanished = static_cast<std::size_t>(
+      std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const upstream& known) {
+        return !known.record.leaving && !known.removed_at && !listed.contains(known.record.id);
+      }));
+  const bool lapsed =
+      store_disturbed ||
+      (vanished >= k_min_lapse && vanished >= k_lapse_share * static_cast<double>(m_upstreams.size()));
+  for (std::size_t i = m_upstreams.size(); i-- > 0;) {
+    upstream& known = m_upstreams[i];
+    if (listed.contains(known.record.id) || known.removed_at) {
+      continue;
+    }
+    if (lapsed && !known.record.leaving) {
+      known.removed_at = now;
+      changes.push_back({kind::kept_after_lapse, known.record.id});
+    } else {
+      changes.push_back({kind::removed, known.record.id});
+      erase_index(i);
+    }
+  }
+  return changes;
+}
+
+std::vector<upstream_table::change> upstream_table::expire(time_point now) {
+  std::vector<change> changes;
+  for (std::size_t i = m_upstreams.size(); i-- > 0;) {
+    if (m_upstreams[i].removed_at && now - *m_upstreams[i].removed_at >= k_lapse_grace) {
+      changes.push_back({change::kind::removed, m_upstreams[i].record.id});
+      erase_index(i);
+    }
+  }
+  return changes;
+}
+
+const upstream_table::upstream* upstream_table::choose(std::string_view service,
+                                                       const choice_options& options, time_point now,
+                                                       random_source& random) const {
+  const upstream* best = nullptr;
+  double best_load = std::numeric_limits<double>::infinity();
+  std::uint64_t ties = 0;
+  for (const upstream& candidate : m_upstreams) {
+    const upstream_record& record = candidate.record;
+    if (record.service != service || record.leaving || candidate.wrong_instance ||
+        !candidate.health.usable(now, k_ejection)) {
+      continue;
+    }
+    if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
+      continue;
+    }
+    const double outstanding = candidate.own + candidate.peers;
+    if (outstanding >= options.max_fill * record.slots) {
+      continue;
+    }
+    const double distance = record.availability_zone == options.availability_zone ? 0 : k_other_zone_slots;
+    const double load =
+        (outstanding + distance + k_failure_slots * candidate.health.recent_failures(now)) / record.slots;
+    if (load < best_load) {
+      best = &candidate;
+      best_load = load;
+      ties = 1;
+    } else if (load == best_load && random_index(random, ++ties) == 0) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+void upstream_table::on_started(std::string_view id, time_point now) {
+  if (upstream* known = find_mutable(id)) {
+    ++known->own;
+    known->health.on_started(now);
+  }
+}
+
+void upstream_table::on_ended(std::string_view id) {
+  if (upstream* known = find_mutable(id)) {
+    known->own -= known->own > 0 ? 1 : 0;
+    known->health.on_ended();
+  }
+}
+
+void upstream_table::on_success(std::string_view id, time_point now) {
+  if (upstream* known = find_mutable(id)) {
+    known->health.on_success(now, k_ejection);
+  }
+}
+
+bool upstream_table::may_eject(std::string_view service, time_point now) const {
+  std::size_t total = 0;
+  std::size_t ejected = 0;
+  for (const upstream& known : m_upstreams) {
+    if (known.record.service == service && !known.record.leaving) {
+      ++total;
+      ejected += known.health.ejected(now) ? 1 : 0;
+    }
+  }
+  return static_cast<double>(ejected + 1) <= k_ejection.max_ejected_share * static_cast<double>(total);
+}
+
+void upstream_table::on_failure(std::string_view id, time_point now) {
+  if (upstream* known = find_mutable(id)) {
+    known->health.on_failure(now, k_ejection, may_eject(known->record.service, now));
+  }
+}
+
+void upstream_table::on_wrong_instance(std::string_view id) {
+  if (upstream* known = find_mutable(id)) {
+    known->wrong_instance = true;
+  }
+}
+
+void upstream_table::set_peer_loads(std::string_view peer, std::span<const upstream_load> loads) {
+  const auto adjust = [this](std::span<const upstream_load> list, bool add) {
+    for (const upstream_load& load : list) {
+      for (upstream& known : m_upstreams) {
+        if (known.hash == load.upstream_hash) {
+          known.peers =
+              add ? known.peers + load.outstanding : known.peers - std::min(known.peers, load.outstanding);
+        }
+      }
+    }
+  };
+  auto& stored = m_peer_loads[std::string(peer)];
+  adjust(stored, false);
+  adjust(loads, true);
+  if (loads.empty()) {
+    m_peer_loads.erase(std::string(peer));
+  } else {
+    stored.assign(loads.begin(), loads.end());
+  }
+}
+
+std::vector<upstream_load> upstream_table::own_loads() const {
+  std::vector<upstream_load> loads;
+  for (const upstream& known : m_upstreams) {
+    if (known.own > 0) {
+      loads.push_back({known.hash, known.own});
+    }
+  }
+  return loads;
+}
+
+upstream_table::service_totals upstream_table::totals(std::string_view service, time_point now) const {
+  service_totals sum;
+  for (const upstream& known : m_upstreams) {
+    if (known.record.service == service && !known.record.leaving && !known.health.ejected(now)) {
+      ++sum.upstreams;
+      sum.slots += known.record.slots;
+      sum.outstanding += known.own + known.peers;
+    }
+  }
+  return sum;
+}
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/gateway/upstream_table.h
@@ -0,0 +1,106 @@
+// Upstreams as the platform lists them, with the load and health that this gateway knows of.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/common/random.h"
+#include "core/common/time.h"
+#include "core/routing/ejection.h"
+
+namespace cuminpath::gateway {
+
+// One row of the platform's list.
+struct upstream_record {
+  std::string id;
+  std::string service;
+  std::string address;  // IP:PORT.
+  std::string availability_zone;
+  std::uint32_t slots = 1;
+  bool leaving = false;
+  std::uint64_t started_ms =
+      0;  // Unix time of the start; tells restarts under the same id apart. 0 if unknown.
+
+  bool operator==(const upstream_record&) const = default;
+};
+
+struct upstream_load {
+  std::uint32_t upstream_hash = 0;
+  std::uint32_t outstanding = 0;
+};
+
+// Time for which an upstream whose row lapsed during an outage of the store stays in use after the return
+// of the store: upstreams that live have written their rows again by then.
+constexpr milliseconds k_lapse_grace{2000};
+
+struct choice_options {
+  std::string_view availability_zone;     // Of this gateway.
+  std::span<const std::string> excluded;  // Ids that this request has been sent to.
+  // Most requests at one upstream, in its slots; upstreams at or above it are not chosen.
+  double max_fill = 1;
+};
+
+class upstream_table {
+public:
+  struct upstream {
+    upstream_record record;
+    std::uint32_t hash = 0;
+    std::uint32_t own = 0;    // Requests of this gateway that run or wait there.
+    std::uint32_t peers = 0;  // The same of other gateways, as last reported.
+    routing::ejection_state health;
+    bool wrong_instance = false;           // Another instance answers at the address.
+    std::optional<time_point> removed_at;  // The row is gone, but the upstream is kept until the grace ends.
+  };
+
+  struct change {
+    enum class kind : std::uint8_t { added, removed, leaving, restarted, kept_after_lapse } what;
+    std::string id;
+  };
+
+  // Replaces the list. `store_disturbed` says that the store was away shortly before `now`.
+  std::vector<change> apply(std::span<const upstream_record> records, time_point now, bool store_disturbed);
+  // Drops upstreams whose grace has ended.
+  std::vector<change> expire(time_point now);
+
+  // The upstream of `service` that is expected to serve a request soonest; null if there is none.
+  [[nodiscard]] const upstream* choose(std::string_view service, const choice_options& options,
+                                       time_point now, random_source& random) const;
+  [[nodiscard]] const upstream* find(std::string_view id) const;
+
+  void on_started(std::string_view id, time_point now);
+  void on_ended(std::string_view id);
+  void on_success(std::string_view id, time_point now);
+  void on_failure(std::string_view id, time_point now);
+  // The address answered as another instance: nothing more is sent there until the row changes.
+  void on_wrong_instance(std::string_view id);
+
+  // Replaces what the gateway `peer` reported; an empty list removes it.
+  void set_peer_loads(std::string_view peer, std::span<const upstream_load> loads);
+  [[nodiscard]] std::vector<upstream_load> own_loads() const;
+
+  struct service_totals {
+    std::uint32_t upstreams = 0;  // In service: neither leaving nor ejected.
+    std::uint32_t slots = 0;
+    std::uint32_t outstanding = 0;
+  };
+  [[nodiscard]] service_totals totals(std::string_view service, time_point now) const;
+  [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
+  [[nodiscard]] std::span<const upstream> all() const { return m_upstreams; }
+
+private:
+  upstream* find_mutable(std::string_view id);
+  void add(const upstream_record& record);
+  void erase_index(std::size_t index);
+  [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
+
+  std::vector<upstream> m_upstreams;
+  std::unordered_map<std::string, std::size_t> m_index;  // By id.
+  std::unordered_map<std::string, std::vector<upstream_load>> m_peer_loads;
+};
+
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/core/proxy/caller_connection.cpp
@@ -0,0 +1,337 @@
+#include "core/proxy/caller_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <cctype>
+
+#include <fmt/format.h>
+
+#include "core/proxy/socket_options.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+// Callers that send more than this while a request is being served are read again after its answer.
+constexpr std::size_t k_max_pipelined_bytes = 64U << 10U;
+// After the last answer, time for the caller to read it and close. Closing earlier resets the connection if
+// the caller has sent more, and the answer could be lost.
+constexpr milliseconds k_linger{1000};
+
+std::string_view reason_phrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+bool expects_continue(const http::header_list& headers) {
+  const auto value = http::find_header(headers, "Expect");
+  constexpr std::string_view k_continue = "100-continue";
+  return value && std::equal(value->begin(), value->end(), k_continue.begin(), k_continue.end(),
+                             [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
+}
+
+}  // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket, handlers callbacks, time_point now)
+    : m_socket(std::move(socket)),
+      m_handlers(std::move(callbacks)),
+      m_parser(message_parser::side::requests),
+      m_phase_since(now),
+      m_last_byte(now) {
+  m_parser.on_head = [this](message_head&& head) {
+    m_head_done = true;
+    m_keep_alive = head.keep_alive;
+    m_request.method = std::move(head.method);
+    m_request.target = std::move(head.target);
+    m_request.headers = std::move(head.headers);
+    if (expects_continue(m_request.headers)) {
+      append("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  };
+  m_parser.on_body = [this](std::string_view bytes) { m_request.body.append(bytes); };
+}
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::start() {
+  std::error_code ignored;
+  m_socket.non_blocking(true, ignored);
+  set_connection_options(m_socket);
+  m_limits = m_handlers.limits();
+  wait_readable();
+}
+
+void caller_connection::wait_readable() {
+  if (m_waiting || m_phase == phase::ended || m_pipelined.size() >= k_max_pipelined_bytes) {
+    return;
+  }
+  m_waiting = true;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+    self->m_waiting = false;
+    if (!error && self->m_phase != phase::ended) {
+      self->on_readable();
+    }
+  });
+}
+
+void caller_connection::on_readable() {
+  std::error_code error;
+  const auto buffer = read_buffer();
+  const std::size_t size = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    wait_readable();
+    return;
+  }
+  if (error) {
+    if (m_phase == phase::answering && m_handlers.gone) {
+      m_handlers.gone();
+    }
+    end();
+    return;
+  }
+  m_last_byte = clock::now();
+  if (m_phase == phase::answering) {
+    m_pipelined.append(buffer.data(), size);
+  } else if (m_phase != phase::lingering) {
+    consume({buffer.data(), size});
+  }
+  wait_readable();
+}
+
+void caller_connection::consume(std::string_view bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  if (m_phase == phase::idle) {
+    m_phase = phase::reading;
+    m_phase_since = m_last_byte;
+    m_limits = m_handlers.limits();
+    m_request = {};
+    m_head_done = false;
+    m_parser.start({.max_head_bytes = m_limits.max_header_bytes, .max_body_bytes = m_limits.max_body_bytes});
+  }
+  const auto outcome = m_parser.feed(bytes);
+  switch (outcome.status) {
+    case parse_status::need_more:
+      return;
+    case parse_status::complete:
+      m_pipelined.assign(bytes.substr(std::min(outcome.consumed, bytes.size())));
+      take_request();
+      return;
+    case parse_status::malformed:
+      reject(400, "malformed request");
+      return;
+    case parse_status::head_too_large:
+      reject(431, "header too large");
+      return;
+    case parse_status::body_too_large:
+      reject(413, "body too large");
+      return;
+  }
+}
+
+void caller_connection::take_request() {
+  m_phase = phase::answering;
+  const time_point arrived = m_phase_since;
+  m_phase_since = m_last_byte;
+  m_handlers.request(shared_from_this(), std::move(m_request), arrived);
+}
+
+void caller_connection::reject(int status, std::string_view reason) {
+  m_phase = phase::answering;
+  m_keep_alive = false;
+  respond({.status = status,
+           .headers = {{"Content-Type", "application/problem+json"}},
+           .body = fmt::format(R"({{"status":{},"reason":"{}","execution":"not_run"}})", status, reason)});
+}
+
+std::string caller_connection::head_text(int status, const http::header_list& headers) const {
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
+  for (const auto& [name, value] : headers) {
+    text += fmt::format("{}: {}\r\n", name, value);
+  }
+  if (m_closing || !m_keep_alive) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
+void caller_connection::respond(const http::response& answer) {
+  if (m_phase != phase::answering) {
+    return;
+  }
+  std::string text = head_text(answer.status, answer.headers);
+  if (answer.status != 204 && answer.status != 304 && !http::find_header(answer.headers, "Content-Length")) {
+    text += fmt::format("Content-Length: {}\r\n", answer.body.size());
+  }
+  text += "\r\n";
+  text += answer.body;
+  append(text);
+  finish_answer();
+}
+
+void caller_connection::begin_stream(int status, const http::header_list& headers) {
+  append(head_text(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void caller_connection::write_chunk(std::string_view bytes) {
+  if (!bytes.empty()) {
+    append(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
+  }
+}
+
+void caller_connection::end_stream() {
+  append("0\r\n\r\n");
+  finish_answer();
+}
+
+void caller_connection::abort() {
+  end();
+}
+
+void caller_connection::finish_answer() {
+  if (m_phase != phase::answering) {
+    return;
+  }
+  if (m_closing || !m_keep_alive) {
+    m_phase = phase::lingering;
+    m_phase_since = clock::now();
+    flush();
+    return;
+  }
+  m_phase = phase::idle;
+  m_phase_since = m_last_byte = clock::now();
+  if (m_pipelined.empty()) {
+    return;
+  }
+  // The next request is taken in a turn of its own, so that long pipelines don't recurse.
+  asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+    if (self->m_phase == phase::idle) {
+      const std::string bytes = std::exchange(self->m_pipelined, {});
+      self->consume(bytes);
+      self->wait_readable();
+    }
+  });
+}
+
+void caller_connection::append(std::string_view bytes) {
+  if (m_phase == phase::ended) {
+    return;
+  }
+  m_out.append(bytes);
+  // Pieces that are ready in the same turn leave in one write.
+  if (!m_flush_posted && !m_writing) {
+    m_flush_posted = true;
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+      self->m_flush_posted = false;
+      self->flush();
+    });
+  }
+}
+
+void caller_connection::flush() {
+  if (m_writing || m_phase == phase::ended) {
+    return;
+  }
+  if (m_out.empty()) {
+    if (m_phase == phase::lingering) {
+      linger();
+    } else if (m_phase == phase::answering && m_handlers.drained) {
+      m_handlers.drained();
+    }
+    return;
+  }
+  m_writing = true;
+  m_in_flight = std::exchange(m_out, {});
+  asio::async_write(m_socket, asio::buffer(m_in_flight),
+                    [self = shared_from_this()](std::error_code error, std::size_t /*size*/) {
+                      self->m_writing = false;
+                      self->m_in_flight.clear();
+                      if (!error) {
+                        self->flush();
+                      } else if (self->m_phase != phase::ended) {
+                        if (self->m_phase == phase::answering && self->m_handlers.gone) {
+                          self->m_handlers.gone();
+                        }
+                        self->end();
+                      }
+                    });
+}
+
+void caller_connection::linger() {
+  std::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void caller_connection::close_if_idle() {
+  if (m_phase == phase::idle) {
+    end();
+  }
+}
+
+void caller_connection::check_limits(time_point now) {
+  switch (m_phase) {
+    case phase::idle:
+      if (now - m_phase_since >= m_limits.idle_timeout) {
+        end();
+      }
+      return;
+    case phase::reading:
+      // A body may take longer than a head, as long as it makes progress.
+      if (now - (m_head_done ? m_last_byte : m_phase_since) >= m_limits.header_timeout) {
+        reject(408, "request not received in time");
+      }
+      return;
+    case phase::lingering:
+      if (now - m_phase_since >= k_linger && !m_writing) {
+        end();
+      }
+      return;
+    case phase::answering:
+    case phase::ended:
+      return;
+  }
+}
+
+void caller_connection::end() {
+  if (m_phase == phase::ended) {
+    return;
+  }
+  m_phase = phase::ended;
+  std::error_code ignored;
+  m_socket.close(ignored);
+  if (m_handlers.ended) {
+    m_handlers.ended(this);
+  }
+}
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/exchange.cpp
@@ -0,0 +1,676 @@
+#include "core/proxy/exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "core/gateway/admission.h"
+#include "core/proxy/socket_options.h"
+#include "core/telemetry/log.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using gateway::attempt_end;
+using gateway::call_kind;
+using gateway::next_step;
+using telemetry::log_level;
+
+// A connection within a region takes a few milliseconds; a lost first packet is sent again after 1 s.
+constexpr milliseconds k_connect_timeout{350};
+// Silence after which another upstream is tried, if one is free: three times the target, within bounds that
+// leave the caller time for a second attempt.
+constexpr int k_silence_targets = 3;
+constexpr milliseconds k_min_silence{500};
+constexpr milliseconds k_max_silence{1300};
+// Pause in a stream after which it is resumed elsewhere, in multiples of the pause that still counts as
+// punctual.
+constexpr int k_silence_gaps = 9;
+constexpr std::size_t k_max_answer_bytes = 16U << 20U;
+// A caller that is further behind is waited for before more is read from the upstream.
+constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
+constexpr milliseconds k_default_service_time{500};
+// Weight of the newest sample in the mean time of a request at an upstream.
+constexpr double k_service_time_weight = 0.1;
+constexpr std::uint32_t k_most_urgency = 9;
+
+bool same_name(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+// Headers that concern one connection only (RFC 9110, 7.6.1), and those that the sender of a body sets
+// itself.
+bool is_hop_header(std::string_view name) {
+  constexpr std::array<std::string_view, 10> k_names{
+      "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE",
+      "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",     "Expect"};
+  return std::any_of(k_names.begin(), k_names.end(),
+                     [&](std::string_view hop) { return same_name(hop, name); });
+}
+
+// True if the Connection header names `name`.
+bool named_by_connection(const http::header_list& headers, std::string_view name) {
+  for (const auto& [field, value] : headers) {
+    if (!same_name(field, "Connection")) {
+      continue;
+    }
+    std::string_view rest = value;
+    while (!rest.empty()) {
+      const std::size_t comma = rest.find(',');
+      std::string_view token = rest.substr(0, comma);
+      rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+      while (token.starts_with(' ')) {
+        token.remove_prefix(1);
+      }
+      while (token.ends_with(' ')) {
+        token.remove_suffix(1);
+      }
+      if (same_name(token, name)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+http::header_list end_to_end_headers(const http::header_list& headers) {
+  http::header_list kept;
+  for (const auto& header : headers) {
+    if (!is_hop_header(header.first) && !named_by_connection(headers, header.first)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+std::optional<std::int64_t> parse_integer(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  return parsed.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
+std::int64_t ms_between(time_point from, time_point to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+std::string_view kind_name(call_kind kind) {
+  switch (kind) {
+    case call_kind::repeatable:
+      return "repeatable";
+    case call_kind::at_most_once:
+      return "at_most_once";
+    case call_kind::stream:
+      return "stream";
+  }
+  return "";
+}
+
+std::string_view end_name(attempt_end end) {
+  switch (end) {
+    case attempt_end::not_sent:
+      return "not_sent";
+    case attempt_end::not_executed:
+      return "not_executed";
+    case attempt_end::broken:
+      return "broken";
+    case attempt_end::failed:
+      return "failed";
+    case attempt_end::silent:
+      return "silent";
+  }
+  return "";
+}
+
+}  // namespace
+
+exchange::exchange(proxy_state& state, std::shared_ptr<caller_connection> caller, http::request request,
+                   time_point arrived, std::function<void()> finished)
+    : m_state(state),
+      m_caller(std::move(caller)),
+      m_request(std::move(request)),
+      m_finished(std::move(finished)),
+      m_arrived(arrived),
+      m_deadline_timer(state.context),
+      m_silence_timer(state.context) {}
+
+exchange::~exchange() = default;
+
+milliseconds exchange::time_left(time_point now) const {
+  return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(m_deadline - now));
+}
+
+bool exchange::is_engine_call() const {
+  const gateway::service* service = m_configuration->find_service(m_service);
+  return service != nullptr && service->engine.has_value();
+}
+
+void exchange::start(time_point now) {
+  m_configuration = m_state.configuration;
+  m_deadline = now;
+  if (!m_configuration) {
+    refuse(503, "no configuration yet", now);
+    return;
+  }
+  if (!identify(now) || !authorize(now) || !choose_service(now)) {
+    return;
+  }
+  m_deadline_timer.expires_at(m_deadline);
+  m_deadline_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
+    if (!cancelled) {
+      self->on_deadline();
+    }
+  });
+  m_state.budget(m_service).on_first_attempt();
+  const auto* target = next_upstream(now);
+  if (target == nullptr) {
+    refuse(503, "no upstream has a free place", now);
+    return;
+  }
+  begin_attempt(*target, now);
+}
+
+bool exchange::identify(time_point now) {
+  const auto id = m_request.header(m_state.names.request_id);
+  m_request_id = std::string(id.value_or(""));
+  const auto host = m_request.header("Host");
+  m_route = m_configuration->find_route(host.value_or(""), m_request.path());
+  if (m_route == nullptr) {
+    respond_problem(404, "no route", "not_run", milliseconds{0});
+    finish("no_route", 404, "no route matches host and path");
+    return false;
+  }
+  if (m_request_id.empty()) {
+    respond_problem(400, "no request id", "not_run", milliseconds{0});
+    finish("no_request_id", 400, "the request has no id");
+    return false;
+  }
+  milliseconds left = m_route->timeout;
+  if (const auto stated = m_request.header(m_state.names.time_left_ms)) {
+    left = std::min(left,
+                    milliseconds(std::max<std::int64_t>(0, parse_integer(*stated).value_or(left.count()))));
+  }
+  m_deadline = m_arrived + left;
+  if (m_deadline <= now) {
+    refuse(503, "deadline has passed", now);
+    return false;
+  }
+  return true;
+}
+
+bool exchange::authorize(time_point /*now*/) {
+  m_rank = m_route->rank;
+  if (m_route->is_public || !m_configuration->keys_required) {
+    return true;
+  }
+  m_workspace = m_configuration->find_workspace(m_request.header(m_state.names.api_key).value_or(""));
+  if (m_workspace == nullptr) {
+    respond_problem(401, "unknown key", "not_run", milliseconds{0});
+    finish("unknown_key", 401, "no workspace has this key");
+    return false;
+  }
+  m_rank = m_workspace->rank.value_or(m_rank);
+  return true;
+}
+
+bool exchange::choose_service(time_point now) {
+  double total = 0;
+  for (const auto& share : m_route->shares) {
+    total += share.weight;
+  }
+  double point = std::uniform_real_distribution<double>(0, std::max(total, 1e-9))(m_state.random);
+  for (const auto& share : m_route->shares) {
+    m_service = share.service;
+    point -= share.weight;
+    if (point < 0) {
+      break;
+    }
+  }
+  if (m_service.empty()) {
+    refuse(503, "route has no service", now);
+    return false;
+  }
+  return true;
+}
+
+const gateway::upstream_table::upstream* exchange::next_upstream(time_point now) const {
+  const double fill =
+      gateway::max_fill({.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now)});
+  return m_state.upstreams.choose(
+      m_service, {.availability_zone = m_state.availability_zone, .excluded = m_tried, .max_fill = fill}, now,
+      m_state.random);
+}
+
+void exchange::begin_attempt(const gateway::upstream_table::upstream& target, time_point now) {
+  m_attempt.emplace();
+  m_attempt->upstream_id = target.record.id;
+  m_attempt->started = now;
+  m_tried.push_back(target.record.id);
+  const std::uint32_t load = target.own + target.peers;
+  m_state.upstreams.on_started(target.record.id, now);
+  telemetry::log(log_level::info, "request", "placed",
+                 {{"request", m_request_id},
+                  {"route", m_route->name},
+                  {"kind", kind_name(m_route->kind)},
+                  {"rank", static_cast<std::int64_t>(m_rank)},
+                  {"upstream", target.record.id},
+                  {"load", static_cast<std::int64_t>(load)},
+                  {"attempt", static_cast<std::int64_t>(m_tried.size())},
+                  {"resume_after", std::string_view(m_last_event_id)},
+                  {"time_left_ms", time_left(now).count()},
+                  {"configuration", static_cast<std::int64_t>(m_configuration->version)}});
+  // A kept connection may die with the request on it, and nobody can say then whether it has run.
+  if (m_route->repeatable()) {
+    m_attempt->link = m_state.links.take(target.record.id, now);
+  }
+  if (m_attempt->link) {
+    send_request(now);
+    return;
+  }
+  m_attempt->fresh_connection = true;
+  const auto peer = parse_endpoint(target.record.address);
+  if (!peer) {
+    end_attempt(attempt_end::not_sent, "upstream has no valid address");
+    return;
+  }
+  m_state.metrics.add("cuminpath_upstream_connections_total");
+  m_attempt->link = std::make_shared<upstream_link>(m_state.context, target.record.id);
+  m_attempt->link->connect(
+      *peer, std::min(k_connect_timeout, time_left(now) + milliseconds{1}),
+      [self = shared_from_this(), link = m_attempt->link.get()](std::string_view failure) {
+        if (self->m_attempt && self->m_attempt->link.get() == link) {
+          self->on_connected(failure);
+        }
+      });
+}
+
+void exchange::on_connected(std::string_view failure) {
+  const time_point now = clock::now();
+  if (!failure.empty()) {
+    end_attempt(attempt_end::not_sent, failure);
+    return;
+  }
+  send_request(now);
+}
+
+std::string exchange::request_text(const gateway::upstream_table::upstream& target, time_point now) const {
+  const gateway::header_names& names = m_state.names;
+  std::string text = fmt::format("{} {} HTTP/1.1\r\n", m_request.method, m_request.target);
+  const auto own = [&](std::string_view name) {
+    return same_name(name, names.api_key) || same_name(name, names.workspace) ||
+           same_name(name, names.target_instance) || same_name(name, names.urgency) ||
+           same_name(name, names.time_left_ms) ||
+           (!m_last_event_id.empty() && same_name(name, names.resume_after));
+  };
+  for (const auto& [name, value] : end_to_end_headers(m_request.headers)) {
+    if (!own(name)) {
+      text += fmt::format("{}: {}\r\n", name, value);
+    }
+  }
+  text +=
+      fmt::format("{}: {}\r\n{}: {}\r\n", names.time_left_ms,
+                  std::max<std::int64_t>(1, time_left(now).count()), names.target_instance, target.record.id);
+  if (m_workspace != nullptr) {
+    text += fmt::format("{}: {}\r\n", names.workspace, m_workspace->name);
+  }
+  if (is_engine_call()) {
+    text += fmt::format("{}: {}\r\n", names.urgency, std::min(m_rank, k_most_urgency));
+  }
+  if (!m_last_event_id.empty()) {
+    text += fmt::format("{}: {}\r\n", names.resume_after, m_last_event_id);
+  }
+  const bool had_body = m_request.header("Content-Length") || m_request.header("Transfer-Encoding");
+  if (!m_request.body.empty() || had_body) {
+    text += fmt::format("Content-Length: {}\r\n", m_request.body.size());
+  }
+  text += "\r\n";
+  text += m_request.body;
+  return text;
+}
+
+void exchange::send_request(time_point now) {
+  const auto* target = m_state.upstreams.find(m_attempt->upstream_id);
+  if (target == nullptr || target->record.leaving) {
+    end_attempt(attempt_end::not_sent, "upstream left while the connection was being made");
+    return;
+  }
+  m_attempt->sent = true;
+  ++m_sent;
+  m_splitter.reset();
+  const auto self = shared_from_this();
+  const auto* link = m_attempt->link.get();
+  const auto current = [self, link] { return self->m_attempt && self->m_attempt->link.get() == link; };
+  link_events events;
+  events.head = [self, current](message_head&& head) {
+    if (current()) {
+      self->on_head(std::move(head));
+    }
+  };
+  events.body = [self, current](std::string_view bytes) {
+    if (current()) {
+      self->on_body(bytes);
+    }
+  };
+  events.end = [self, current] {
+    if (current()) {
+      self->on_answer_end();
+    }
+  };
+  events.broken = [self, current](bool reset, std::string_view reason) {
+    if (current()) {
+      self->on_broken(reset, reason);
+    }
+  };
+  m_attempt->link->send(request_text(*target, now), m_state.names.request_id, m_request_id,
+                        m_request.method == "HEAD", std::move(events));
+  m_last_event = now;
+  arm_silence_timer();
+}
+
+void exchange::on_head(message_head&& head) {
+  m_attempt->head = std::move(head);
+  const message_head& kept = *m_attempt->head;
+  m_attempt->streamed = m_route->kind == call_kind::stream && kept.status == 200 &&
+                        http::find_header(kept.headers, m_state.names.stamp).has_value() &&
+                        http::find_header(kept.headers, m_state.names.request_id).has_value();
+}
+
+void exchange::on_body(std::string_view bytes) {
+  if (!m_attempt->streamed) {
+    m_attempt->body.append(bytes);
+    if (m_attempt->body.size() > k_max_answer_bytes) {
+      end_attempt(attempt_end::broken, "answer is too large");
+    }
+    return;
+  }
+  m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
+  if (m_attempt && m_caller->unsent_bytes() > k_max_unsent_bytes) {
+    m_attempt->link->pause_reading();
+  }
+}
+
+void exchange::forward_event(const gateway::event_splitter::event& event) {
+  if (m_done) {
+    return;
+  }
+  m_last_event = clock::now();
+  if (!m_answer_begun) {
+    m_answer_begun = true;
+    m_first_byte = m_last_event;
+    m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
+  }
+  ++m_attempt->events;
+  m_caller->write_chunk(event.bytes);
+  if (!event.id.empty()) {
+    m_last_event_id = event.id;
+  }
+}
+
+void exchange::on_answer_end() {
+  message_head& head = *m_attempt->head;
+  if (head.status == 421 || http::find_header(head.headers, m_state.names.not_executed)) {
+    if (head.status == 421) {
+      m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
+    }
+    end_attempt(attempt_end::not_executed, fmt::format("upstream answered {}", head.status));
+    return;
+  }
+  const bool own_answer = http::find_header(head.headers, m_state.names.stamp) &&
+                          http::find_header(head.headers, m_state.names.request_id) &&
+                          !http::find_header(head.headers, "Content-Encoding");
+  if (!own_answer) {
+    end_attempt(attempt_end::broken, fmt::format("answer {} is not the upstream's own", head.status));
+    return;
+  }
+  if (head.status >= 500) {
+    m_failure.emplace(head, m_attempt->body);
+    end_attempt(attempt_end::failed, fmt::format("upstream answered {}", head.status));
+    return;
+  }
+  m_state.upstreams.on_success(m_attempt->upstream_id, clock::now());
+  if (!m_attempt->streamed) {
+    deliver_whole();
+    return;
+  }
+  if (m_splitter.pending() > 0) {
+    end_attempt(attempt_end::broken, "stream ended inside an event");
+    return;
+  }
+  if (!m_answer_begun) {
+    m_caller->begin_stream(head.status, end_to_end_headers(head.headers));
+  }
+  release_attempt(true);
+  m_caller->end_stream();
+  finish("served", 200, "");
+}
+
+void exchange::deliver_whole() {
+  const message_head head = std::move(*m_attempt->head);
+  std::string body = std::move(m_attempt->body);
+  release_attempt(true);
+  m_first_byte = clock::now();
+  http::response answer{
+      .status = head.status, .headers = end_to_end_headers(head.headers), .body = std::move(body)};
+  if (m_request.method == "HEAD") {
+    if (const auto length = http::find_header(head.headers, "Content-Length")) {
+      answer.headers.emplace_back("Content-Length", *length);
+    }
+  }
+  const int status = answer.status;
+  m_caller->respond(answer);
+  finish(status < 400 ? "served" : "upstream_failure", status, "");
+}
+
+void exchange::on_broken(bool /*reset*/, std::string_view reason) {
+  end_attempt(attempt_end::broken, reason);
+}
+
+void exchange::release_attempt(bool keep_link) {
+  m_silence_timer.cancel();
+  const time_point now = clock::now();
+  m_state.upstreams.on_ended(m_attempt->upstream_id);
+  if (m_attempt->link) {
+    if (keep_link) {
+      m_state.links.give_back(m_attempt->link, now);
+      auto& mean = m_state.mean_service_times.try_emplace(m_service, k_default_service_time).first->second;
+      const double sample = static_cast<double>(ms_between(m_attempt->started, now));
+      mean = milliseconds(static_cast<std::int64_t>(
+          (1 - k_service_time_weight) * static_cast<double>(mean.count()) + k_service_time_weight * sample));
+    } else {
+      m_attempt->link->close();
+    }
+  }
+  m_attempt.reset();
+}
+
+void exchange::end_attempt(attempt_end end, std::string_view reason_view) {
+  const std::string reason(reason_view);
+  const time_point now = clock::now();
+  const std::string upstream_id = m_attempt->upstream_id;
+  const bool sent = m_attempt->sent;
+  const bool link_sound = end == attempt_end::not_executed || end == attempt_end::failed;
+  m_state.upstreams.on_failure(upstream_id, now);
+  release_attempt(link_sound);
+  m_may_have_run =
+      m_may_have_run || (sent && end != attempt_end::not_sent && end != attempt_end::not_executed);
+  const auto* target = next_upstream(now);
+  gateway::attempt_facts facts{.repeatable = m_route->repeatable(),
+                               .caller_has_bytes = m_answer_begun,
+                               .may_have_run = m_may_have_run,
+                               .sent = m_sent,
+                               .max_attempts = m_route->max_attempts,
+                               .budget_left = m_state.budget(m_service).available(),
+                               .upstream_left = target != nullptr,
+                               .time_left = time_left(now)};
+  const next_step step = gateway::after_attempt(end, facts);
+  telemetry::log(log_level::info, "request", "attempt ended",
+                 {{"request", m_request_id},
+                  {"upstream", upstream_id},
+                  {"end", end_name(end)},
+                  {"reason", std::string_view(reason)},
+                  {"may_have_run", m_may_have_run},
+                  {"sent", static_cast<std::int64_t>(m_sent)},
+                  {"budget_left", facts.budget_left},
+                  {"upstream_left", facts.upstream_left},
+                  {"retry", step == next_step::try_another}});
+  m_state.metrics.add("cuminpath_attempts_failed_total", {{"end", std::string(end_name(end))}});
+  switch (step) {
+    case next_step::try_another:
+      if (end != attempt_end::not_sent) {
+        m_state.budget(m_service).try_take();
+      }
+      begin_attempt(*target, now);
+      return;
+    case next_step::deliver_failure:
+      break;
+    case next_step::refuse:
+      refuse(503, reason, now);
+      return;
+    case next_step::fail:
+      if (!m_failure) {
+        fail(502, reason);
+        return;
+      }
+      break;
+    case next_step::break_off:
+      m_caller->abort();
+      finish("broken_off", 0, reason);
+      return;
+  }
+  m_caller->respond({.status = m_failure->first.status,
+                     .headers = end_to_end_headers(m_failure->first.headers),
+                     .body = m_failure->second});
+  finish("upstream_failure", m_failure->first.status, reason);
+}
+
+void exchange::arm_silence_timer() {
+  if (!m_route->repeatable() || m_sent >= m_route->max_attempts) {
+    return;
+  }
+  milliseconds silence =
+      std::clamp(k_silence_targets * m_route->target_latency, k_min_silence, k_max_silence);
+  if (m_attempt->events > 0 && m_route->event_gap.count() > 0) {
+    silence = std::min(silence, k_silence_gaps * m_route->event_gap);
+  }
+  m_silence_timer.expires_at(m_last_event + silence);
+  m_silence_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
+    if (!cancelled && self->m_attempt) {
+      self->on_silence();
+    }
+  });
+}
+
+void exchange::on_silence() {
+  const time_point now = clock::now();
+  // Events since the timer was set move the time on.
+  if (m_silence_timer.expiry() < m_last_event + k_min_silence && m_attempt->events > 0) {
+    arm_silence_timer();
+    return;
+  }
+  if (next_upstream(now) != nullptr && m_state.budget(m_service).available()) {
+    end_attempt(attempt_end::silent, "no answer in time");
+  }
+}
+
+void exchange::on_deadline() {
+  if (m_done) {
+    return;
+  }
+  if (m_attempt) {
+    m_may_have_run = m_may_have_run || m_attempt->sent;
+    release_attempt(false);
+  }
+  if (m_answer_begun) {
+    m_caller->abort();
+    finish("broken_off", 0, "timeout of the route or the caller");
+  } else if (m_may_have_run) {
+    fail(504, "timeout of the route or the caller");
+  } else {
+    refuse(503, "timeout before an upstream got the request", clock::now());
+  }
+}
+
+void exchange::on_caller_gone(time_point /*now*/) {
+  if (m_done) {
+    return;
+  }
+  if (m_attempt) {
+    release_attempt(false);
+  }
+  finish("caller_gone", 0, "the caller closed the connection");
+}
+
+void exchange::on_caller_drained() {
+  if (m_attempt && m_attempt->link) {
+    m_attempt->link->resume_reading();
+  }
+}
+
+void exchange::refuse(int status, std::string_view reason, time_point now) {
+  milliseconds wait{1000};
+  if (!m_service.empty()) {
+    const auto mean = m_state.mean_service_times.find(m_service);
+    wait = gateway::retry_after(
+        m_state.upstreams.totals(m_service, now),
+        mean == m_state.mean_service_times.end() ? k_default_service_time : mean->second,
+        {.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now)}, m_state.random);
+  }
+  respond_problem(status, reason, "not_run", wait);
+  finish("refused", status, reason);
+}
+
+void exchange::fail(int status, std::string_view reason) {
+  respond_problem(status, reason, "unknown", milliseconds{0});
+  finish("failed", status, reason);
+}
+
+void exchange::respond_problem(int status, std::string_view reason, std::string_view execution,
+                               milliseconds retry_after) {
+  http::response answer{.status = status, .headers = {{"Content-Type", "application/problem+json"}}};
+  if (!m_request_id.empty()) {
+    answer.headers.emplace_back(m_state.names.request_id, m_request_id);
+  }
+  if (retry_after.count() > 0) {
+    answer.headers.emplace_back("Retry-After",
+                                fmt::format("{:.3f}", static_cast<double>(retry_after.count()) / 1000));
+  }
+  answer.body = fmt::format(R"({{"status":{},"reason":"{}","execution":"{}"}})", status, reason, execution);
+  m_caller->respond(answer);
+}
+
+void exchange::finish(std::string_view outcome, int status, std::string_view reason) {
+  if (m_done) {
+    return;
+  }
+  m_done = true;
+  m_deadline_timer.cancel();
+  m_silence_timer.cancel();
+  const time_point now = clock::now();
+  const std::string_view kind = m_route == nullptr ? std::string_view("none") : kind_name(m_route->kind);
+  telemetry::log(log_level::info, "request", "ended",
+                 {{"request", m_request_id},
+                  {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name)},
+                  {"outcome", outcome},
+                  {"status", static_cast<std::int64_t>(status)},
+                  {"reason", reason},
+                  {"attempts", static_cast<std::int64_t>(m_tried.size())},
+                  {"first_byte_ms", m_first_byte ? ms_between(m_arrived, *m_first_byte) : std::int64_t{-1}},
+                  {"total_ms", ms_between(m_arrived, now)}});
+  m_state.metrics.add("cuminpath_requests_total",
+                      {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
+  if (m_first_byte) {
+    m_state.metrics.observe("cuminpath_first_byte_seconds",
+                            std::chrono::duration<double>(*m_first_byte - m_arrived).count(),
+                            {{"kind", std::string(kind)}});
+  }
+  if (const auto finished = std::exchange(m_finished, nullptr)) {
+    finished();
+  }
+}
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/gateway_process.cpp
@@ -0,0 +1,600 @@
+#include "core/proxy/gateway_process.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <unordered_set>
+
+#include <fmt/format.h>
+
+#include "core/common/hash.h"
+#include "core/http/server.h"
+#include "core/proxy/caller_connection.h"
+#include "core/proxy/exchange.h"
+#include "core/proxy/member_channel.h"
+#include "core/proxy/proxy_state.h"
+#include "core/proxy/socket_options.h"
+#include "core/telemetry/log.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using telemetry::log_level;
+
+constexpr milliseconds k_tick_interval{50};
+// A tick that is later than this shows that the process or its host stood still.
+constexpr milliseconds k_pause_threshold{1000};
+// The longest list of addresses that a caller uses.
+constexpr std::size_t k_max_directory_addresses = 64;
+// Gateways that get reports; bounds the messages of a gateway in a large fleet.
+constexpr std::size_t k_max_report_receivers = 64;
+// The store counts as disturbed for this long after a call to it failed.
+constexpr milliseconds k_store_disturbance{4000};
+// Without an answer of the store for this long, a newer mirror of another gateway is read.
+constexpr milliseconds k_mirror_after{700};
+constexpr milliseconds k_mirror_interval{400};
+constexpr milliseconds k_mirror_timeout{600};
+// A planned stop: callers hold addresses for a while and some hold them three times as long.
+constexpr int k_address_lifetimes_after_stop = 3;
+constexpr milliseconds k_stop_margin{400};  // Before the platform kills the process.
+constexpr std::string_view k_mirror_path = "/mirror";
+// Share of the retries allowed to all gateways that they use; the rest covers gateways that have just
+// restarted.
+constexpr double k_retry_share = 0.5;
+constexpr double k_initial_retries = 5;
+
+std::int64_t boot_time_ms() {
+  timespec now{};
+  static_cast<void>(::clock_gettime(CLOCK_BOOTTIME, &now));
+  return static_cast<std::int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
+}
+
+std::string_view change_name(gateway::upstream_table::change::kind kind) {
+  using change = gateway::upstream_table::change::kind;
+  switch (kind) {
+    case change::added:
+      return "added";
+    case change::removed:
+      return "removed";
+    case change::leaving:
+      return "leaving";
+    case change::restarted:
+      return "restarted";
+    case change::kept_after_lapse:
+      return "kept after lapse";
+  }
+  return "";
+}
+
+class gateway_process {
+public:
+  gateway_process(const config::gateway_settings& settings, std::string settings_file,
+                  const platform_factory& make_platform)
+      : m_settings(settings),
+        m_settings_file(std::move(settings_file)),
+        m_state(m_context),
+        m_client(m_context),
+        m_platform(make_platform(m_client, settings)),
+        m_members({.silent_after = 4 * settings.report_interval}),
+        m_acceptor(m_context),
+        m_tick(m_context),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
+    m_state.random.seed(std::random_device{}());
+    m_state.names = m_platform->header_names();
+    m_state.availability_zone = settings.availability_zone;
+    m_self = {.name = settings.name,
+              .incarnation = m_state.random() >> 1U,
+              .caller_address = settings.address,
+              .report_address = settings.report_address,
+              .mirror_address = settings.mirror_address,
+              .availability_zone = settings.availability_zone};
+    update_retry_limits();
+  }
+
+  int run() {
+    const time_point now = clock::now();
+    if (!listen()) {
+      return 1;
+    }
+    telemetry::log(log_level::info, "process", "started",
+                   {{"address", m_settings.address}, {"availability_zone", m_settings.availability_zone}});
+    m_platform->start(m_mirror, {.changed = [this] { on_mirror_changed(clock::now()); },
+                                 .contact =
+                                     [this](bool answered, std::string_view reason) {
+                                       on_store_contact(answered, reason, clock::now());
+                                     }});
+    m_platform->announce(m_self);
+    m_last_tick = now;
+    m_last_boot_ms = boot_time_ms();
+    wait_signal();
+    schedule_tick();
+    m_context.run();
+    telemetry::log(log_level::info, "process", "stopped", {});
+    return 0;
+  }
+
+private:
+  bool listen() {
+    const auto endpoint = parse_endpoint(m_settings.address);
+    std::error_code failure;
+    m_acceptor.open(endpoint->protocol(), failure);
+    if (!failure) {
+      m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failure);
+      m_acceptor.bind(*endpoint, failure);
+    }
+    if (!failure) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+      telemetry::log(log_level::error, "process", "address cannot be bound",
+                     {{"address", m_settings.address}, {"reason", failure.message()}});
+      return false;
+    }
+    auto channel = member_channel::open(
+        m_context, m_settings.report_address,
+        [this](gateway::member_report report) { on_report(std::move(report), clock::now()); });
+    if (!channel) {
+      telemetry::log(log_level::error, "process", "address cannot be bound",
+                     {{"reason", channel.error().message}});
+      return false;
+    }
+    m_channel = std::move(channel.value());
+    const bool bound =
+        serve(m_settings.ready_address, m_platform->ready_path(),
+              [this](const http::request&) {
+                return http::response{.status = m_self.state == gateway::member_state::ready ? 200 : 503};
+              }) &&
+        serve(m_settings.directory_address, m_platform->directory_path(),
+              [this](const http::request&) { return directory_answer(clock::now()); }) &&
+        serve(m_settings.mirror_address, k_mirror_path, [this](const http::request&) {
+          return http::response{.status = 200, .body = m_mirror.snapshot()};
+        });
+    if (!bound) {
+      return false;
+    }
+    if (!m_settings.metrics_address.empty() &&
+        !serve(m_settings.metrics_address, "/metrics", [this](const auto&) {
+          return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                                .body = metrics_text()};
+        })) {
+      return false;
+    }
+    accept();
+    return true;
+  }
+
+  using page = std::function<http::response(const http::request&)>;
+  bool serve(const std::string& address, std::string_view path, page answer) {
+    auto started = http::server::start(
+        m_context, {.address = address},
+        [path = std::string(path), answer = std::move(answer)](const http::request& request,
+                                                               const std::shared_ptr<http::responder>& out) {
+          out->respond(request.path() == path ? answer(request) : http::response{.status = 404});
+        });
+    if (!started) {
+      telemetry::log(log_level::error, "process", "address cannot be bound",
+                     {{"address", address}, {"reason", started.error().message}});
+      return false;
+    }
+    m_servers.push_back(std::move(started.value()));
+    return true;
+  }
+
+  void accept() {
+    m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+      if (!m_acceptor.is_open()) {
+        return;
+      }
+      if (!error) {
+        add_connection(std::move(socket), clock::now());
+      }
+      accept();
+    });
+  }
+
+  void add_connection(asio::ip::tcp::socket socket, time_point now) {
+    // The exchange under way on a connection; the connection's callbacks reach it through this slot.
+    auto current = std::make_shared<std::shared_ptr<exchange>>();
+    caller_connection::handlers callbacks;
+    callbacks.request = [this, current](const std::shared_ptr<caller_connection>& caller,
+                                        http::request request, time_point arrived) {
+      const auto started =
+          std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, current] {
+            --m_exchanges;
+            current->reset();
+          });
+      ++m_exchanges;
+      *current = started;
+      started->start(clock::now());
+    };
+    callbacks.gone = [current] {
+      if (const auto active = *current) {
+        active->on_caller_gone(clock::now());
+      }
+    };
+    callbacks.drained = [current] {
+      if (const auto active = *current) {
+        active->on_caller_drained();
+      }
+    };
+    callbacks.ended = [this](caller_connection* ended) { m_ended.push_back(ended); };
+    callbacks.limits = [this] {
+      return m_state.configuration ? m_state.configuration->limits : gateway::caller_limits{};
+    };
+    auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks), now);
+    if (m_self.state == gateway::member_state::leaving) {
+      connection->close_after_answer();
+    }
+    m_connections.emplace(connection.get(), connection);
+    connection->start();
+  }
+
+  http::response directory_answer(time_point now) const {
+    if (m_self.state == gateway::member_state::starting) {
+      return {.status = 503};
+    }
+    std::vector<std::string> addresses;
+    const bool self_usable = m_self.state == gateway::member_state::ready;
+    for (const auto* member : m_members.usable(m_settings.availability_zone,
+                                               k_max_directory_addresses - (self_usable ? 1 : 0), now)) {
+      addresses.push_back(member->report.caller_address);
+    }
+    if (self_usable || addresses.empty()) {
+      addresses.push_back(m_settings.address);
+    }
+    return {.headers = {{"Content-Type", "application/json"}},
+            .body = m_platform->directory_answer(addresses, m_settings.directory_ttl)};
+  }
+
+  std::string metrics_text() {
+    auto& metrics = m_state.metrics;
+    metrics.set("cuminpath_caller_connections", static_cast<double>(m_connections.size()));
+    metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_exchanges));
+    metrics.set("cuminpath_idle_upstream_connections", static_cast<double>(m_state.links.idle()));
+    metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
+    metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
+    metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
+    return metrics.prometheus_text();
+  }
+
+  // Store and configuration.
+
+  void on_store_contact(bool answered, std::string_view reason, time_point now) {
+    if (answered) {
+      m_store_answered = now;
+    } else {
+      m_store_failed = now;
+    }
+    if (answered != m_store_reachable) {
+      m_store_reachable = answered;
+      telemetry::log(
+          log_level::warning, "store", answered ? "store answers again" : "store does not answer",
+          {{"reason", reason}, {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
+      m_state.metrics.add("cuminpath_store_contact_changes_total", {{"to", answered ? "answers" : "silent"}});
+    }
+  }
+
+  void on_mirror_changed(time_point now) {
+    apply_configuration();
+    apply_upstreams(now);
+    for (auto& row : m_platform->read_members(m_mirror)) {
+      if (row.name != m_self.name) {
+        m_members.on_row(std::move(row));
+      }
+    }
+    if (m_self.state == gateway::member_state::starting && m_state.configuration &&
+        m_state.upstreams.size() > 0) {
+      m_self.state = gateway::member_state::ready;
+      telemetry::log(log_level::info, "process", "ready",
+                     {{"configuration", static_cast<std::int64_t>(m_state.configuration->version)},
+                      {"upstreams", static_cast<std::int64_t>(m_state.upstreams.size())}});
+      send_report(now);
+    }
+  }
+
+  void apply_configuration() {
+    auto read = m_platform->read_configuration(m_mirror);
+    if (!read) {
+      telemetry::log(log_level::error, "configuration", "configuration cannot be read",
+                     {{"reason", read.error().message}});
+      return;
+    }
+    const auto& next = read.value();
+    // Versions only move forward within a process.
+    if (!next || (m_state.configuration && next->version <= m_state.configuration->version)) {
+      return;
+    }
+    telemetry::log(
+        log_level::info, "configuration", "configuration in force",
+        {{"version", static_cast<std::int64_t>(next->version)},
+         {"before", static_cast<std::int64_t>(m_state.configuration ? m_state.configuration->version : 0)},
+         {"routes", static_cast<std::int64_t>(next->routes.size())},
+         {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())}});
+    m_state.configuration = next;
+  }
+
+  void apply_upstreams(time_point now) {
+    std::size_t skipped = 0;
+    const auto records = m_platform->read_upstreams(m_mirror, skipped);
+    if (skipped != m_skipped_rows) {
+      m_skipped_rows = skipped;
+      telemetry::log(log_level::warning, "upstreams", "rows skipped that name no upstream",
+                     {{"rows", static_cast<std::int64_t>(skipped)}});
+    }
+    const bool disturbed = !m_store_reachable || now - m_store_failed < k_store_disturbance;
+    log_changes(m_state.upstreams.apply(records, now, disturbed));
+  }
+
+  void log_changes(const std::vector<gateway::upstream_table::change>& changes) {
+    using kind = gateway::upstream_table::change::kind;
+    for (const auto& change : changes) {
+      if (change.what != kind::added && change.what != kind::kept_after_lapse) {
+        m_state.links.drop(change.id);
+      }
+      telemetry::log(log_level::info, "upstreams", change_name(change.what),
+                     {{"upstream", change.id},
+                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())},
+                      {"store_answers", m_store_reachable}});
+    }
+  }
+
+  // A gateway that the store turns away reads the mirror of one that knows more.
+  void read_other_mirror(time_point now) {
+    if (m_reading_mirror || now - m_mirror_read < k_mirror_interval ||
+        now - m_store_answered < k_mirror_after) {
+      return;
+    }
+    std::string address;
+    if (const auto* newer = m_members.newer_mirror(m_mirror.content_version(), now, m_state.random)) {
+      address = newer->report.mirror_address;
+    } else if (m_self.state == gateway::member_state::starting && !m_settings.seeds.empty()) {
+      address = m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())];
+    }
+    if (address.empty() || address == m_settings.mirror_address) {
+      return;
+    }
+    m_reading_mirror = true;
+    m_mirror_read = now;
+    m_client.call(
+        "http://" + address, {.target = std::string(k_mirror_path)},
+        {.timeout = k_mirror_timeout, .connect_timeout = k_mirror_timeout, .never_reuse_connection = true},
+        [this, address](const http::client::whole_response& answer) {
+          m_reading_mirror = false;
+          if (!answer.failure && answer.value.status == 200) {
+            take_mirror(address, answer.value.body);
+          }
+        });
+  }
+
+  void take_mirror(const std::string& address, std::string_view bytes) {
+    const auto merged = m_mirror.merge(bytes);
+    if (!merged) {
+      telemetry::log(log_level::warning, "store", "mirror of another gateway cannot be read",
+                     {{"address", address}, {"reason", merged.error().message}});
+      return;
+    }
+    if (merged.value()) {
+      telemetry::log(
+          log_level::info, "store", "mirror of another gateway taken",
+          {{"address", address}, {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
+      on_mirror_changed(clock::now());
+    }
+  }
+
+  // Members.
+
+  void on_report(gateway::member_report report, time_point now) {
+    if (report.name == m_self.name) {
+      return;
+    }
+    m_state.upstreams.set_peer_loads(report.name, report.loads);
+    const std::string name = report.name;
+    const auto state = report.state;
+    switch (m_members.on_report(std::move(report), now)) {
+      case gateway::member_list::outcome::ignored:
+      case gateway::member_list::outcome::known:
+        return;
+      case gateway::member_list::outcome::joined:
+        telemetry::log(log_level::info, "members", "gateway joined", {{"name", name}});
+        update_retry_limits();
+        return;
+      case gateway::member_list::outcome::state_changed:
+        telemetry::log(log_level::info, "members", "gateway changed state",
+                       {{"name", name}, {"state", static_cast<std::int64_t>(state)}});
+        return;
+    }
+  }
+
+  void send_report(time_point now) {
+    ++m_self.sequence;
+    m_self.mirror_version = m_mirror.content_version();
+    m_self.loads = m_state.upstreams.own_loads();
+    std::vector<std::string> receivers;
+    for (const auto& member : m_members.all()) {
+      receivers.push_back(member.report.report_address);
+    }
+    if (receivers.size() > k_max_report_receivers) {
+      std::sort(receivers.begin(), receivers.end(), [this](const std::string& a, const std::string& b) {
+        return rendezvous_weight(m_self.name, a) > rendezvous_weight(m_self.name, b);
+      });
+      receivers.resize(k_max_report_receivers);
+    }
+    m_channel->send(m_self, receivers);
+    m_last_report = now;
+  }
+
+  void update_members(time_point now) {
+    for (const std::string& name : m_members.take_silent(now)) {
+      telemetry::log(log_level::warning, "members", "gateway is silent", {{"name", name}});
+      m_state.upstreams.set_peer_loads(name, {});
+      update_retry_limits();
+    }
+    for (const std::string& name : m_members.take_forgotten(now)) {
+      telemetry::log(log_level::info, "members", "gateway forgotten", {{"name", name}});
+      m_platform->remove_member(name);
+    }
+  }
+
+  void update_retry_limits() {
+    const auto count = static_cast<double>(m_members.all().size() + 1);
+    const double burst = std::max(1.0, k_retry_share * m_settings.retry_burst / count);
+    m_state.retry_options = {.earned = k_retry_share * m_settings.retry_ratio,
+                             .capacity = burst,
+                             .initial = std::min(burst, k_initial_retries)};
+    for (auto& [service, budget] : m_state.retry_budgets) {
+      budget.set_options(m_state.retry_options);
+    }
+  }
+
+  // Time.
+
+  void schedule_tick() {
+    m_tick.expires_after(k_tick_interval);
+    m_tick.async_wait([this](std::error_code cancelled) {
+      if (!cancelled) {
+        tick(clock::now());
+      }
+    });
+  }
+
+  void tick(time_point now) {
+    notice_pause(now);
+    for (const auto* ended : std::exchange(m_ended, {})) {
+      m_connections.erase(ended);
+    }
+    m_platform->tick(now, m_state.random);
+    read_other_mirror(now);
+    log_changes(m_state.upstreams.expire(now));
+    update_members(now);
+    m_state.links.sweep(now);
+    for (const auto& [key, connection] : m_connections) {
+      connection->check_limits(now);
+    }
+    if (now - m_last_report >= m_settings.report_interval) {
+      send_report(now);
+    }
+    if (m_self.state == gateway::member_state::leaving && stop_is_due(now)) {
+      stop();
+      return;
+    }
+    schedule_tick();
+  }
+
+  // The steady clock stands still while a host is suspended; the boot clock does not.
+  void notice_pause(time_point now) {
+    const std::int64_t boot_ms = boot_time_ms();
+    const auto steady_ms = std::chrono::duration_cast<milliseconds>(now - m_last_tick).count();
+    const std::int64_t elapsed_ms = std::max(steady_ms, boot_ms - m_last_boot_ms);
+    m_last_tick = now;
+    m_last_boot_ms = boot_ms;
+    if (elapsed_ms > k_pause_threshold.count()) {
+      telemetry::log(log_level::warning, "process", "process stood still", {{"for_ms", elapsed_ms}});
+      m_platform->restart_reading(now);
+    }
+  }
+
+  // Signals.
+
+  void wait_signal() {
+    m_signals.async_wait([this](std::error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        reload();
+      } else if (m_self.state == gateway::member_state::leaving) {
+        stop();
+        return;
+      } else {
+        leave(clock::now());
+      }
+      wait_signal();
+    });
+  }
+
+  // Addresses and names of a running process stay; only limits and log levels change.
+  void reload() {
+    std::ifstream file(m_settings_file, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    auto parsed = config::parse_gateway_settings(text, m_settings_file);
+    if (!parsed.errors.empty()) {
+      telemetry::log(log_level::error, "process", "settings not reloaded",
+                     {{"reason", config::to_string(parsed.errors.front())}});
+      return;
+    }
+    m_settings.retry_ratio = parsed.value.retry_ratio;
+    m_settings.retry_burst = parsed.value.retry_burst;
+    m_settings.directory_ttl = parsed.value.directory_ttl;
+    m_settings.grace = parsed.value.grace;
+    update_retry_limits();
+    telemetry::log(log_level::info, "process", "settings reloaded", {});
+  }
+
+  void leave(time_point now) {
+    telemetry::log(log_level::info, "process", "leaving",
+                   {{"requests", static_cast<std::int64_t>(m_exchanges)}});
+    m_self.state = gateway::member_state::leaving;
+    m_leaving_since = now;
+    m_platform->withdraw();
+    send_report(now);
+    for (const auto& [key, connection] : m_connections) {
+      connection->close_after_answer();
+    }
+  }
+
+  bool stop_is_due(time_point now) const {
+    const auto since = now - m_leaving_since;
+    const auto addresses_expired = k_address_lifetimes_after_stop * m_settings.directory_ttl;
+    const auto latest = m_settings.grace - k_stop_margin;
+    return since >= latest || (m_exchanges == 0 && since >= std::min<duration>(addresses_expired, latest));
+  }
+
+  void stop() {
+    telemetry::log(log_level::info, "process", "stopping",
+                   {{"requests", static_cast<std::int64_t>(m_exchanges)}});
+    m_context.stop();
+  }
+
+  config::gateway_settings m_settings;
+  std::string m_settings_file;
+  asio::io_context m_context{1};
+  proxy_state m_state;
+  http::client m_client;
+  std::unique_ptr<platform_port> m_platform;
+  gateway::mirror m_mirror;
+  gateway::member_list m_members;
+  gateway::member_report m_self;
+  std::unique_ptr<member_channel> m_channel;
+  std::vector<std::unique_ptr<http::server>> m_servers;
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_tick;
+  asio::signal_set m_signals;
+  std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
+  std::vector<const caller_connection*> m_ended;  // Removed in the next tick.
+  std::size_t m_exchanges = 0;
+  std::size_t m_skipped_rows = 0;
+  bool m_store_reachable = true;
+  bool m_reading_mirror = false;
+  time_point m_store_answered{};
+  time_point m_store_failed{};
+  time_point m_mirror_read{};
+  time_point m_last_report{};
+  time_point m_last_tick{};
+  time_point m_leaving_since{};
+  std::int64_t m_last_boot_ms = 0;
+};
+
+}  // namespace
+
+int run_gateway(const config::gateway_settings& settings, const std::string& settings_file,
+                const platform_factory& make_platform) {
+  return gateway_process(settings, settings_file, make_platform).run();
+}
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/proxy_state.h
@@ -0,0 +1,41 @@
+// What all requests of a gateway share. Used on one thread.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/common/random.h"
+#include "core/gateway/configuration.h"
+#include "core/gateway/header_names.h"
+#include "core/gateway/upstream_table.h"
+#include "core/proxy/link_pool.h"
+#include "core/routing/retry_budget.h"
+#include "core/telemetry/metrics.h"
+
+namespace cuminpath::proxy {
+
+struct proxy_state {
+  explicit proxy_state(asio::io_context& io) : context(io) {}
+
+  asio::io_context& context;
+  gateway::header_names names;
+  std::string availability_zone;
+  std::shared_ptr<const gateway::configuration> configuration;  // Null until the first version is known.
+  gateway::upstream_table upstreams;
+  link_pool links;
+  telemetry::metrics metrics;
+  random_source random;
+  // Retries of one service are limited for all gateways together; each has an even share.
+  routing::retry_budget_options retry_options;
+  std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
+  std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
+
+  routing::retry_budget& budget(const std::string& service) {
+    return retry_budgets.try_emplace(service, retry_options).first->second;
+  }
+};
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/socket_options.cpp
@@ -0,0 +1,62 @@
+#include "core/proxy/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <string>
+
+namespace cuminpath::proxy {
+namespace {
+
+// Unacknowledged bytes older than this end the connection; several retransmissions fit in.
+constexpr int k_user_timeout_ms = 1500;
+// Keep-alive probes find a peer that died while nothing was being sent.
+constexpr int k_probe_idle_s = 2;
+constexpr int k_probe_interval_s = 1;
+constexpr int k_probes = 2;
+constexpr std::size_t k_read_buffer_bytes = 32U << 10U;
+
+void set_option(int socket, int level, int name, int value) {
+  static_cast<void>(::setsockopt(socket, level, name, &value, sizeof(value)));
+}
+
+}  // namespace
+
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  std::error_code failure;
+  const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), failure);
+  if (failure) {
+    return std::nullopt;
+  }
+  return asio::ip::tcp::endpoint(address, port);
+}
+
+void set_connection_options(asio::ip::tcp::socket& socket) {
+  const int handle = socket.native_handle();
+  set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, k_user_timeout_ms);
+  set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, k_probe_idle_s);
+  set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, k_probe_interval_s);
+  set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, k_probes);
+}
+
+std::span<char> read_buffer() {
+  thread_local std::array<char, k_read_buffer_bytes> t_buffer;
+  return t_buffer;
+}
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/socket_options.h
@@ -0,0 +1,22 @@
+// Options and helpers shared by both sides of the proxy.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace cuminpath::proxy {
+
+// Parses IP:PORT; absent for anything else.
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
+
+// No delay, and limits after which a silent peer counts as gone. Errors are ignored: the options only shorten
+// the time until a dead connection is noticed.
+void set_connection_options(asio::ip::tcp::socket& socket);
+
+// Scratch space for reads of the thread that runs the proxy. One buffer for all connections keeps idle ones
+// small.
+std::span<char> read_buffer();
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/upstream_link.cpp
@@ -0,0 +1,247 @@
+#include "core/proxy/upstream_link.h"
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+
+#include "core/proxy/socket_options.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+constexpr int k_informational = 1;  // Status class of interim answers.
+
+// Value of `timeout` in a Keep-Alive header.
+std::optional<seconds> keep_alive_timeout(const http::header_list& headers) {
+  const auto value = http::find_header(headers, "Keep-Alive");
+  if (!value) {
+    return std::nullopt;
+  }
+  constexpr std::string_view k_key = "timeout=";
+  const std::size_t at = value->find(k_key);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int count = 0;
+  const std::string_view digits = value->substr(at + k_key.size());
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), count);
+  return parsed.ec == std::errc() ? std::optional(seconds(count)) : std::nullopt;
+}
+
+}  // namespace
+
+upstream_link::upstream_link(asio::io_context& context, std::string upstream_id)
+    : m_socket(context),
+      m_connect_timer(context),
+      m_upstream_id(std::move(upstream_id)),
+      m_parser(message_parser::side::responses) {
+  m_parser.on_head = [this](message_head&& head) { take_head(std::move(head)); };
+  m_parser.on_body = [this](std::string_view bytes) {
+    if (!m_skipping && m_events.body) {
+      m_events.body(bytes);
+    }
+  };
+}
+
+upstream_link::~upstream_link() = default;
+
+void upstream_link::connect(const asio::ip::tcp::endpoint& peer, milliseconds timeout,
+                            std::function<void(std::string_view)> done) {
+  m_connected = std::move(done);
+  const auto finish = [self = shared_from_this()](std::string_view reason) {
+    if (auto connected = std::exchange(self->m_connected, nullptr)) {
+      connected(reason);
+    }
+  };
+  std::error_code failure;
+  m_socket.open(peer.protocol(), failure);
+  if (failure) {
+    finish(failure.message());
+    return;
+  }
+  set_connection_options(m_socket);
+  m_connect_timer.expires_after(timeout);
+  m_connect_timer.async_wait([self = shared_from_this(), finish](std::error_code cancelled) {
+    if (!cancelled && self->m_connected) {
+      self->close();
+      finish("connection not established in time");
+    }
+  });
+  m_socket.async_connect(peer, [self = shared_from_this(), finish](std::error_code error) {
+    self->m_connect_timer.cancel();
+    if (!self->m_connected) {
+      return;
+    }
+    if (error) {
+      self->close();
+      finish(error.message());
+      return;
+    }
+    self->m_open = true;
+    std::error_code ignored;
+    self->m_socket.non_blocking(true, ignored);
+    self->wait_readable();
+    finish({});
+  });
+}
+
+void upstream_link::send(std::string bytes, std::string id_header, std::string request_id, bool no_body,
+                         link_events events) {
+  m_outgoing = std::move(bytes);
+  m_id_header = std::move(id_header);
+  m_request_id = std::move(request_id);
+  m_events = std::move(events);
+  m_busy = true;
+  m_written = m_skipping = m_reusable = m_paused = false;
+  m_no_body = no_body;
+  m_parser.start({}, no_body);
+  asio::async_write(m_socket, asio::buffer(m_outgoing),
+                    [self = shared_from_this()](std::error_code error, std::size_t /*size*/) {
+                      self->m_written = true;
+                      std::string().swap(self->m_outgoing);
+                      // The reading side reports a broken connection, after any answer that arrived before.
+                      if (error && self->m_busy && self->m_open) {
+                        self->on_connection_end(true, error.message());
+                      }
+                    });
+}
+
+void upstream_link::resume_reading() {
+  if (m_paused) {
+    m_paused = false;
+    wait_readable();
+  }
+}
+
+void upstream_link::wait_readable() {
+  if (!m_open || m_paused || m_waiting) {
+    return;
+  }
+  m_waiting = true;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+    self->m_waiting = false;
+    if (!error && self->m_open && !self->m_paused) {
+      self->on_readable();
+    }
+  });
+}
+
+void upstream_link::on_readable() {
+  const auto self = shared_from_this();
+  std::error_code error;
+  const auto buffer = read_buffer();
+  const std::size_t size = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    wait_readable();
+    return;
+  }
+  if (error) {
+    on_connection_end(error != asio::error::eof, error.message());
+    return;
+  }
+  consume({buffer.data(), size});
+  wait_readable();
+}
+
+void upstream_link::consume(std::string_view bytes) {
+  if (!m_busy) {
+    on_connection_end(true, "bytes without a request");
+    return;
+  }
+  while (m_open && m_busy && !bytes.empty()) {
+    const auto outcome = m_parser.feed(bytes);
+    bytes.remove_prefix(std::min(outcome.consumed, bytes.size()));
+    if (!m_open || !m_busy) {
+      return;
+    }
+    switch (outcome.status) {
+      case parse_status::need_more:
+        return;
+      case parse_status::complete:
+        on_message_end(!bytes.empty());
+        break;
+      case parse_status::malformed:
+      case parse_status::head_too_large:
+      case parse_status::body_too_large:
+        fail(true, "answer is not valid HTTP");
+        return;
+    }
+  }
+}
+
+void upstream_link::take_head(message_head&& head) {
+  m_skipping = head.status / 100 == k_informational;
+  if (m_skipping) {
+    return;
+  }
+  const auto echoed = http::find_header(head.headers, m_id_header);
+  if (echoed && *echoed != m_request_id) {
+    m_skipping = true;
+    m_keep_alive = head.keep_alive;
+    return;
+  }
+  m_keep_alive = head.keep_alive && head.self_delimited;
+  m_self_delimited = head.self_delimited;
+  m_keep_alive_limit = keep_alive_timeout(head.headers);
+  if (m_events.head) {
+    m_events.head(std::move(head));
+  }
+}
+
+void upstream_link::on_message_end(bool bytes_follow) {
+  if (m_skipping) {
+    m_skipping = false;
+    m_parser.start({}, m_no_body);
+    return;
+  }
+  m_busy = false;
+  // An answer that came before the whole request was sent leaves the connection in the middle of that
+  // request.
+  m_reusable = m_keep_alive && m_written && !bytes_follow;
+  const auto end = std::exchange(m_events, {}).end;
+  if (!m_reusable) {
+    close();
+  }
+  if (end) {
+    end();
+  }
+}
+
+void upstream_link::on_connection_end(bool reset, std::string_view reason) {
+  if (!m_busy) {
+    close();
+    if (const auto idle_end = std::exchange(on_idle_end, nullptr)) {
+      idle_end();
+    }
+    return;
+  }
+  // Only an orderly end completes an answer without a length.
+  if (!reset && !m_skipping && m_parser.head_done() && !m_self_delimited && m_parser.finish()) {
+    on_message_end(true);
+    return;
+  }
+  fail(reset, reason);
+}
+
+void upstream_link::fail(bool reset, std::string_view reason) {
+  m_busy = false;
+  const auto broken = std::exchange(m_events, {}).broken;
+  close();
+  if (broken) {
+    broken(reset, reason);
+  }
+}
+
+void upstream_link::close() {
+  m_open = false;
+  m_busy = false;
+  m_reusable = false;
+  // close() may be called from one of these callbacks; they are destroyed after it has returned.
+  asio::post(m_socket.get_executor(), [retired = std::exchange(m_events, {})] {});
+  m_connected = nullptr;
+  m_connect_timer.cancel();
+  std::error_code ignored;
+  m_socket.close(ignored);
+}
+
+}  // namespace cuminpath::proxy
--- a/source/core/routing/retry_budget.cpp
+++ b/source/core/routing/retry_budget.cpp
@@ -5,7 +5,7 @@
 namespace cuminpath::routing {
 
 void retry_budget::on_first_attempt() {
-  m_tokens = std::min(m_tokens + k_earned, k_capacity);
+  m_tokens = std::min(m_tokens + m_options.earned, m_options.capacity);
 }
 
 bool retry_budget::try_take() {
@@ -16,4 +16,9 @@
   return true;
 }
 
+void retry_budget::set_options(const retry_budget_options& options) {
+  m_options = options;
+  m_tokens = std::min(m_tokens, m_options.capacity);
+}
+
 }  // namespace cuminpath::routing
--- a/source/programs/cuminpathd/main.cpp
+++ b/source/programs/cuminpathd/main.cpp
@@ -7,11 +7,15 @@
 #include <iterator>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/agent/agent_process.h"
+#include "core/config/gateway_settings.h"
 #include "core/config/settings.h"
 #include "core/entry/entry_process.h"
+#include "core/proxy/gateway_process.h"
 #include "core/telemetry/log.h"
+#include "platform/adapter.h"
 
 namespace {
 
@@ -33,33 +37,51 @@
   return name == "error" ? log_level::error : log_level::info;
 }
 
-std::optional<config::daemon_settings> read_settings(const std::string& path) {
+std::optional<std::string> read_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
     std::cerr << path << ": cannot be read\n";
     return std::nullopt;
   }
-  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  auto parsed = config::parse_settings(text, path);
-  for (const auto& failure : parsed.errors) {
+  return std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// Prints the errors of a settings file, one a line. True if there are none.
+bool report(const std::vector<config::diagnostic>& errors) {
+  for (const auto& failure : errors) {
     std::cerr << config::to_string(failure) << '\n';
   }
-  return parsed.errors.empty() ? std::optional(std::move(parsed.value)) : std::nullopt;
+  return errors.empty();
 }
 
-void start_logging(const config::daemon_settings& settings) {
-  telemetry::start_logging(settings.name, level_of(settings.log.level));
-  for (const auto& [subsystem, level] : settings.log.subsystems) {
+template <class log_settings>
+void start_logging(std::string_view name, const log_settings& settings) {
+  telemetry::start_logging(name, level_of(settings.level));
+  for (const auto& [subsystem, level] : settings.subsystems) {
     telemetry::set_log_level(subsystem, level_of(level));
   }
 }
 
-int run_role(const config::daemon_settings& settings) {
-  switch (settings.kind) {
+int run_gateway(const std::string& text, const std::string& path) {
+  const auto parsed = config::parse_gateway_settings(text, path);
+  if (!report(parsed.errors)) {
+    return k_bad_settings;
+  }
+  start_logging(parsed.value.name, parsed.value.log);
+  return proxy::run_gateway(parsed.value, path, platform::make_adapter);
+}
+
+int run_daemon(const std::string& text, const std::string& path) {
+  const auto parsed = config::parse_settings(text, path);
+  if (!report(parsed.errors)) {
+    return k_bad_settings;
+  }
+  start_logging(parsed.value.name, parsed.value.log);
+  switch (parsed.value.kind) {
     case config::role::entry:
-      return entry::run(settings);
+      return entry::run(parsed.value);
     case config::role::agent:
-      return agent::run(settings);
+      return agent::run(parsed.value);
   }
   return k_bad_settings;
 }
@@ -89,12 +111,12 @@
     std::cerr << "cuminpathd: --settings is required\n" << description;
     return k_bad_settings;
   }
-  const auto settings = read_settings(values["settings"].as<std::string>());
-  if (!settings) {
+  const std::string path = values["settings"].as<std::string>();
+  const auto text = read_file(path);
+  if (!text) {
     return k_bad_settings;
   }
-  start_logging(*settings);
-  return run_role(*settings);
+  return config::is_gateway_file(*text) ? run_gateway(*text, path) : run_daemon(*text, path);
 }
 
 }  // namespace
--- /dev/null
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -0,0 +1,36 @@
+#include "core/gateway/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::gateway {
+namespace {
+
+TEST(admission, urgent_work_finds_places_that_lower_ranks_leave) {
+  const double urgent = max_fill({.rank = 0, .engine = true});
+  const double middle = max_fill({.rank = 1, .engine = true});
+  const double lowest = max_fill({.rank = 2, .engine = true});
+  EXPECT_GT(urgent, middle);
+  EXPECT_GT(middle, lowest);
+  EXPECT_EQ(max_fill({.rank = 9, .engine = true}), lowest);
+}
+
+TEST(admission, retry_after_grows_with_the_excess_and_stays_within_what_callers_honour) {
+  random_source random(3);
+  const admission_request request{.rank = 2, .engine = true, .time_left = milliseconds{9000}};
+  const upstream_table::service_totals calm{.upstreams = 10, .slots = 100, .outstanding = 100};
+  const upstream_table::service_totals flooded{.upstreams = 10, .slots = 100, .outstanding = 300};
+  milliseconds calm_sum{0};
+  milliseconds flooded_sum{0};
+  for (int i = 0; i < 100; ++i) {
+    const auto short_wait = retry_after(calm, milliseconds{1000}, request, random);
+    const auto long_wait = retry_after(flooded, milliseconds{1000}, request, random);
+    EXPECT_GT(short_wait.count(), 0);
+    EXPECT_LE(long_wait.count(), 3000);
+    calm_sum += short_wait;
+    flooded_sum += long_wait;
+  }
+  EXPECT_GT(flooded_sum, 2 * calm_sum);
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/attempt_policy_test.cpp
@@ -0,0 +1,78 @@
+#include "core/gateway/attempt_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::gateway {
+namespace {
+
+attempt_facts fresh() {
+  return {.repeatable = false,
+          .sent = 1,
+          .max_attempts = 2,
+          .budget_left = true,
+          .upstream_left = true,
+          .time_left = milliseconds{1000}};
+}
+
+TEST(attempt_policy, never_repeats_a_call_that_may_have_run) {
+  attempt_facts facts = fresh();
+  facts.may_have_run = true;
+  EXPECT_EQ(after_attempt(attempt_end::broken, facts), next_step::fail);
+  // A later refusal does not undo that an earlier attempt may have run.
+  EXPECT_EQ(after_attempt(attempt_end::not_executed, facts), next_step::fail);
+}
+
+TEST(attempt_policy, refuses_only_what_has_not_run) {
+  attempt_facts facts = fresh();
+  facts.upstream_left = false;
+  EXPECT_EQ(after_attempt(attempt_end::not_executed, facts), next_step::refuse);
+  EXPECT_EQ(after_attempt(attempt_end::not_sent, facts), next_step::refuse);
+  facts.may_have_run = true;
+  facts.repeatable = true;
+  EXPECT_EQ(after_attempt(attempt_end::broken, facts), next_step::fail);
+}
+
+TEST(attempt_policy, tries_another_upstream_after_a_refusal) {
+  EXPECT_EQ(after_attempt(attempt_end::not_executed, fresh()), next_step::try_another);
+}
+
+TEST(attempt_policy, repeats_repeatable_calls_within_number_budget_and_time) {
+  attempt_facts facts = fresh();
+  facts.repeatable = true;
+  facts.may_have_run = true;
+  EXPECT_EQ(after_attempt(attempt_end::broken, facts), next_step::try_another);
+  EXPECT_EQ(after_attempt(attempt_end::failed, facts), next_step::try_another);
+  auto limited = facts;
+  limited.sent = 2;
+  EXPECT_EQ(after_attempt(attempt_end::broken, limited), next_step::fail);
+  limited = facts;
+  limited.budget_left = false;
+  EXPECT_EQ(after_attempt(attempt_end::broken, limited), next_step::fail);
+  limited = facts;
+  limited.time_left = milliseconds{10};
+  EXPECT_EQ(after_attempt(attempt_end::broken, limited), next_step::fail);
+}
+
+TEST(attempt_policy, a_connection_that_failed_costs_neither_budget_nor_attempts) {
+  attempt_facts facts = fresh();
+  facts.sent = 0;
+  facts.max_attempts = 0;
+  facts.budget_left = false;
+  EXPECT_EQ(after_attempt(attempt_end::not_sent, facts), next_step::try_another);
+}
+
+TEST(attempt_policy, delivers_the_failure_of_the_upstream_itself) {
+  attempt_facts facts = fresh();
+  facts.may_have_run = true;
+  EXPECT_EQ(after_attempt(attempt_end::failed, facts), next_step::deliver_failure);
+}
+
+TEST(attempt_policy, breaks_off_an_answer_that_cannot_go_on) {
+  attempt_facts facts = fresh();
+  facts.may_have_run = true;
+  facts.caller_has_bytes = true;
+  EXPECT_EQ(after_attempt(attempt_end::broken, facts), next_step::break_off);
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/configuration_test.cpp
@@ -0,0 +1,54 @@
+#include "core/gateway/configuration.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::gateway {
+namespace {
+
+configuration sample() {
+  configuration value;
+  value.routes = {{.name = "root", .host = "a.example", .path_prefix = "/"},
+                  {.name = "short", .host = "a.example", .path_prefix = "/x/"},
+                  {.name = "long", .host = "a.example", .path_prefix = "/x/y/"},
+                  {.name = "other", .host = "b.example", .path_prefix = "/x/"}};
+  value.workspaces = {{.name = "w"}};
+  value.workspace_of_key = {{"key", 0}};
+  value.build_index();
+  return value;
+}
+
+std::string route_name(const configuration& from, std::string_view host, std::string_view path) {
+  const route* found = from.find_route(host, path);
+  return found == nullptr ? "" : found->name;
+}
+
+TEST(configuration, takes_the_longest_prefix_of_the_host) {
+  const configuration value = sample();
+  EXPECT_EQ(route_name(value, "a.example", "/x/y/z"), "long");
+  EXPECT_EQ(route_name(value, "a.example", "/x/y"), "short");
+  EXPECT_EQ(route_name(value, "a.example", "/x/"), "short");
+  EXPECT_EQ(route_name(value, "a.example", "/x"), "root");
+  EXPECT_EQ(route_name(value, "b.example", "/x/y/z"), "other");
+  EXPECT_EQ(route_name(value, "b.example", "/y"), "");
+  EXPECT_EQ(route_name(value, "c.example", "/x/"), "");
+}
+
+TEST(configuration, ignores_case_and_port_of_the_host) {
+  EXPECT_EQ(route_name(sample(), "A.Example:8080", "/x/"), "short");
+}
+
+TEST(configuration, does_not_take_a_part_of_the_host_for_a_prefix) {
+  EXPECT_EQ(route_name(sample(), "a.example/x", "y/"), "");
+  EXPECT_EQ(route_name(sample(), "", "a.example/x/"), "");
+}
+
+TEST(configuration, finds_workspaces_by_whole_keys_only) {
+  const configuration value = sample();
+  ASSERT_NE(value.find_workspace("key"), nullptr);
+  EXPECT_EQ(value.find_workspace("key")->name, "w");
+  EXPECT_EQ(value.find_workspace("ke"), nullptr);
+  EXPECT_EQ(value.find_workspace(""), nullptr);
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -0,0 +1,85 @@
+#include "core/gateway/member_list.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::gateway {
+namespace {
+
+constexpr time_point k_start{seconds{100}};
+
+member_report report(std::string name, std::uint64_t sequence, member_state state = member_state::ready) {
+  return {.name = std::move(name),
+          .incarnation = 1,
+          .sequence = sequence,
+          .caller_address = "10.0.0.1:80",
+          .availability_zone = "z",
+          .state = state};
+}
+
+TEST(member_list, report_survives_the_wire) {
+  member_report sent = report("a", 7, member_state::leaving);
+  sent.mirror_version = 99;
+  sent.loads = {{1, 2}, {3, 4}};
+  const auto received = decode_report(encode_report(sent));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received.value().name, "a");
+  EXPECT_EQ(received.value().sequence, 7U);
+  EXPECT_EQ(received.value().state, member_state::leaving);
+  EXPECT_EQ(received.value().mirror_version, 99U);
+  ASSERT_EQ(received.value().loads.size(), 2U);
+  EXPECT_EQ(received.value().loads[1].outstanding, 4U);
+}
+
+TEST(member_list, refuses_bytes_that_are_no_report) {
+  EXPECT_FALSE(decode_report(""));
+  EXPECT_FALSE(decode_report("\x91\x01"));
+  const std::string whole = encode_report(report("a", 1));
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_FALSE(decode_report(std::string_view(whole).substr(0, size)));
+  }
+}
+
+TEST(member_list, names_ready_members_that_report) {
+  member_list members({.silent_after = milliseconds{800}});
+  members.on_report(report("ready", 1), k_start);
+  members.on_report(report("leaving", 1, member_state::leaving), k_start);
+  members.on_report(report("starting", 1, member_state::starting), k_start);
+  members.on_row(report("row only", 0));
+  ASSERT_EQ(members.usable("z", 64, k_start).size(), 1U);
+  EXPECT_EQ(members.usable("z", 64, k_start).front()->report.name, "ready");
+  EXPECT_TRUE(members.usable("z", 64, k_start + milliseconds{801}).empty());
+}
+
+TEST(member_list, says_once_that_a_member_is_silent) {
+  member_list members({.silent_after = milliseconds{800}});
+  members.on_report(report("a", 1), k_start);
+  EXPECT_TRUE(members.take_silent(k_start + milliseconds{800}).empty());
+  EXPECT_EQ(members.take_silent(k_start + milliseconds{900}).size(), 1U);
+  EXPECT_TRUE(members.take_silent(k_start + milliseconds{1000}).empty());
+  EXPECT_EQ(members.on_report(report("a", 2), k_start + milliseconds{1100}), member_list::outcome::joined);
+}
+
+TEST(member_list, late_reports_do_not_bring_a_state_back) {
+  member_list members({.silent_after = milliseconds{800}});
+  members.on_report(report("a", 5, member_state::leaving), k_start);
+  EXPECT_EQ(members.on_report(report("a", 4), k_start), member_list::outcome::ignored);
+  EXPECT_TRUE(members.usable("z", 64, k_start).empty());
+}
+
+TEST(member_list, prefers_the_own_availability_zone_in_long_lists) {
+  member_list members({.silent_after = milliseconds{800}});
+  for (int i = 0; i < 50; ++i) {
+    member_report other = report("other" + std::to_string(i), 1);
+    other.availability_zone = "y";
+    members.on_report(other, k_start);
+    members.on_report(report("own" + std::to_string(i), 1), k_start);
+  }
+  const auto usable = members.usable("z", 64, k_start);
+  ASSERT_EQ(usable.size(), 64U);
+  const auto own = std::count_if(usable.begin(), usable.end(),
+                                 [](const auto* member) { return member->report.availability_zone == "z"; });
+  EXPECT_EQ(own, 50);
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -0,0 +1,159 @@
+#include "core/gateway/upstream_table.h"
+
+#include <gtest/gtest.h>
+
+#include "core/common/hash.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+constexpr time_point k_start{seconds{100}};
+
+upstream_record record(std::string id, std::string zone = "z") {
+  return {.id = std::move(id),
+          .service = "s",
+          .address = "10.0.0.1:80",
+          .availability_zone = std::move(zone),
+          .slots = 4};
+}
+
+std::vector<upstream_record> records(std::initializer_list<const char*> ids) {
+  std::vector<upstream_record> out;
+  for (const char* id : ids) {
+    out.push_back(record(id));
+  }
+  return out;
+}
+
+std::string chosen(const upstream_table& table, time_point now, double fill = 1,
+                   std::span<const std::string> excluded = {}) {
+  random_source random(1);
+  const auto* found =
+      table.choose("s", {.availability_zone = "z", .excluded = excluded, .max_fill = fill}, now, random);
+  return found == nullptr ? "" : found->record.id;
+}
+
+TEST(upstream_table, chooses_the_least_loaded) {
+  upstream_table table;
+  table.apply(records({"a", "b"}), k_start, false);
+  table.on_started("a", k_start);
+  EXPECT_EQ(chosen(table, k_start), "b");
+  table.on_started("b", k_start);
+  table.on_started("b", k_start);
+  EXPECT_EQ(chosen(table, k_start), "a");
+}
+
+TEST(upstream_table, counts_the_load_that_other_gateways_report) {
+  upstream_table table;
+  table.apply(records({"a", "b"}), k_start, false);
+  const std::vector<upstream_load> loads{{static_cast<std::uint32_t>(hash64("a")), 3}};
+  table.set_peer_loads("peer", loads);
+  table.on_started("b", k_start);
+  EXPECT_EQ(chosen(table, k_start), "b");
+  table.set_peer_loads("peer", {});
+  EXPECT_EQ(chosen(table, k_start), "a");
+}
+
+TEST(upstream_table, remembers_reported_load_of_upstreams_it_meets_later) {
+  upstream_table table;
+  table.apply(records({"b"}), k_start, false);
+  const std::vector<upstream_load> loads{{static_cast<std::uint32_t>(hash64("a")), 3}};
+  table.set_peer_loads("peer", loads);
+  table.apply(records({"a", "b"}), k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "b");
+}
+
+TEST(upstream_table, places_nothing_above_the_fill) {
+  upstream_table table;
+  table.apply(records({"a"}), k_start, false);
+  for (int i = 0; i < 4; ++i) {
+    table.on_started("a", k_start);
+  }
+  EXPECT_EQ(chosen(table, k_start), "");
+  EXPECT_EQ(chosen(table, k_start, 1.25), "a");
+}
+
+TEST(upstream_table, sends_nothing_to_leaving_upstreams) {
+  upstream_table table;
+  auto list = records({"a", "b"});
+  table.apply(list, k_start, false);
+  list[0].leaving = true;
+  const auto changes = table.apply(list, k_start, false);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].what, upstream_table::change::kind::leaving);
+  table.on_started("b", k_start);
+  EXPECT_EQ(chosen(table, k_start), "b");
+}
+
+TEST(upstream_table, removes_at_once_while_the_store_is_calm) {
+  upstream_table table;
+  table.apply(records({"a", "b", "c", "d"}), k_start, false);
+  table.apply(records({"b", "c", "d"}), k_start, false);
+  EXPECT_EQ(table.size(), 3U);
+}
+
+TEST(upstream_table, keeps_lapsed_rows_for_the_grace_after_an_outage) {
+  upstream_table table;
+  table.apply(records({"a", "b"}), k_start, false);
+  table.apply({}, k_start, true);
+  EXPECT_NE(chosen(table, k_start), "");
+  EXPECT_TRUE(table.expire(k_start + k_lapse_grace - milliseconds{1}).empty());
+  table.apply(records({"a"}), k_start + milliseconds{500}, true);
+  EXPECT_EQ(table.expire(k_start + k_lapse_grace).size(), 1U);
+  EXPECT_EQ(chosen(table, k_start + k_lapse_grace), "a");
+}
+
+TEST(upstream_table, a_leaving_upstream_has_no_grace) {
+  upstream_table table;
+  auto list = records({"a"});
+  list[0].leaving = true;
+  table.apply(list, k_start, false);
+  table.apply({}, k_start, true);
+  EXPECT_EQ(table.size(), 0U);
+}
+
+TEST(upstream_table, takes_rows_that_vanish_together_for_a_lapse) {
+  upstream_table table;
+  table.apply(records({"a", "b", "c", "d", "e", "f", "g", "h", "i"}), k_start, false);
+  table.apply({}, k_start, false);
+  EXPECT_EQ(table.size(), 9U);
+  EXPECT_EQ(table.expire(k_start + k_lapse_grace).size(), 9U);
+}
+
+TEST(upstream_table, leaves_out_an_instance_that_is_another_until_its_row_changes) {
+  upstream_table table;
+  auto list = records({"a"});
+  table.apply(list, k_start, false);
+  table.on_wrong_instance("a");
+  EXPECT_EQ(chosen(table, k_start), "");
+  table.apply(list, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "");
+  list[0].address = "10.0.0.2:80";
+  table.apply(list, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "a");
+}
+
+TEST(upstream_table, a_restart_under_the_same_id_starts_with_a_clean_record) {
+  upstream_table table;
+  auto list = records({"a", "b"});
+  list[0].started_ms = 1;
+  table.apply(list, k_start, false);
+  for (int i = 0; i < 5; ++i) {
+    table.on_failure("a", k_start);
+  }
+  table.on_started("b", k_start);
+  EXPECT_EQ(chosen(table, k_start), "b");
+  list[0].started_ms = 2;
+  table.apply(list, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "a");
+}
+
+TEST(upstream_table, does_not_choose_what_a_request_has_tried) {
+  upstream_table table;
+  table.apply(records({"a", "b"}), k_start, false);
+  const std::vector<std::string> tried{"a"};
+  EXPECT_EQ(chosen(table, k_start, 1, tried), "b");
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
--- a/source/unit_tests/routing/router_test.cpp
+++ b/source/unit_tests/routing/router_test.cpp
@@ -103,7 +103,7 @@
       ++attempts;
     }
   }
-  EXPECT_LE(attempts, 1.08 * 10000 + retry_budget::k_capacity);
+  EXPECT_LE(attempts, 1.08 * 10000 + retry_budget::k_defaults.capacity);
   EXPECT_GE(attempts, 1.07 * 10000);
 }
 
