balancer, placement, platform: switch expert maps beside the engines

Cause: with the first map the most loaded rank had 3.41 times the mean after popularity shifted, so that passes took longer than the pause that a punctual stream may have. Change: role balancer on upstream hosts; prepare, hold, arm and go under a fencing token taken by compare-and-set; incremental plans with even shares.

--- /dev/null
+++ b/source/core/balancer/messages.cpp
@@ -0,0 +1,131 @@
+#include "core/balancer/messages.h"
+
+#include "core/common/json.h"
+
+namespace cuminpath::balancer {
+namespace {
+
+constexpr int k_format = 1;
+constexpr int k_report = 1;
+constexpr int k_directive = 2;
+
+json optional_number(const std::optional<std::uint64_t>& value) {
+  return value ? json(*value) : json();
+}
+
+std::optional<std::uint64_t> read_optional(const json& from) {
+  return from.is_null() ? std::nullopt : std::optional(from.get<std::uint64_t>());
+}
+
+json to_json(const engine_status& status) {
+  return json::array({status.group, status.epoch, status.rank, status.ranks, status.open, status.busy,
+                      status.step, status.map_version, optional_number(status.prepared),
+                      status.armed ? json::array({status.armed->version, status.armed->step}) : json(),
+                      optional_number(status.held)});
+}
+
+engine_status read_status(const json& from) {
+  engine_status status;
+  status.group = from.at(0).get<std::string>();
+  status.epoch = from.at(1).get<std::uint64_t>();
+  status.rank = from.at(2).get<std::uint32_t>();
+  status.ranks = from.at(3).get<std::uint32_t>();
+  status.open = from.at(4).get<bool>();
+  status.busy = from.at(5).get<bool>();
+  status.step = from.at(6).get<std::uint64_t>();
+  status.map_version = from.at(7).get<std::uint64_t>();
+  status.prepared = read_optional(from.at(8));
+  if (!from.at(9).is_null()) {
+    status.armed = armed_switch{from.at(9).at(0).get<std::uint64_t>(), from.at(9).at(1).get<std::uint64_t>()};
+  }
+  status.held = read_optional(from.at(10));
+  return status;
+}
+
+struct encoder {
+  json operator()(const rank_report& value) const {
+    return json::array(
+        {k_format, k_report, value.host, value.incarnation, value.sequence, value.report_address,
+         value.engine_address, to_json(value.view.status), value.view.disarmed_token,
+         value.view.disarmed_epoch, value.refused_token, value.loads,
+         value.experts
+             ? json::array({value.experts->epoch, value.experts->map_version, value.experts->experts})
+             : json()});
+  }
+  json operator()(const group_directive& value) const {
+    json body;
+    if (value.value) {
+      const directive& order = *value.value;
+      body = json::array(
+          {static_cast<int>(order.kind), order.epoch, order.version, order.step, order.holder, order.map});
+    }
+    return json::array({k_format, k_directive, value.group, value.token, std::move(body)});
+  }
+};
+
+rank_report read_report(const json& from) {
+  rank_report report;
+  report.host = from.at(2).get<std::string>();
+  report.incarnation = from.at(3).get<std::uint64_t>();
+  report.sequence = from.at(4).get<std::uint64_t>();
+  report.report_address = from.at(5).get<std::string>();
+  report.engine_address = from.at(6).get<std::string>();
+  report.view.status = read_status(from.at(7));
+  report.view.disarmed_token = from.at(8).get<std::uint64_t>();
+  report.view.disarmed_epoch = from.at(9).get<std::uint64_t>();
+  report.refused_token = from.at(10).get<std::uint64_t>();
+  report.loads = from.at(11).get<std::vector<std::uint64_t>>();
+  if (const json& held = from.at(12); !held.is_null()) {
+    report.experts = engine_experts{.epoch = held.at(0).get<std::uint64_t>(),
+                                    .map_version = held.at(1).get<std::uint64_t>(),
+                                    .experts = held.at(2).get<std::vector<std::vector<std::uint32_t>>>()};
+  }
+  return report;
+}
+
+result<message> read_directive(const json& from) {
+  group_directive read{.group = from.at(2).get<std::string>(), .token = from.at(3).get<std::uint64_t>()};
+  const json& body = from.at(4);
+  if (!body.is_null()) {
+    const int kind = body.at(0).get<int>();
+    if (kind <= static_cast<int>(phase::idle) || kind > static_cast<int>(phase::releasing)) {
+      return make_error(error_code::invalid_input, "directive of an unknown phase");
+    }
+    read.value = directive{.kind = static_cast<phase>(kind),
+                           .token = read.token,
+                           .epoch = body.at(1).get<std::uint64_t>(),
+                           .version = body.at(2).get<std::uint64_t>(),
+                           .step = body.at(3).get<std::uint64_t>(),
+                           .holder = body.at(4).get<std::uint32_t>(),
+                           .map = body.at(5).get<rank_map>()};
+  }
+  return message(std::move(read));
+}
+
+}  // namespace
+
+std::string encode(const message& value) {
+  std::string bytes;
+  json::to_msgpack(std::visit(encoder{}, value), bytes);
+  return bytes;
+}
+
+result<message> decode(std::string_view bytes) {
+  const json from = json::from_msgpack(bytes, true, false);
+  try {
+    if (!from.is_array() || from.size() < 2 || from[0] != k_format) {
+      return make_error(error_code::invalid_input, "not a message of a balancer");
+    }
+    if (from[1] == k_report) {
+      return message(read_report(from));
+    }
+    if (from[1] == k_directive) {
+      return read_directive(from);
+    }
+    return make_error(error_code::invalid_input, "message of an unknown kind");
+  } catch (const json::exception& failure) {
+    return make_error(error_code::invalid_input, failure.what());
+  }
+}
+
+}  // namespace cuminpath::balancer
--- /dev/null
+++ b/source/core/balancer/messages.h
@@ -0,0 +1,44 @@
+// Messages between the balancers of one group. MessagePack, one datagram each.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/balancer/switch_leader.h"
+#include "core/common/error.h"
+
+namespace cuminpath::balancer {
+
+// What a balancer knows of the rank beside it.
+struct rank_report {
+  std::string host;
+  std::uint64_t incarnation = 0;  // Random at each start of the balancer.
+  std::uint64_t sequence = 0;     // Grows with each report of an incarnation.
+  std::string report_address;     // IP:PORT of the balancer (UDP).
+  std::string engine_address;     // IP:PORT of the engine, for a leader whose peer is gone.
+  rank_view view;                 // Without its time.
+  std::uint64_t refused_token = 0;
+  // Only in reports to the leader: tokens for each expert since the last one, and the experts that the rank
+  // holds.
+  std::vector<std::uint64_t> loads;
+  std::optional<engine_experts> experts;
+};
+
+// A leader's directive to the group.
+struct group_directive {
+  std::string group;
+  std::optional<directive> value;  // Absent when a switch has ended.
+  std::uint64_t token = 0;
+};
+
+using message = std::variant<rank_report, group_directive>;
+
+std::string encode(const message& value);
+// Errors: invalid_input for anything but a message.
+result<message> decode(std::string_view bytes);
+
+}  // namespace cuminpath::balancer
--- /dev/null
+++ b/source/core/balancer/switch_leader.cpp
@@ -0,0 +1,246 @@
+#include "core/balancer/switch_leader.h"
+
+#include <algorithm>
+
+namespace cuminpath::balancer {
+namespace {
+
+using views = std::span<const std::optional<rank_view>>;
+
+template <class condition>
+bool all_of(views ranks, condition holds) {
+  return std::all_of(ranks.begin(), ranks.end(),
+                     [&](const auto& view) { return view && holds(view->status); });
+}
+
+std::uint64_t furthest_step(views ranks) {
+  std::uint64_t step = 0;
+  for (const auto& view : ranks) {
+    step = view ? std::max(step, view->status.step) : step;
+  }
+  return step;
+}
+
+}  // namespace
+
+std::string_view phase_name(phase value) {
+  switch (value) {
+    case phase::idle:
+      return "idle";
+    case phase::preparing:
+      return "preparing";
+    case phase::holding:
+      return "holding";
+    case phase::arming:
+      return "arming";
+    case phase::going:
+      return "going";
+    case phase::disarming:
+      return "disarming";
+    case phase::releasing:
+      return "releasing";
+  }
+  return "";
+}
+
+void switch_leader::enter(phase next, time_point now) {
+  m_directive.kind = next;
+  m_entered = now;
+  if (next != phase::preparing) {
+    m_directive.map.clear();
+  }
+}
+
+bool switch_leader::complete(views ranks, time_point now) const {
+  if (ranks.empty() || !ranks.front()) {
+    return false;
+  }
+  const std::uint64_t epoch = ranks.front()->status.epoch;
+  return std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && now - view->at <= m_options.fresh && view->status.epoch == epoch && view->status.open;
+  });
+}
+
+bool switch_leader::needs_recovery(views ranks, time_point now) const {
+  return m_directive.kind == phase::idle && complete(ranks, now) &&
+         std::any_of(ranks.begin(), ranks.end(),
+                     [](const auto& view) { return view->status.held || view->status.armed; });
+}
+
+bool switch_leader::start(views ranks, std::uint64_t token, std::uint64_t version, rank_map map,
+                          time_point now) {
+  if (m_directive.kind != phase::idle || token == 0 || !complete(ranks, now) || needs_recovery(ranks, now)) {
+    return false;
+  }
+  const std::uint64_t current = ranks.front()->status.map_version;
+  if (!all_of(ranks, [&](const engine_status& status) { return status.map_version == current; })) {
+    return false;
+  }
+  m_directive = {.kind = phase::preparing,
+                 .token = token,
+                 .epoch = ranks.front()->status.epoch,
+                 .version = version,
+                 .map = std::move(map)};
+  m_entered = now;
+  return true;
+}
+
+void switch_leader::step(views ranks, std::uint32_t own_rank, std::uint64_t token, time_point now) {
+  if (token == 0 || (m_directive.kind != phase::idle && m_directive.token != token)) {
+    // Another leads, or this process leads anew; what is under way is found in the ranks' states.
+    enter(phase::idle, now);
+  }
+  if (token == 0 || (m_wants_new_token && token == m_directive.token)) {
+    return;
+  }
+  m_wants_new_token = false;
+  // A new epoch begins with map 0 and nothing prepared, armed or held.
+  const bool formed_anew = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->status.epoch > m_directive.epoch && now - view->at <= m_options.fresh;
+  });
+  if (m_directive.kind != phase::idle && formed_anew) {
+    enter(phase::idle, now);
+  }
+  switch (m_directive.kind) {
+    case phase::idle:
+      step_idle(ranks, token, now);
+      return;
+    case phase::preparing:
+      step_preparing(ranks, own_rank, now);
+      return;
+    case phase::holding:
+      step_holding(ranks, now);
+      return;
+    case phase::arming:
+      step_arming(ranks, now);
+      return;
+    case phase::going:
+    case phase::releasing:
+      step_going(ranks, now);
+      return;
+    case phase::disarming:
+      step_disarming(ranks, now);
+      return;
+  }
+}
+
+void switch_leader::step_idle(views ranks, std::uint64_t token, time_point now) {
+  if (!needs_recovery(ranks, now)) {
+    return;
+  }
+  m_directive = {.token = token, .epoch = ranks.front()->status.epoch};
+  bool held = false;
+  bool armed = false;
+  std::uint64_t prepared = 0;
+  for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
+    const engine_status& status = ranks[rank]->status;
+    if (status.held) {
+      held = true;
+      m_directive.holder = rank;
+      m_directive.step = *status.held;
+    }
+    if (status.armed) {
+      armed = true;
+      m_directive.version = status.armed->version;
+    }
+    prepared = std::max(prepared, status.prepared.value_or(0));
+  }
+  if (!armed) {
+    m_directive.version = prepared;
+  }
+  if (!held) {
+    // The group has been released; the pass that changes the maps begins with the next request. Disarming now
+    // could reach some ranks before that pass and some after it.
+    enter(phase::going, now);
+    return;
+  }
+  const bool can_finish = all_of(ranks, [&](const engine_status& status) {
+    return status.prepared == m_directive.version &&
+           (!status.armed || *status.armed == armed_switch{m_directive.version, m_directive.step});
+  });
+  if (!armed && prepared <= ranks.front()->status.map_version) {
+    enter(phase::releasing, now);  // No rank has a newer map, so none was ever told to use one.
+  } else {
+    enter(can_finish ? phase::arming : phase::disarming, now);
+  }
+}
+
+void switch_leader::step_preparing(views ranks, std::uint32_t own_rank, time_point now) {
+  if (now - m_entered > m_options.prepare_timeout) {
+    enter(phase::idle, now);
+    return;
+  }
+  if (!complete(ranks, now) || !all_of(ranks, [&](const engine_status& status) {
+        return status.prepared == m_directive.version && !status.armed && !status.held;
+      })) {
+    return;
+  }
+  m_directive.holder = own_rank;
+  m_directive.step = furthest_step(ranks) + m_options.margin_steps;
+  enter(phase::holding, now);
+}
+
+void switch_leader::step_holding(views ranks, time_point now) {
+  const auto& holder = ranks[m_directive.holder];
+  if (!holder) {
+    return;
+  }
+  if (holder->status.held == m_directive.step) {
+    enter(phase::arming, now);
+    return;
+  }
+  if (now - m_entered > m_options.hold_timeout) {
+    enter(phase::idle, now);
+  } else if (holder->status.step >= m_directive.step) {
+    // The pass has begun before the hold arrived; nothing is armed yet, so a later pass will do.
+    m_directive.step = furthest_step(ranks) + m_options.margin_steps;
+  }
+}
+
+void switch_leader::step_arming(views ranks, time_point now) {
+  const armed_switch wanted{m_directive.version, m_directive.step};
+  if (all_of(ranks, [&](const engine_status& status) {
+        return status.epoch == m_directive.epoch && status.armed == wanted;
+      })) {
+    enter(phase::going, now);
+    return;
+  }
+  const bool begun = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->status.epoch == m_directive.epoch && view->status.map_version == m_directive.version;
+  });
+  if (begun) {
+    enter(phase::going, now);  // A predecessor had armed all ranks and released the group.
+    return;
+  }
+  // Without its copy a rank can't be armed. Late orders with this token can't be told apart from new ones, so
+  // a higher token has to come first.
+  const bool stuck = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->status.epoch == m_directive.epoch && view->status.armed != wanted &&
+           view->status.prepared != m_directive.version;
+  });
+  if (stuck) {
+    m_wants_new_token = true;
+    enter(phase::idle, now);
+  }
+}
+
+void switch_leader::step_going(views ranks, time_point now) {
+  const bool released = all_of(ranks, [&](const engine_status& status) {
+    return status.epoch == m_directive.epoch && !status.held && !status.armed;
+  });
+  if (released) {
+    enter(phase::idle, now);
+  }
+}
+
+void switch_leader::step_disarming(views ranks, time_point now) {
+  const bool disarmed = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->status.epoch == m_directive.epoch && !view->status.armed &&
+           view->disarmed_token == m_directive.token && view->disarmed_epoch == m_directive.epoch;
+  });
+  if (disarmed) {
+    enter(phase::releasing, now);
+  }
+}
+
+}  // namespace cuminpath::balancer
--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/config/addresses.h"
+#include "core/config/balancer_settings.h"
 #include "core/config/toml_reader.h"
 
 namespace cuminpath::config {
@@ -11,47 +12,13 @@
 constexpr std::size_t k_max_settings_bytes = 64U << 10U;
 constexpr std::int64_t k_minute_ms = 60'000;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
+constexpr std::uint32_t k_max_copies = 100'000;
 
-class reader {
-public:
-  reader(const toml::table& table, diagnostics& faults) : m_root(table, "", faults), m_faults(faults) {}
-
-  // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
-  void read(gateway_settings& value) {
-    std::string role;
-    m_root.read("role", role);
-    read_filled("name", value.name);
-    read_filled("availability_zone", value.availability_zone);
-    m_root.optional().read("region", value.region);
-    read_address("address", value.address);
-    read_address("ready_address", value.ready_address);
-    read_address("directory_address", value.directory_address);
-    read_address("mirror_address", value.mirror_address);
-    read_address("report_address", value.report_address);
-    if (m_root.optional().read("metrics_address", value.metrics_address);
-        !value.metrics_address.empty() && !is_address(value.metrics_address)) {
-      m_root.add_error("metrics_address", "must be IP:PORT with a numeric address");
-    }
-    m_root.read("store_url", value.store_url);
-    if (!is_url(value.store_url)) {
-      m_root.add_error("store_url", "must be http://IP:PORT with a numeric address");
-    }
-    m_root.optional().read("seeds", value.seeds);
-    // Seeds may be stale; one that cannot be read is left out and the others hold.
-    std::erase_if(value.seeds, [](const std::string& seed) { return !is_address(seed); });
-    m_root.optional().read("directory_ttl_ms", value.directory_ttl, {100, k_minute_ms});
-    m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
-    m_root.optional().read("grace_ms", value.grace, {500, 60 * k_minute_ms});
-    m_root.optional().read("retry_ratio", value.retry_ratio);
-    if (value.retry_ratio < 0 || value.retry_ratio > 1) {
-      m_root.add_error("retry_ratio", "must be from 0 to 1");
-    }
-    m_root.optional().read("retry_burst", value.retry_burst, {0U, k_max_retry_burst});
-    read_log(value.log);
-    m_root.finish();
-  }
+// Readers that the roles share.
+class base_reader {
+protected:
+  base_reader(const toml::table& table, diagnostics& faults) : m_root(table, "", faults), m_faults(faults) {}
 
-private:
   void read_filled(std::string_view key, std::string& field) {
     const std::size_t errors = m_root.errors();
     m_root.read(key, field);
@@ -87,26 +54,112 @@
     log.finish();
   }
 
+  void read_optional_address(std::string_view key, std::string& field) {
+    m_root.optional().read(key, field);
+    if (!field.empty() && !is_address(field)) {
+      m_root.add_error(key, "must be IP:PORT with a numeric address");
+    }
+  }
+
+  void read_store_url(std::string& field) {
+    const std::size_t errors = m_root.errors();
+    m_root.read("store_url", field);
+    if (!is_url(field) && m_root.errors() == errors) {
+      m_root.add_error("store_url", "must be http://IP:PORT with a numeric address");
+    }
+  }
+
   table_reader m_root;
   diagnostics& m_faults;
 };
 
-}  // namespace
+class gateway_reader : private base_reader {
+public:
+  gateway_reader(const toml::table& table, diagnostics& faults) : base_reader(table, faults) {}
 
-parsed_gateway_settings parse_gateway_settings(std::string_view text, std::string_view file) {
+  // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
+  void read(gateway_settings& value) {
+    std::string role;
+    m_root.read("role", role);
+    read_filled("name", value.name);
+    read_filled("availability_zone", value.availability_zone);
+    m_root.optional().read("region", value.region);
+    read_address("address", value.address);
+    read_address("ready_address", value.ready_address);
+    read_address("directory_address", value.directory_address);
+    read_address("mirror_address", value.mirror_address);
+    read_address("report_address", value.report_address);
+    read_optional_address("metrics_address", value.metrics_address);
+    read_store_url(value.store_url);
+    m_root.optional().read("seeds", value.seeds);
+    // Seeds may be stale; one that cannot be read is left out and the others hold.
+    std::erase_if(value.seeds, [](const std::string& seed) { return !is_address(seed); });
+    m_root.optional().read("directory_ttl_ms", value.directory_ttl, {100, k_minute_ms});
+    m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
+    m_root.optional().read("grace_ms", value.grace, {500, 60 * k_minute_ms});
+    m_root.optional().read("retry_ratio", value.retry_ratio);
+    if (value.retry_ratio < 0 || value.retry_ratio > 1) {
+      m_root.add_error("retry_ratio", "must be from 0 to 1");
+    }
+    m_root.optional().read("retry_burst", value.retry_burst, {0U, k_max_retry_burst});
+    read_log(value.log);
+    m_root.finish();
+  }
+};
+
+class balancer_reader : private base_reader {
+public:
+  balancer_reader(const toml::table& table, diagnostics& faults) : base_reader(table, faults) {}
+
+  // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
+  void read(balancer_settings& value) {
+    std::string role;
+    m_root.read("role", role);
+    read_filled("name", value.name);
+    read_filled("service", value.service);
+    read_address("engine_address", value.engine_address);
+    read_address("report_address", value.report_address);
+    read_optional_address("metrics_address", value.metrics_address);
+    read_store_url(value.store_url);
+    m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
+    m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
+    m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
+    m_root.optional().read("max_copies_per_rank", value.max_copies_per_rank, {1U, k_max_copies});
+    m_root.optional().read("min_saving", value.min_saving);
+    if (value.min_saving < 0 || value.min_saving > 1) {
+      m_root.add_error("min_saving", "must be from 0 to 1");
+    }
+    read_log(value.log);
+    m_root.finish();
+  }
+};
+
+// Parses the text and lets `reader_type` fill in the settings.
+template <class reader_type, class parsed_type>
+parsed_type parse(std::string_view text, std::string_view file) {
   diagnostics faults{.file = std::string(file), .errors = {}};
-  parsed_gateway_settings parsed;
+  parsed_type parsed;
   if (const auto table = parse_toml(text, k_max_settings_bytes, faults)) {
-    reader(*table, faults).read(parsed.value);
+    reader_type(*table, faults).read(parsed.value);
   }
   parsed.errors = std::move(faults.errors);
   return parsed;
 }
 
-bool is_gateway_file(std::string_view text) {
+}  // namespace
+
+parsed_gateway_settings parse_gateway_settings(std::string_view text, std::string_view file) {
+  return parse<gateway_reader, parsed_gateway_settings>(text, file);
+}
+
+parsed_balancer_settings parse_balancer_settings(std::string_view text, std::string_view file) {
+  return parse<balancer_reader, parsed_balancer_settings>(text, file);
+}
+
+std::string role_of(std::string_view text) {
   diagnostics ignored;
   const auto table = parse_toml(text, k_max_settings_bytes, ignored);
-  return table && (*table)["role"].value_or(std::string_view()) == "gateway";
+  return table ? (*table)["role"].value_or(std::string()) : std::string();
 }
 
 }  // namespace cuminpath::config
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -45,7 +45,7 @@
 
 parsed_gateway_settings parse_gateway_settings(std::string_view text, std::string_view file);
 
-// True if the file is meant for a gateway; the other roles have settings of their own (settings.h).
-bool is_gateway_file(std::string_view text);
+// The role that a settings file names, whatever else it holds; empty if it names none.
+std::string role_of(std::string_view text);
 
 }  // namespace cuminpath::config
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -51,10 +51,19 @@
   std::uint32_t steps_per_pass = 1;
 };
 
+// How the experts of an expert-parallel engine can be placed on the ranks of a group.
+struct expert_shape {
+  std::uint32_t layers = 0;             // Sets of layers that share a map.
+  std::uint32_t experts = 0;            // For each of them.
+  std::uint32_t slots_per_rank = 0;     // Experts of one layer that a rank can hold.
+  std::uint32_t max_new_per_layer = 0;  // Experts of one layer that a rank may copy for one map.
+};
+
 struct service {
   std::string name;
   std::uint32_t max_connections = 0;  // To one upstream, of all gateways together; 0 if not limited.
   std::optional<engine_cost> engine;  // Absent for plain services.
+  std::optional<expert_shape> experts;
 };
 
 struct caller_limits {
--- a/source/core/proxy/member_channel.cpp
+++ b/source/core/net/datagram_channel.cpp
@@ -1,20 +1,19 @@
-#include "core/proxy/member_channel.h"
+#include "core/net/datagram_channel.h"
 
-#include "core/proxy/socket_options.h"
+#include "core/net/socket_options.h"
 
-namespace cuminpath::proxy {
+namespace cuminpath::net {
 
-member_channel::member_channel(asio::io_context& context, std::function<void(gateway::member_report)> receive)
+datagram_channel::datagram_channel(asio::io_context& context, std::function<void(std::string_view)> receive)
     : m_socket(context), m_receive(std::move(receive)) {}
 
-result<std::unique_ptr<member_channel>> member_channel::open(
-    asio::io_context& context, const std::string& address,
-    std::function<void(gateway::member_report)> receive) {
+result<std::unique_ptr<datagram_channel>> datagram_channel::open(
+    asio::io_context& context, const std::string& address, std::function<void(std::string_view)> receive) {
   const auto endpoint = parse_endpoint(address);
   if (!endpoint) {
     return make_error(error_code::invalid_input, address + " is not IP:PORT");
   }
-  std::unique_ptr<member_channel> channel(new member_channel(context, std::move(receive)));
+  std::unique_ptr<datagram_channel> channel(new datagram_channel(context, std::move(receive)));
   std::error_code failure;
   channel->m_socket.open(endpoint->address().is_v4() ? asio::ip::udp::v4() : asio::ip::udp::v6(), failure);
   if (!failure) {
@@ -30,18 +29,17 @@
   return channel;
 }
 
-void member_channel::send(const gateway::member_report& report, std::span<const std::string> addresses) {
-  const std::string bytes = gateway::encode_report(report);
+void datagram_channel::send(std::string_view bytes, std::span<const std::string> addresses) {
   for (const std::string& address : addresses) {
     if (const auto peer = parse_endpoint(address)) {
-      std::error_code ignored;  // A lost report is replaced by the next one.
-      m_socket.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(peer->address(), peer->port()), 0,
-                       ignored);
+      std::error_code ignored;  // Losses are part of UDP.
+      m_socket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                       asio::ip::udp::endpoint(peer->address(), peer->port()), 0, ignored);
     }
   }
 }
 
-void member_channel::wait_readable() {
+void datagram_channel::wait_readable() {
   m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](std::error_code error) {
     if (!error) {
       on_readable();
@@ -50,7 +48,7 @@
   });
 }
 
-void member_channel::on_readable() {
+void datagram_channel::on_readable() {
   const auto buffer = read_buffer();
   for (;;) {
     std::error_code error;
@@ -63,13 +61,8 @@
     if (error) {
       return;  // Errors of single datagrams, such as a refused port, end this turn only.
     }
-    auto report = gateway::decode_report({buffer.data(), size});
-    if (report) {
-      m_receive(std::move(report.value()));
-    } else {
-      ++m_malformed;
-    }
+    m_receive({buffer.data(), size});
   }
 }
 
-}  // namespace cuminpath::proxy
+}  // namespace cuminpath::net
--- a/source/core/proxy/socket_options.cpp
+++ b/source/core/net/socket_options.cpp
@@ -1,4 +1,4 @@
-#include "core/proxy/socket_options.h"
+#include "core/net/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,7 +9,7 @@
 #include <charconv>
 #include <string>
 
-namespace cuminpath::proxy {
+namespace cuminpath::net {
 namespace {
 
 // Unacknowledged bytes older than this end the connection; several retransmissions fit in.
@@ -59,4 +59,4 @@
   return t_buffer;
 }
 
-}  // namespace cuminpath::proxy
+}  // namespace cuminpath::net
--- a/source/core/proxy/socket_options.h
+++ b/source/core/net/socket_options.h
@@ -1,4 +1,4 @@
-// Options and helpers shared by both sides of the proxy.
+// Options and helpers shared by all connections of the proxy.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -6,7 +6,7 @@
 #include <span>
 #include <string_view>
 
-namespace cuminpath::proxy {
+namespace cuminpath::net {
 
 // Parses IP:PORT; absent for anything else.
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
@@ -15,8 +15,8 @@
 // the time until a dead connection is noticed.
 void set_connection_options(asio::ip::tcp::socket& socket);
 
-// Scratch space for reads of the thread that runs the proxy. One buffer for all connections keeps idle ones
+// Scratch space for reads of the calling thread. One buffer for all connections keeps idle ones
 // small.
 std::span<char> read_buffer();
 
-}  // namespace cuminpath::proxy
+}  // namespace cuminpath::net
--- /dev/null
+++ b/source/core/placement/even_share_planner.cpp
@@ -0,0 +1,241 @@
+#include "core/placement/even_share_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace cuminpath::placement {
+namespace {
+
+constexpr std::uint32_t k_none = 0xffffffffU;
+// Exponent of the norm that stands for the maximum. The maximum itself does not tell apart changes that
+// relieve one of several ranks with the same load.
+constexpr double k_norm_exponent = 12;
+
+// One layer while a plan is being made.
+class layer {
+public:
+  layer(const std::vector<std::vector<std::uint32_t>>& held, std::span<const double> loads,
+        const even_share_options& options)
+      : m_loads(loads),
+        m_options(&options),
+        m_held(held),
+        m_holders(loads.size()),
+        m_original(held.size(), std::vector<bool>(loads.size())),
+        m_new(held.size()),
+        m_times(held.size()) {
+    for (std::uint32_t rank = 0; rank < m_held.size(); ++rank) {
+      for (const std::uint32_t expert : m_held[rank]) {
+        m_holders[expert].push_back(rank);
+        m_original[rank][expert] = true;
+      }
+    }
+    for (std::uint32_t expert = 0; expert < m_loads.size(); ++expert) {
+      for (const std::uint32_t rank : m_holders[expert]) {
+        m_times[rank] += m_loads[expert] / static_cast<double>(m_holders[expert].size());
+      }
+    }
+  }
+
+  struct change {
+    std::uint32_t added = k_none;    // Expert that `rank` gets.
+    std::uint32_t dropped = k_none;  // Expert that `rank` gives up.
+    std::uint32_t rank = 0;
+    bool copies = false;  // The rank did not hold the added expert before the plan.
+    double gain = 0;
+  };
+
+  // The change that lowers the time of the most loaded rank most. `copies_left` by rank.
+  [[nodiscard]] change best_change(std::span<const std::uint32_t> copies_left) const {
+    const auto slowest =
+        static_cast<std::uint32_t>(std::max_element(m_times.begin(), m_times.end()) - m_times.begin());
+    const double before = norm(m_times);
+    change best;
+    const auto consider = [&](change candidate) {
+      std::vector<double> times = m_times;
+      apply_to(times, candidate);
+      candidate.gain = before - norm(times);
+      if (candidate.gain > best.gain) {
+        best = candidate;
+      }
+    };
+    for (const std::uint32_t expert : m_held[slowest]) {
+      if (m_holders[expert].size() > 1) {
+        consider({.dropped = expert, .rank = slowest});
+      }
+      for (std::uint32_t rank = 0; rank < m_held.size(); ++rank) {
+        if (holds(rank, expert) || m_times[rank] >= m_times[slowest]) {
+          continue;
+        }
+        const bool copies = !m_original[rank][expert];
+        if (copies && (copies_left[rank] == 0 || m_new[rank] >= m_options->max_new_per_rank_layer)) {
+          continue;
+        }
+        const bool full = m_held[rank].size() >= m_options->slots_per_rank;
+        const std::uint32_t dropped = full ? cheapest_drop(rank) : k_none;
+        if (!full || dropped != k_none) {
+          consider({.added = expert, .dropped = dropped, .rank = rank, .copies = copies});
+        }
+      }
+    }
+    return best;
+  }
+
+  void apply(const change& chosen) {
+    apply_to(m_times, chosen);
+    if (chosen.dropped != k_none) {
+      std::erase(m_held[chosen.rank], chosen.dropped);
+      std::erase(m_holders[chosen.dropped], chosen.rank);
+      m_new[chosen.rank] -= m_original[chosen.rank][chosen.dropped] ? 0 : 1;
+    }
+    if (chosen.added != k_none) {
+      m_held[chosen.rank].push_back(chosen.added);
+      m_holders[chosen.added].push_back(chosen.rank);
+      m_new[chosen.rank] += chosen.copies ? 1 : 0;
+    }
+  }
+
+  [[nodiscard]] double slowest_time() const { return *std::max_element(m_times.begin(), m_times.end()); }
+  [[nodiscard]] const std::vector<std::vector<std::uint32_t>>& held() const { return m_held; }
+
+private:
+  [[nodiscard]] static double norm(std::span<const double> times) {
+    const double largest = *std::max_element(times.begin(), times.end());
+    if (largest <= 0) {
+      return 0;
+    }
+    double sum = 0;
+    for (const double time : times) {
+      sum += std::pow(time / largest, k_norm_exponent);
+    }
+    return largest * std::pow(sum, 1 / k_norm_exponent);
+  }
+
+  [[nodiscard]] bool holds(std::uint32_t rank, std::uint32_t expert) const {
+    const auto& holders = m_holders[expert];
+    return std::find(holders.begin(), holders.end(), rank) != holders.end();
+  }
+
+  // The replica on a full rank whose loss moves the least load to other ranks.
+  [[nodiscard]] std::uint32_t cheapest_drop(std::uint32_t rank) const {
+    std::uint32_t cheapest = k_none;
+    double least = 0;
+    for (const std::uint32_t expert : m_held[rank]) {
+      const auto holders = static_cast<double>(m_holders[expert].size());
+      if (holders < 2) {
+        continue;
+      }
+      const double moved = m_loads[expert] / holders;
+      if (cheapest == k_none || moved < least) {
+        cheapest = expert;
+        least = moved;
+      }
+    }
+    return cheapest;
+  }
+
+  void apply_to(std::vector<double>& times, const change& chosen) const {
+    if (chosen.dropped != k_none) {
+      const auto& holders = m_holders[chosen.dropped];
+      const auto count = static_cast<double>(holders.size());
+      const double load = m_loads[chosen.dropped];
+      for (const std::uint32_t holder : holders) {
+        times[holder] += holder == chosen.rank ? -load / count : load / (count - 1) - load / count;
+      }
+    }
+    if (chosen.added != k_none) {
+      const auto& holders = m_holders[chosen.added];
+      const auto count = static_cast<double>(holders.size());
+      const double load = m_loads[chosen.added];
+      for (const std::uint32_t holder : holders) {
+        times[holder] += load / (count + 1) - load / count;
+      }
+      times[chosen.rank] += load / (count + 1);
+    }
+  }
+
+  std::span<const double> m_loads;
+  const even_share_options* m_options;
+  std::vector<std::vector<std::uint32_t>> m_held;     // By rank.
+  std::vector<std::vector<std::uint32_t>> m_holders;  // By expert.
+  std::vector<std::vector<bool>> m_original;          // By rank and expert: held before the plan.
+  std::vector<std::uint32_t> m_new;                   // By rank: copies of this layer so far.
+  std::vector<double> m_times;                        // By rank.
+};
+
+}  // namespace
+
+even_share_plan plan_even_shares(const rank_map& current, const layer_loads& loads,
+                                 const even_share_options& options) {
+  even_share_plan plan;
+  if (current.empty() || current.size() != loads.size()) {
+    return plan;
+  }
+  const auto ranks = current.front().size();
+  std::vector<layer> layers;
+  layers.reserve(current.size());
+  for (std::size_t i = 0; i < current.size(); ++i) {
+    layers.emplace_back(current[i], loads[i], options);
+    plan.cost_before += layers.back().slowest_time();
+    plan.ideal += std::accumulate(loads[i].begin(), loads[i].end(), 0.0) / static_cast<double>(ranks);
+  }
+  std::vector<std::uint32_t> copies_left(ranks, options.max_copies_per_rank);
+  std::vector<layer::change> best;
+  best.reserve(layers.size());
+  for (const layer& each : layers) {
+    best.push_back(each.best_change(copies_left));
+  }
+  // Bounds the loop: a change without a copy could be undone and done again.
+  const std::size_t most_changes = 4 * layers.size() * ranks * options.slots_per_rank;
+  for (std::size_t changes = 0; changes < most_changes; ++changes) {
+    const auto chosen = std::max_element(best.begin(), best.end(),
+                                         [](const auto& a, const auto& b) { return a.gain < b.gain; });
+    if (chosen->gain <= options.min_gain * plan.cost_before) {
+      break;
+    }
+    const auto index = static_cast<std::size_t>(chosen - best.begin());
+    const layer::change change = *chosen;
+    layers[index].apply(change);
+    if (change.copies) {
+      ++plan.copies;
+      --copies_left[change.rank];
+    }
+    const bool rank_exhausted = change.copies && copies_left[change.rank] == 0;
+    for (std::size_t i = 0; i < layers.size(); ++i) {
+      if (i == index || (rank_exhausted && best[i].copies && best[i].rank == change.rank)) {
+        best[i] = layers[i].best_change(copies_left);
+      }
+    }
+  }
+  for (const layer& each : layers) {
+    plan.map.push_back(each.held());
+    plan.cost_after += each.slowest_time();
+  }
+  for (auto& ranks_of_layer : plan.map) {
+    for (auto& experts : ranks_of_layer) {
+      std::sort(experts.begin(), experts.end());
+    }
+  }
+  return plan;
+}
+
+rank_map interleaved_map(std::uint32_t layers, std::uint32_t ranks, std::uint32_t experts) {
+  std::vector<std::vector<std::uint32_t>> layer(ranks);
+  for (std::uint32_t expert = 0; expert < experts; ++expert) {
+    layer[expert % ranks].push_back(expert);
+  }
+  return rank_map(layers, layer);
+}
+
+double skew(const rank_map& map, const layer_loads& loads) {
+  const even_share_options options;
+  double slowest = 0;
+  double even = 0;
+  for (std::size_t i = 0; i < map.size() && i < loads.size(); ++i) {
+    slowest += layer(map[i], loads[i], options).slowest_time();
+    even += std::accumulate(loads[i].begin(), loads[i].end(), 0.0) / static_cast<double>(map[i].size());
+  }
+  return even > 0 ? slowest / even : 1.0;
+}
+
+}  // namespace cuminpath::placement
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -8,7 +8,7 @@
 
 #include <fmt/format.h>
 
-#include "core/proxy/socket_options.h"
+#include "core/net/socket_options.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -85,7 +85,7 @@
 void caller_connection::start() {
   std::error_code ignored;
   m_socket.non_blocking(true, ignored);
-  set_connection_options(m_socket);
+  net::set_connection_options(m_socket);
   m_limits = m_handlers.limits();
   wait_readable();
 }
@@ -105,7 +105,7 @@
 
 void caller_connection::on_readable() {
   std::error_code error;
-  const auto buffer = read_buffer();
+  const auto buffer = net::read_buffer();
   const std::size_t size = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
   if (error == asio::error::would_block || error == asio::error::try_again) {
     wait_readable();
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -9,7 +9,7 @@
 #include <fmt/format.h>
 
 #include "core/gateway/admission.h"
-#include "core/proxy/socket_options.h"
+#include "core/net/socket_options.h"
 #include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
@@ -273,7 +273,7 @@
     return;
   }
   m_attempt->fresh_connection = true;
-  const auto peer = parse_endpoint(target.record.address);
+  const auto peer = net::parse_endpoint(target.record.address);
   if (!peer) {
     end_attempt(attempt_end::not_sent, "upstream has no valid address");
     return;
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -15,11 +15,11 @@
 
 #include "core/common/hash.h"
 #include "core/http/server.h"
+#include "core/net/datagram_channel.h"
+#include "core/net/socket_options.h"
 #include "core/proxy/caller_connection.h"
 #include "core/proxy/exchange.h"
-#include "core/proxy/member_channel.h"
 #include "core/proxy/proxy_state.h"
-#include "core/proxy/socket_options.h"
 #include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
@@ -121,7 +121,7 @@
 
 private:
   bool listen() {
-    const auto endpoint = parse_endpoint(m_settings.address);
+    const auto endpoint = net::parse_endpoint(m_settings.address);
     std::error_code failure;
     m_acceptor.open(endpoint->protocol(), failure);
     if (!failure) {
@@ -136,9 +136,9 @@
                      {{"address", m_settings.address}, {"reason", failure.message()}});
       return false;
     }
-    auto channel = member_channel::open(
-        m_context, m_settings.report_address,
-        [this](gateway::member_report report) { on_report(std::move(report), clock::now()); });
+    auto channel =
+        net::datagram_channel::open(m_context, m_settings.report_address,
+                                    [this](std::string_view bytes) { on_datagram(bytes, clock::now()); });
     if (!channel) {
       telemetry::log(log_level::error, "process", "address cannot be bound",
                      {{"reason", channel.error().message}});
@@ -389,6 +389,15 @@
 
   // Members.
 
+  void on_datagram(std::string_view bytes, time_point now) {
+    auto report = gateway::decode_report(bytes);
+    if (report) {
+      on_report(std::move(report.value()), now);
+    } else {
+      m_state.metrics.add("cuminpath_malformed_reports_total");
+    }
+  }
+
   void on_report(gateway::member_report report, time_point now) {
     if (report.name == m_self.name) {
       return;
@@ -425,7 +434,7 @@
       });
       receivers.resize(k_max_report_receivers);
     }
-    m_channel->send(m_self, receivers);
+    m_channel->send(gateway::encode_report(m_self), receivers);
     m_last_report = now;
   }
 
@@ -570,7 +579,7 @@
   gateway::mirror m_mirror;
   gateway::member_list m_members;
   gateway::member_report m_self;
-  std::unique_ptr<member_channel> m_channel;
+  std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_tick;
--- a/source/core/proxy/upstream_link.cpp
+++ b/source/core/proxy/upstream_link.cpp
@@ -4,7 +4,7 @@
 #include <asio/write.hpp>
 #include <charconv>
 
-#include "core/proxy/socket_options.h"
+#include "core/net/socket_options.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -59,7 +59,7 @@
     finish(failure.message());
     return;
   }
-  set_connection_options(m_socket);
+  net::set_connection_options(m_socket);
   m_connect_timer.expires_after(timeout);
   m_connect_timer.async_wait([self = shared_from_this(), finish](std::error_code cancelled) {
     if (!cancelled && self->m_connected) {
@@ -129,7 +129,7 @@
 void upstream_link::on_readable() {
   const auto self = shared_from_this();
   std::error_code error;
-  const auto buffer = read_buffer();
+  const auto buffer = net::read_buffer();
   const std::size_t size = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
   if (error == asio::error::would_block || error == asio::error::try_again) {
     wait_readable();
--- a/source/programs/cuminpathd/main.cpp
+++ b/source/programs/cuminpathd/main.cpp
@@ -10,12 +10,15 @@
 #include <vector>
 
 #include "core/agent/agent_process.h"
+#include "core/balancer/balancer_process.h"
+#include "core/config/balancer_settings.h"
 #include "core/config/gateway_settings.h"
 #include "core/config/settings.h"
 #include "core/entry/entry_process.h"
 #include "core/proxy/gateway_process.h"
 #include "core/telemetry/log.h"
 #include "platform/adapter.h"
+#include "platform/balancer_adapter.h"
 
 namespace {
 
@@ -71,6 +74,15 @@
   return proxy::run_gateway(parsed.value, path, platform::make_adapter);
 }
 
+int run_balancer(const std::string& text, const std::string& path) {
+  const auto parsed = config::parse_balancer_settings(text, path);
+  if (!report(parsed.errors)) {
+    return k_bad_settings;
+  }
+  start_logging(parsed.value.name, parsed.value.log);
+  return balancer::run_balancer(parsed.value, platform::make_balancer_adapter);
+}
+
 int run_daemon(const std::string& text, const std::string& path) {
   const auto parsed = config::parse_settings(text, path);
   if (!report(parsed.errors)) {
@@ -116,7 +128,11 @@
   if (!text) {
     return k_bad_settings;
   }
-  return config::is_gateway_file(*text) ? run_gateway(*text, path) : run_daemon(*text, path);
+  const std::string role = config::role_of(*text);
+  if (role == "gateway") {
+    return run_gateway(*text, path);
+  }
+  return role == "balancer" ? run_balancer(*text, path) : run_daemon(*text, path);
 }
 
 }  // namespace
