balancer, gateway: lead from the first seconds, read the store less

Cause: balancers read the configuration and the list of upstreams before the operator and the upstreams had written them, and again 15 s later; the table of gateways was read every second.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -263,12 +263,19 @@
         }
       }
       m_reported = now;
+      m_platform->set_group_complete(group_known());
     }
     if (!receivers.empty()) {
       m_channel->send(encode(report), receivers);
     }
   }
 
+  // True once every rank of the own group has been heard of.
+  [[nodiscard]] bool group_known() const {
+    const auto heard = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return in_group(entry.second); });
+    return m_own.known && static_cast<std::uint32_t>(heard) + 1 >= own_status().ranks;
+  }
+
   // Balancers on hosts with engines of the service that have not reported yet.
   std::vector<std::string> unknown_hosts() const {
     std::vector<std::string> addresses;
@@ -498,6 +505,9 @@
   rank_map current_map() const {
     const auto shape = m_platform->shape();
     const std::uint64_t version = own_status().map_version;
+    if (m_installed_version == version && m_installed_epoch == own_status().epoch) {
+      return m_installed_map;
+    }
     rank_map map(shape->layers, std::vector<std::vector<std::uint32_t>>(own_status().ranks));
     std::size_t filled = 0;
     const auto place = [&](std::uint32_t rank, const std::optional<engine_experts>& held) {
@@ -542,7 +552,10 @@
       return;
     }
     const std::uint64_t version = m_token * k_versions_per_token + ++m_versions;
-    if (m_leader.start(all, m_token, version, std::move(planned.map), now)) {
+    if (m_leader.start(all, m_token, version, planned.map, now)) {
+      m_installed_map = std::move(planned.map);
+      m_installed_version = version;
+      m_installed_epoch = own_status().epoch;
       telemetry::log(log_level::info, "leader", "plan",
                      {{"group", own_status().group},
                       {"version", static_cast<std::int64_t>(version)},
@@ -634,6 +647,9 @@
   std::uint64_t m_token = 0;           // 0 while another leads.
   std::uint64_t m_token_floor = 0;     // Highest token that some engine has refused.
   std::uint64_t m_followed_token = 0;  // Highest token of a directive so far.
+  rank_map m_installed_map;            // Of the last switch that this process has led.
+  std::uint64_t m_installed_version = 0;
+  std::uint64_t m_installed_epoch = 0;
   std::uint64_t m_versions = 0;        // Of maps, with the token in use.
   bool m_taking_token = false;
   bool m_reading_counts = false;
--- a/source/core/balancer/platform_port.h
+++ b/source/core/balancer/platform_port.h
@@ -26,6 +26,8 @@
 
   // Of the service that the engine beside this balancer belongs to; absent until the store has been read.
   [[nodiscard]] virtual std::optional<gateway::expert_shape> shape() const = 0;
+  // Says whether ranks of the group have not been heard of; their hosts are then looked up more often.
+  virtual void set_group_complete(bool complete) = 0;
   // IP addresses of the hosts with engines of that service.
   [[nodiscard]] virtual std::vector<std::string> engine_hosts() const = 0;
 
--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -24,7 +24,7 @@
   milliseconds plan_interval{250};    // Between looks at the loads. Key plan_interval_ms.
   milliseconds load_half_life{700};  // Of the window of loads that plans are made for. Key load_half_life_ms.
   std::uint32_t max_copies_per_rank = 4;  // Experts that a rank copies for one plan.
-  double min_saving = 0.04;               // Share of the expert time of a pass that a switch must save.
+  double min_saving = 0.08;               // Share of the expert time of a pass that a switch must save.
 
   gateway_settings::log_settings log;
 };
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -66,6 +66,8 @@
   // caller's view so that long lists are spread.
   [[nodiscard]] std::vector<const member*> usable(std::string_view availability_zone, std::size_t limit,
                                                   time_point now) const;
+  // Members in any state that report.
+  [[nodiscard]] std::size_t reporting(time_point now) const;
   [[nodiscard]] std::span<const member> all() const { return m_members; }
   // A member with a newer mirror than `version`, chosen at random; null if there is none.
   [[nodiscard]] const member* newer_mirror(std::uint64_t version, time_point now,
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "core/common/assert.h"
+#include "core/net/socket_options.h"
 
 namespace cuminpath::http {
 namespace {
@@ -91,6 +92,12 @@
   return bytes;
 }
 
+// A connection that is silent for good ends after a few seconds, also while a call waits for a late answer.
+int on_socket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  net::set_connection_options(static_cast<int>(socket));
+  return CURL_SOCKOPT_OK;
+}
+
 void configure(transfer& target) {
   CURL* easy = target.easy.get();
   curl_easy_setopt(easy, CURLOPT_URL, target.url.c_str());
@@ -99,6 +106,7 @@
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &on_socket);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(target.options.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(target.options.connect_timeout.count()));
--- a/source/core/net/socket_options.cpp
+++ b/source/core/net/socket_options.cpp
@@ -45,7 +45,10 @@
 }
 
 void set_connection_options(asio::ip::tcp::socket& socket) {
-  const int handle = socket.native_handle();
+  set_connection_options(static_cast<int>(socket.native_handle()));
+}
+
+void set_connection_options(int handle) {
   set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
   set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, k_user_timeout_ms);
   set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/source/core/net/socket_options.h
+++ b/source/core/net/socket_options.h
@@ -14,6 +14,8 @@
 // No delay, and limits after which a silent peer counts as gone. Errors are ignored: the options only shorten
 // the time until a dead connection is noticed.
 void set_connection_options(asio::ip::tcp::socket& socket);
+// The same for a socket that another library owns.
+void set_connection_options(int handle);
 
 // Scratch space for reads of the calling thread. One buffer for all connections keeps idle ones
 // small.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -36,8 +36,9 @@
 constexpr std::size_t k_max_report_receivers = 64;
 // The store counts as disturbed for this long after a call to it failed.
 constexpr milliseconds k_store_disturbance{4000};
-// Without an answer of the store for this long, a newer mirror of another gateway is read.
-constexpr milliseconds k_mirror_after{700};
+// Another gateway's mirror that has been newer for this long is read: the store has not told this one. Calls that wait
+// for changes are answered within a fraction of it.
+constexpr milliseconds k_mirror_after{500};
 constexpr milliseconds k_mirror_interval{400};
 constexpr milliseconds k_mirror_timeout{600};
 // A planned stop: callers hold addresses for a while and some hold them three times as long.
@@ -266,9 +267,7 @@
   // Store and configuration.
 
   void on_store_contact(bool answered, std::string_view reason, time_point now) {
-    if (answered) {
-      m_store_answered = now;
-    } else {
+    if (!answered) {
       m_store_failed = now;
     }
     if (answered != m_store_reachable) {
@@ -346,12 +345,17 @@
 
   // A gateway that the store turns away reads the mirror of one that knows more.
   void read_other_mirror(time_point now) {
-    if (m_reading_mirror || now - m_mirror_read < k_mirror_interval ||
-        now - m_store_answered < k_mirror_after) {
+    const auto* newer = m_members.newer_mirror(m_mirror.content_version(), now, m_state.random);
+    if (newer == nullptr) {
+      m_behind_since.reset();
+    } else if (!m_behind_since) {
+      m_behind_since = now;
+    }
+    if (m_reading_mirror || now - m_mirror_read < k_mirror_interval) {
       return;
     }
     std::string address;
-    if (const auto* newer = m_members.newer_mirror(m_mirror.content_version(), now, m_state.random)) {
+    if (m_behind_since && now - *m_behind_since >= k_mirror_after) {
       address = newer->report.mirror_address;
     } else if (m_self.state == gateway::member_state::starting && !m_settings.seeds.empty()) {
       address = m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())];
@@ -436,6 +440,7 @@
     }
     m_channel->send(gateway::encode_report(m_self), receivers);
     m_last_report = now;
+    m_platform->set_members(m_members.reporting(now) + 1);
   }
 
   void update_members(time_point now) {
@@ -590,7 +595,7 @@
   std::size_t m_skipped_rows = 0;
   bool m_store_reachable = true;
   bool m_reading_mirror = false;
-  time_point m_store_answered{};
+  std::optional<time_point> m_behind_since;  // Since when another gateway's mirror has been newer.
   time_point m_store_failed{};
   time_point m_mirror_read{};
   time_point m_last_report{};
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -35,6 +35,10 @@
   // Reads everything again, because calls under way may be out of date.
   virtual void restart_reading(time_point now) = 0;
 
+  // Number of gateways that report, this one included. Changes that one of them sees reach the others, so the
+  // calls to the store can be spread over them.
+  virtual void set_members(std::size_t count) = 0;
+
   // Keeps this gateway's row in the store until withdraw().
   virtual void announce(const gateway::member_report& self) = 0;
   virtual void withdraw() = 0;
