--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds k_tick_interval{20};
 // Between reads of the own engine's status, which cost nothing but time of this process.
 constexpr milliseconds k_status_interval{100};
-constexpr milliseconds k_counts_interval{250};
+constexpr milliseconds k_counts_interval{100};
 // Between reads of the status of a rank whose balancer is silent; these are charged like health checks.
 constexpr milliseconds k_remote_status_interval{500};
 constexpr milliseconds k_remote_status_interval_working{60};
--- a/source/core/balancer/rank_worker.cpp
+++ b/source/core/balancer/rank_worker.cpp
@@ -5,7 +5,7 @@
 
 // An engine that has accepted a `prepare` but shows neither the copy nor that it is busy gets the order
 // again.
-constexpr milliseconds k_prepare_again{400};
+constexpr milliseconds k_prepare_again{150};
 
 }  // namespace
 
--- a/source/core/balancer/switch_leader.h
+++ b/source/core/balancer/switch_leader.h
@@ -51,7 +51,7 @@
   milliseconds prepare_timeout{8000};  // Copies take under a second; after this the plan is out of date.
   milliseconds hold_timeout{3000};
   // Passes between the last known one and the switch, so that arming rarely stalls the group.
-  std::uint64_t margin_steps = 2;
+  std::uint64_t margin_steps = 3;
 };
 
 class switch_leader {
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -8,7 +8,7 @@
 
 // Fill of an engine up to which each rank is placed; later ranks use the last figure. Above 1 the engine
 // queues, in the order of urgency.
-constexpr std::array<double, 3> k_engine_fill{1.5, 1.25, 1.0};
+constexpr std::array<double, 3> k_engine_fill{1.0, 0.85, 0.7};
 // A plain service runs a request in each slot and queues a few more.
 constexpr double k_service_fill = 2.5;
 // Bounds of Retry-After. Callers honour up to a third of the time that they have left.
