telemetry: log to standard output without blocking, at a bounded rate

Cause: the users' engineers read standard output, and a log write to a full pipe stopped the process. Change: lines are left out when the reader has no room or their kind is above its rate, and counted in the next line. Tests: a reader that does not read (hung before), the limiter.

--- a/source/core/telemetry/log.cpp
+++ b/source/core/telemetry/log.cpp
@@ -1,40 +1,64 @@
 #include "core/telemetry/log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
-#include <iostream>
 #include <map>
 #include <mutex>
+#include <optional>
 
 #include <fmt/chrono.h>
 
 #include "core/common/json.h"
+#include "core/telemetry/log_limiter.h"
 
 namespace cuminpath::telemetry {
 namespace {
 
+// Longer texts are cut, so that a line fits the part of a pipe that poll() promises.
+constexpr std::size_t k_max_text = 500;
+
+// Writes whole lines to a descriptor, or leaves them out.
+class line_backend : public boost::log::sinks::basic_formatted_sink_backend<char> {
+public:
+  void set_descriptor(int descriptor) { m_descriptor = descriptor; }
+  [[nodiscard]] std::uint64_t take_lost() { return std::exchange(m_lost, 0); }
+
+  void consume(const boost::log::record_view& /*record*/, const std::string& text) {
+    pollfd ready{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
+    const std::string line = text + "\n";
+    const bool room = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+    if (!room || ::write(m_descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+      ++m_lost;
+    }
+  }
+
+private:
+  int m_descriptor = STDERR_FILENO;
+  std::uint64_t m_lost = 0;
+};
+
 struct log_state {
   std::mutex mutex;
   std::string process;
   log_level level = log_level::info;
   std::map<std::string, log_level, std::less<>> subsystems;
+  log_limiter limiter;
+  boost::shared_ptr<line_backend> backend = boost::make_shared<line_backend>();
   boost::log::sources::logger_mt logger;
 };
 
-void add_sink() {
-  using backend = boost::log::sinks::text_ostream_backend;
-  auto target = boost::make_shared<backend>();
-  target->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-  target->auto_flush(true);
-  auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<backend>>(target);
+void add_sink(const boost::shared_ptr<line_backend>& backend) {
+  auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<line_backend>>(backend);
   sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
   boost::log::core::get()->add_sink(sink);
 }
@@ -42,8 +66,9 @@
 log_state& state() {
   // Never destroyed, because other threads may log while the process ends.
   static log_state* const s_state = [] {
-    add_sink();
-    return new log_state;
+    auto* const created = new log_state;
+    add_sink(created->backend);
+    return created;
   }();
   return *s_state;
 }
@@ -71,13 +96,22 @@
                      (now - whole).count());
 }
 
+struct field_writer {
+  nlohmann::ordered_json& out;
+  void operator()(std::string_view text) const { out = text.substr(0, k_max_text); }
+  void operator()(std::int64_t number) const { out = number; }
+  void operator()(double number) const { out = number; }
+  void operator()(bool flag) const { out = flag; }
+};
+
 }  // namespace
 
-void start_logging(std::string_view process, log_level level) {
+void start_logging(std::string_view process, log_level level, log_output output) {
   log_state& shared = state();
   const std::lock_guard lock(shared.mutex);
   shared.process = process;
   shared.level = level;
+  shared.backend->set_descriptor(output == log_output::standard_output ? STDOUT_FILENO : STDERR_FILENO);
 }
 
 void set_log_level(std::string_view subsystem, log_level level) {
@@ -90,12 +124,28 @@
          std::initializer_list<field> fields) {
   log_state& shared = state();
   nlohmann::ordered_json line;
+  std::uint64_t left_out = 0;
+  std::uint64_t lost = 0;
   {
     const std::lock_guard lock(shared.mutex);
     const auto own = shared.subsystems.find(subsystem);
     if (level < (own == shared.subsystems.end() ? shared.level : own->second)) {
       return;
     }
+    // Failures and successes of one event are kinds of their own, so that many successes don't hide a
+    // failure.
+    std::string kind = fmt::format("{}/{}/{}", subsystem, message, to_text(level));
+    for (const auto& [name, value] : fields) {
+      if (name == "outcome" && std::holds_alternative<std::string_view>(value)) {
+        kind.append("/").append(std::get<std::string_view>(value));
+      }
+    }
+    const auto admitted = shared.limiter.admit(kind, clock::now());
+    if (!admitted) {
+      return;
+    }
+    left_out = *admitted;
+    lost = shared.backend->take_lost();
     line["time"] = utc_now();
     line["level"] = to_text(level);
     line["subsystem"] = subsystem;
@@ -105,7 +155,13 @@
   for (const auto& [name, value] : fields) {
     // A field never replaces one of the fixed members.
     const std::string key = line.contains(name) ? "field_" + std::string(name) : std::string(name);
-    std::visit([&](const auto& plain) { line[key] = plain; }, value);
+    std::visit(field_writer{line[key]}, value);
+  }
+  if (left_out > 0) {
+    line["left_out"] = left_out;  // Lines of this kind above the rate.
+  }
+  if (lost > 0) {
+    line["lost"] = lost;  // Lines that the reader of the output had no room for.
   }
   BOOST_LOG(shared.logger) << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
--- a/source/core/telemetry/log.h
+++ b/source/core/telemetry/log.h
@@ -1,4 +1,6 @@
-// JSON-line logs on standard error, one object for each event.
+// JSON-line logs, one object for each event. Writing never blocks: a line that the reader of the output has
+// no room for is left out, and so are lines of one kind above a rate. The next line of the process or kind
+// says how many.
 #pragma once
 
 #include <cstdint>
@@ -15,8 +17,12 @@
 using field_value = std::variant<std::string_view, std::int64_t, double, bool>;
 using field = std::pair<std::string_view, field_value>;
 
-// Sets the process name of every line and the level below which lines are dropped.
-void start_logging(std::string_view process, log_level level);
+enum class log_output : std::uint8_t { standard_output, standard_error };
+
+// Sets the process name of every line, the level below which lines are dropped, and the output. Before this
+// call, lines go to standard error.
+void start_logging(std::string_view process, log_level level,
+                   log_output output = log_output::standard_output);
 void set_log_level(std::string_view subsystem, log_level level);
 
 // Never pass a key, a request body or another secret as a field.
--- a/source/unit_tests/telemetry/telemetry_test.cpp
+++ b/source/unit_tests/telemetry/telemetry_test.cpp
@@ -1,10 +1,14 @@
+#include <unistd.h>
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <array>
 
 #include <random>
 
 #include "core/common/json.h"
 #include "core/telemetry/log.h"
+#include "core/telemetry/log_limiter.h"
 #include "core/telemetry/metrics.h"
 #include "core/telemetry/timeline.h"
 
@@ -16,10 +20,10 @@
 // Guards against log lines that are no JSON because of quotes, line feeds or bytes that are not UTF-8.
 TEST(log, a_line_is_one_json_object_whatever_the_text) {
   start_logging("entry-1", log_level::info);
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   log(log_level::warning, "http", "bad \"request\"\n\xff",
       {{"count", std::int64_t{3}}, {"ok", false}, {"level", std::string_view("x")}});
-  const std::string text = testing::internal::GetCapturedStderr();
+  const std::string text = testing::internal::GetCapturedStdout();
   ASSERT_EQ(std::count(text.begin(), text.end(), '\n'), 1);
   const json line = parse_json(text).value();
   EXPECT_EQ(line["level"], "warning");
@@ -28,14 +32,54 @@
   EXPECT_EQ(line["field_level"], "x");
 }
 
+// Guards against a process that stops because nobody reads its log: writes to a full pipe would wait for
+// ever.
+TEST(log, a_reader_that_does_not_read_holds_nobody_up) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(::pipe(ends.data()), 0);
+  const int saved = ::dup(STDOUT_FILENO);
+  ::dup2(ends[1], STDOUT_FILENO);
+  start_logging("entry-1", log_level::info);
+  for (int i = 0; i < 3000; ++i) {
+    // Each line is of a kind of its own, so that no rate applies.
+    log(log_level::info, "test", "line " + std::to_string(i), {{"text", std::string(200, 'x')}});
+  }
+  std::string text(1U << 20U, '\0');
+  const auto size = ::read(ends[0], text.data(), text.size());
+  ASSERT_GT(size, 0);
+  log(log_level::info, "test", "after", {});
+  const auto more = ::read(ends[0], text.data(), text.size());
+  ::dup2(saved, STDOUT_FILENO);
+  ::close(saved);
+  ::close(ends[0]);
+  ::close(ends[1]);
+  ASSERT_GT(more, 0);
+  const json line = parse_json(std::string_view(text).substr(0, static_cast<std::size_t>(more) - 1)).value();
+  EXPECT_EQ(line["message"], "after");
+  EXPECT_GT(line["lost"].get<int>(), 0);
+}
+
+TEST(log_limiter, bounds_each_kind_and_counts_what_it_leaves_out) {
+  log_limiter limiter({.lines_per_s = 10, .burst = 5});
+  const time_point start{seconds{100}};
+  int written = 0;
+  for (int i = 0; i < 100; ++i) {
+    written += limiter.admit("a", start).has_value() ? 1 : 0;
+  }
+  EXPECT_EQ(written, 5);
+  EXPECT_TRUE(limiter.admit("b", start).has_value());
+  EXPECT_EQ(limiter.admit("a", start + milliseconds{100}), std::optional<std::uint64_t>(95));
+  EXPECT_FALSE(limiter.admit("a", start + milliseconds{110}).has_value());
+}
+
 // Guards against levels of one subsystem that apply to another or not at all.
 TEST(log, drops_lines_below_the_level_of_their_subsystem) {
   start_logging("entry-1", log_level::info);
   set_log_level("router", log_level::debug);
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   log(log_level::debug, "http", "dropped");
   log(log_level::debug, "router", "kept");
-  const std::string text = testing::internal::GetCapturedStderr();
+  const std::string text = testing::internal::GetCapturedStdout();
   EXPECT_EQ(text.find("dropped"), std::string::npos);
   EXPECT_THAT(text, HasSubstr("kept"));
 }
