balancer: take a new token when another has led meanwhile

Change: ranks report the highest token that they refused or followed, and the leader gives up one that is not the highest.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -103,8 +103,7 @@
                       {"result", static_cast<std::int64_t>(result)},
                       {"step", static_cast<std::int64_t>(view.status.step)}});
       worker.on_result(result, done_at);
-      view.disarmed_token = worker.disarmed_token();
-      view.disarmed_epoch = worker.disarmed_epoch();
+      note_worker();
       if (!m_reading) {
         read(done_at, changed);
       }
@@ -119,6 +118,13 @@
   bool known = false;
 
 private:
+  void note_worker() {
+    view.disarmed_token = worker.disarmed_token();
+    view.disarmed_epoch = worker.disarmed_epoch();
+    view.refused_token = worker.refused_token();
+    view.followed_token = worker.followed_token();
+  }
+
   std::unique_ptr<engine_port> m_engine;
   std::string m_address;
   std::shared_ptr<bool> m_alive =
@@ -220,7 +226,6 @@
       report.experts = std::move(known.report.experts);
     }
     report.view.at = now;
-    m_token_floor = std::max(m_token_floor, report.refused_token);
     known = {std::move(report), now};
     if (m_leader.current() != phase::idle) {
       lead(now);
@@ -241,8 +246,7 @@
                        .sequence = ++m_sequence,
                        .report_address = m_settings.report_address,
                        .engine_address = m_settings.engine_address,
-                       .view = m_own.view,
-                       .refused_token = m_own.worker.refused_token()};
+                       .view = m_own.view};
     std::vector<std::string> receivers;
     if (to_leader_with_loads) {
       report.loads = std::exchange(m_unsent_loads, {});
@@ -272,7 +276,8 @@
 
   // True once every rank of the own group has been heard of.
   [[nodiscard]] bool group_known() const {
-    const auto heard = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return in_group(entry.second); });
+    const auto heard = std::count_if(m_peers.begin(), m_peers.end(),
+                                     [&](const auto& entry) { return in_group(entry.second); });
     return m_own.known && static_cast<std::uint32_t>(heard) + 1 >= own_status().ranks;
   }
 
@@ -384,17 +389,12 @@
       stop_leading(now);
       return;
     }
-    const std::uint64_t floor = std::max(m_token_floor, m_own.worker.refused_token());
-    if (m_token != 0 && m_token <= floor) {
-      telemetry::log(log_level::info, "leader", "token refused",
-                     {{"token", static_cast<std::int64_t>(m_token)}});
-      m_token = 0;
-    }
     drive_silent_ranks(now);
     const auto all = views();
     const phase before = m_leader.current();
     m_leader.step(all, own_status().rank, m_token, now);
-    if ((m_leader.needs_recovery(all, now) && m_token == 0) || m_leader.wants_new_token()) {
+    const bool outdated = m_leader.outdated_token() != 0 && m_token <= m_leader.outdated_token();
+    if ((m_leader.needs_recovery(all, now) && m_token == 0) || outdated) {
       take_token(now);
     }
     if (m_leader.current() != before) {
@@ -645,12 +645,11 @@
   std::uint64_t m_incarnation = 0;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_token = 0;           // 0 while another leads.
-  std::uint64_t m_token_floor = 0;     // Highest token that some engine has refused.
   std::uint64_t m_followed_token = 0;  // Highest token of a directive so far.
   rank_map m_installed_map;            // Of the last switch that this process has led.
   std::uint64_t m_installed_version = 0;
   std::uint64_t m_installed_epoch = 0;
-  std::uint64_t m_versions = 0;        // Of maps, with the token in use.
+  std::uint64_t m_versions = 0;  // Of maps, with the token in use.
   bool m_taking_token = false;
   bool m_reading_counts = false;
   time_point m_started{};
--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -47,7 +47,7 @@
     return json::array(
         {k_format, k_report, value.host, value.incarnation, value.sequence, value.report_address,
          value.engine_address, to_json(value.view.status), value.view.disarmed_token,
-         value.view.disarmed_epoch, value.refused_token, value.loads,
+         value.view.disarmed_epoch, value.view.refused_token, value.view.followed_token, value.loads,
          value.experts
              ? json::array({value.experts->epoch, value.experts->map_version, value.experts->experts})
              : json()});
@@ -73,9 +73,10 @@
   report.view.status = read_status(from.at(7));
   report.view.disarmed_token = from.at(8).get<std::uint64_t>();
   report.view.disarmed_epoch = from.at(9).get<std::uint64_t>();
-  report.refused_token = from.at(10).get<std::uint64_t>();
-  report.loads = from.at(11).get<std::vector<std::uint64_t>>();
-  if (const json& held = from.at(12); !held.is_null()) {
+  report.view.refused_token = from.at(10).get<std::uint64_t>();
+  report.view.followed_token = from.at(11).get<std::uint64_t>();
+  report.loads = from.at(12).get<std::vector<std::uint64_t>>();
+  if (const json& held = from.at(13); !held.is_null()) {
     report.experts = engine_experts{.epoch = held.at(0).get<std::uint64_t>(),
                                     .map_version = held.at(1).get<std::uint64_t>(),
                                     .experts = held.at(2).get<std::vector<std::vector<std::uint32_t>>>()};
--- a/source/core/balancer/messages.h
+++ b/source/core/balancer/messages.h
@@ -21,7 +21,6 @@
   std::string report_address;     // IP:PORT of the balancer (UDP).
   std::string engine_address;     // IP:PORT of the engine, for a leader whose peer is gone.
   rank_view view;                 // Without its time.
-  std::uint64_t refused_token = 0;
   // Only in reports to the leader: tokens for each expert since the last one, and the experts that the rank
   // holds.
   std::vector<std::uint64_t> loads;
--- a/source/core/balancer/rank_worker.h
+++ b/source/core/balancer/rank_worker.h
@@ -29,6 +29,8 @@
 
   // Highest token that the engine has refused as too low; directives up to it are ignored.
   [[nodiscard]] std::uint64_t refused_token() const { return m_refused_token; }
+  // Highest token of a directive so far.
+  [[nodiscard]] std::uint64_t followed_token() const { return m_highest_token; }
   // Token and epoch of the last `disarm` that the engine has carried out; 0 if there is none.
   [[nodiscard]] std::uint64_t disarmed_token() const { return m_disarmed_token; }
   [[nodiscard]] std::uint64_t disarmed_epoch() const { return m_disarmed_epoch; }
--- a/source/core/balancer/switch_leader.cpp
+++ b/source/core/balancer/switch_leader.cpp
@@ -69,10 +69,17 @@
 
 bool switch_leader::start(views ranks, std::uint64_t token, std::uint64_t version, rank_map map,
                           time_point now) {
-  if (m_directive.kind != phase::idle || token == 0 || !complete(ranks, now) || needs_recovery(ranks, now)) {
+  if (m_directive.kind != phase::idle || token <= m_outdated_token || !complete(ranks, now) ||
+      needs_recovery(ranks, now)) {
     return false;
   }
   const std::uint64_t current = ranks.front()->status.map_version;
+  if (!all_of(ranks, [&](const engine_status& status) {
+        return std::max(status.map_version, status.prepared.value_or(0)) < version;
+      })) {
+    m_outdated_token = token;  // Versions grow with tokens, so another has led with a higher one.
+    return false;
+  }
   if (!all_of(ranks, [&](const engine_status& status) { return status.map_version == current; })) {
     return false;
   }
@@ -85,15 +92,24 @@
   return true;
 }
 
+void switch_leader::note_outdated(views ranks, std::uint64_t token) {
+  for (const auto& view : ranks) {
+    if (view && (view->refused_token >= token || view->followed_token > token)) {
+      m_outdated_token = std::max(m_outdated_token, token);
+    }
+  }
+}
+
 void switch_leader::step(views ranks, std::uint32_t own_rank, std::uint64_t token, time_point now) {
   if (token == 0 || (m_directive.kind != phase::idle && m_directive.token != token)) {
     // Another leads, or this process leads anew; what is under way is found in the ranks' states.
     enter(phase::idle, now);
   }
-  if (token == 0 || (m_wants_new_token && token == m_directive.token)) {
+  note_outdated(ranks, token);
+  if (token <= m_outdated_token) {
+    enter(phase::idle, now);
     return;
   }
-  m_wants_new_token = false;
   // A new epoch begins with map 0 and nothing prepared, armed or held.
   const bool formed_anew = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
     return view && view->status.epoch > m_directive.epoch && now - view->at <= m_options.fresh;
@@ -219,7 +235,7 @@
            view->status.prepared != m_directive.version;
   });
   if (stuck) {
-    m_wants_new_token = true;
+    m_outdated_token = m_directive.token;
     enter(phase::idle, now);
   }
 }
--- a/source/core/balancer/switch_leader.h
+++ b/source/core/balancer/switch_leader.h
@@ -44,6 +44,8 @@
   // The rank has carried out a `disarm` with this token in this epoch; it refuses lower ones since.
   std::uint64_t disarmed_token = 0;
   std::uint64_t disarmed_epoch = 0;
+  std::uint64_t refused_token = 0;   // Highest token that the rank's engine has refused.
+  std::uint64_t followed_token = 0;  // Highest token of a directive that the rank's balancer has followed.
 };
 
 struct leader_options {
@@ -77,14 +79,16 @@
     return m_directive.kind == phase::idle ? nullptr : &m_directive;
   }
 
-  // The token in use is not enough to go on; step() does nothing until it is given a higher one.
-  [[nodiscard]] bool wants_new_token() const { return m_wants_new_token; }
+  // Another has led with a higher token, or orders with the token in use may still arrive late. step() and
+  // start() do nothing until they are given a higher token than this; 0 if none is needed.
+  [[nodiscard]] std::uint64_t outdated_token() const { return m_outdated_token; }
 
   // All views are fresh, of one epoch, and the group is open.
   [[nodiscard]] bool complete(std::span<const std::optional<rank_view>> ranks, time_point now) const;
 
 private:
   void enter(phase next, time_point now);
+  void note_outdated(std::span<const std::optional<rank_view>> ranks, std::uint64_t token);
   void step_idle(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, time_point now);
   void step_preparing(std::span<const std::optional<rank_view>> ranks, std::uint32_t own_rank,
                       time_point now);
@@ -96,7 +100,7 @@
   leader_options m_options;
   directive m_directive;
   time_point m_entered{};
-  bool m_wants_new_token = false;
+  std::uint64_t m_outdated_token = 0;
 };
 
 }  // namespace cuminpath::balancer
--- /dev/null
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -0,0 +1,69 @@
+#include "core/balancer/messages.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminpath::balancer {
+namespace {
+
+TEST(messages, a_report_survives_the_wire) {
+  rank_report sent{.host = "h",
+                   .incarnation = 3,
+                   .sequence = 4,
+                   .report_address = "10.0.0.1:7340",
+                   .engine_address = "10.0.0.1:80",
+                   .loads = {1, 2, 3}};
+  sent.view.status = {.group = "g",
+                      .epoch = 2,
+                      .rank = 1,
+                      .ranks = 8,
+                      .open = true,
+                      .busy = true,
+                      .step = 99,
+                      .map_version = 5,
+                      .prepared = 6,
+                      .armed = armed_switch{6, 101},
+                      .held = 101};
+  sent.view.disarmed_token = 12;
+  sent.view.refused_token = 6;
+  sent.view.followed_token = 7;
+  sent.experts = engine_experts{.epoch = 2, .map_version = 5, .experts = {{1, 2}, {3}}};
+  const auto read = decode(encode(sent));
+  ASSERT_TRUE(read);
+  const auto& received = std::get<rank_report>(read.value());
+  EXPECT_EQ(received.view.status.armed, (armed_switch{6, 101}));
+  EXPECT_EQ(received.view.status.held, 101U);
+  EXPECT_EQ(received.view.status.prepared, 6U);
+  EXPECT_EQ(received.view.disarmed_token, 12U);
+  EXPECT_EQ(received.view.refused_token, 6U);
+  EXPECT_EQ(received.view.followed_token, 7U);
+  EXPECT_EQ(received.loads, sent.loads);
+  ASSERT_TRUE(received.experts);
+  EXPECT_EQ(received.experts->experts, sent.experts->experts);
+}
+
+TEST(messages, a_directive_survives_the_wire) {
+  group_directive sent{.group = "g", .token = 4};
+  sent.value =
+      directive{.kind = phase::preparing, .token = 4, .epoch = 2, .version = 9, .map = {{{1, 2}, {0}}}};
+  const auto read = decode(encode(sent));
+  ASSERT_TRUE(read);
+  const auto& received = std::get<group_directive>(read.value());
+  ASSERT_TRUE(received.value);
+  EXPECT_EQ(received.value->map, sent.value->map);
+  EXPECT_EQ(received.value->token, 4U);
+  const auto end = decode(encode(group_directive{.group = "g", .token = 4}));
+  ASSERT_TRUE(end);
+  EXPECT_FALSE(std::get<group_directive>(end.value()).value);
+}
+
+TEST(messages, refuses_anything_else) {
+  EXPECT_FALSE(decode(""));
+  EXPECT_FALSE(decode("\x92\x01\x09"));
+  const std::string whole = encode(group_directive{.group = "g", .token = 4});
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_FALSE(decode(std::string_view(whole).substr(0, size)));
+  }
+}
+
+}  // namespace
+}  // namespace cuminpath::balancer
