proxy: reject field names with spaces; test the proxy against scripted upstreams

Change: names must be tokens. The listener for callers is a class of its own, so that tests run it without a platform.

--- /dev/null
+++ b/source/core/proxy/caller_port.cpp
@@ -0,0 +1,104 @@
+#include "core/proxy/caller_port.h"
+
+#include <fmt/format.h>
+
+#include "core/net/socket_options.h"
+#include "core/proxy/exchange.h"
+
+namespace cuminpath::proxy {
+
+caller_port::caller_port(proxy_state& state) : m_state(state), m_acceptor(state.context) {}
+
+result<void> caller_port::listen(const std::string& address) {
+  const auto endpoint = net::parse_endpoint(address);
+  if (!endpoint) {
+    return make_error(error_code::invalid_input, address + " is not IP:PORT");
+  }
+  std::error_code failure;
+  m_acceptor.open(endpoint->protocol(), failure);
+  if (!failure) {
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failure);
+    m_acceptor.bind(*endpoint, failure);
+  }
+  if (!failure) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return make_error(error_code::unreachable, address + ": " + failure.message());
+  }
+  accept();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+std::string caller_port::address() const {
+  std::error_code ignored;
+  const auto local = m_acceptor.local_endpoint(ignored);
+  return fmt::format("{}:{}", local.address().to_string(), local.port());
+}
+
+void caller_port::accept() {
+  m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+    if (!m_acceptor.is_open() || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      add(std::move(socket), clock::now());
+    }
+    accept();
+  });
+}
+
+void caller_port::add(asio::ip::tcp::socket socket, time_point now) {
+  // The exchange under way on a connection; the connection's callbacks reach it through this slot.
+  auto current = std::make_shared<std::shared_ptr<exchange>>();
+  caller_connection::handlers callbacks;
+  callbacks.request = [this, current](const std::shared_ptr<caller_connection>& caller, http::request request,
+                                      time_point arrived) {
+    const auto started =
+        std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, current] {
+          --m_requests;
+          current->reset();
+        });
+    ++m_requests;
+    *current = started;
+    started->start(clock::now());
+  };
+  callbacks.gone = [current] {
+    if (const auto active = *current) {
+      active->on_caller_gone(clock::now());
+    }
+  };
+  callbacks.drained = [current] {
+    if (const auto active = *current) {
+      active->on_caller_drained();
+    }
+  };
+  callbacks.ended = [this](caller_connection* ended) { m_ended.push_back(ended); };
+  callbacks.limits = [this] {
+    return m_state.configuration ? m_state.configuration->limits : gateway::caller_limits{};
+  };
+  auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks), now);
+  if (m_closing) {
+    connection->close_after_answer();
+  }
+  m_connections.emplace(connection.get(), connection);
+  connection->start();
+}
+
+void caller_port::close_after_answers() {
+  m_closing = true;
+  for (const auto& [key, connection] : m_connections) {
+    connection->close_after_answer();
+  }
+}
+
+void caller_port::tick(time_point now) {
+  for (const auto* ended : std::exchange(m_ended, {})) {
+    m_connections.erase(ended);
+  }
+  for (const auto& [key, connection] : m_connections) {
+    connection->check_limits(now);
+  }
+}
+
+}  // namespace cuminpath::proxy
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -3,13 +3,11 @@
 #include <time.h>
 
 #include <algorithm>
-#include <asio/ip/tcp.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <fstream>
 #include <iterator>
-#include <unordered_set>
 
 #include <fmt/format.h>
 
@@ -17,8 +15,7 @@
 #include "core/http/server.h"
 #include "core/net/datagram_channel.h"
 #include "core/net/socket_options.h"
-#include "core/proxy/caller_connection.h"
-#include "core/proxy/exchange.h"
+#include "core/proxy/caller_port.h"
 #include "core/proxy/proxy_state.h"
 #include "core/telemetry/log.h"
 
@@ -36,8 +33,8 @@
 constexpr std::size_t k_max_report_receivers = 64;
 // The store counts as disturbed for this long after a call to it failed.
 constexpr milliseconds k_store_disturbance{4000};
-// Another gateway's mirror that has been newer for this long is read: the store has not told this one. Calls that wait
-// for changes are answered within a fraction of it.
+// Another gateway's mirror that has been newer for this long is read: the store has not told this one. Calls
+// that wait for changes are answered within a fraction of it.
 constexpr milliseconds k_mirror_after{500};
 constexpr milliseconds k_mirror_interval{400};
 constexpr milliseconds k_mirror_timeout{600};
@@ -83,7 +80,7 @@
         m_client(m_context),
         m_platform(make_platform(m_client, settings)),
         m_members({.silent_after = 4 * settings.report_interval}),
-        m_acceptor(m_context),
+        m_callers(m_state),
         m_tick(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
     m_state.random.seed(std::random_device{}());
@@ -122,19 +119,9 @@
 
 private:
   bool listen() {
-    const auto endpoint = net::parse_endpoint(m_settings.address);
-    std::error_code failure;
-    m_acceptor.open(endpoint->protocol(), failure);
-    if (!failure) {
-      m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failure);
-      m_acceptor.bind(*endpoint, failure);
-    }
-    if (!failure) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if (failure) {
+    if (const auto bound = m_callers.listen(m_settings.address); !bound) {
       telemetry::log(log_level::error, "process", "address cannot be bound",
-                     {{"address", m_settings.address}, {"reason", failure.message()}});
+                     {{"reason", bound.error().message}});
       return false;
     }
     auto channel =
@@ -166,7 +153,6 @@
         })) {
       return false;
     }
-    accept();
     return true;
   }
 
@@ -187,55 +173,6 @@
     return true;
   }
 
-  void accept() {
-    m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
-      if (!m_acceptor.is_open()) {
-        return;
-      }
-      if (!error) {
-        add_connection(std::move(socket), clock::now());
-      }
-      accept();
-    });
-  }
-
-  void add_connection(asio::ip::tcp::socket socket, time_point now) {
-    // The exchange under way on a connection; the connection's callbacks reach it through this slot.
-    auto current = std::make_shared<std::shared_ptr<exchange>>();
-    caller_connection::handlers callbacks;
-    callbacks.request = [this, current](const std::shared_ptr<caller_connection>& caller,
-                                        http::request request, time_point arrived) {
-      const auto started =
-          std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, current] {
-            --m_exchanges;
-            current->reset();
-          });
-      ++m_exchanges;
-      *current = started;
-      started->start(clock::now());
-    };
-    callbacks.gone = [current] {
-      if (const auto active = *current) {
-        active->on_caller_gone(clock::now());
-      }
-    };
-    callbacks.drained = [current] {
-      if (const auto active = *current) {
-        active->on_caller_drained();
-      }
-    };
-    callbacks.ended = [this](caller_connection* ended) { m_ended.push_back(ended); };
-    callbacks.limits = [this] {
-      return m_state.configuration ? m_state.configuration->limits : gateway::caller_limits{};
-    };
-    auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks), now);
-    if (m_self.state == gateway::member_state::leaving) {
-      connection->close_after_answer();
-    }
-    m_connections.emplace(connection.get(), connection);
-    connection->start();
-  }
-
   http::response directory_answer(time_point now) const {
     if (m_self.state == gateway::member_state::starting) {
       return {.status = 503};
@@ -255,8 +192,8 @@
 
   std::string metrics_text() {
     auto& metrics = m_state.metrics;
-    metrics.set("cuminpath_caller_connections", static_cast<double>(m_connections.size()));
-    metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_exchanges));
+    metrics.set("cuminpath_caller_connections", static_cast<double>(m_callers.connections()));
+    metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_callers.requests()));
     metrics.set("cuminpath_idle_upstream_connections", static_cast<double>(m_state.links.idle()));
     metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
@@ -479,17 +416,12 @@
 
   void tick(time_point now) {
     notice_pause(now);
-    for (const auto* ended : std::exchange(m_ended, {})) {
-      m_connections.erase(ended);
-    }
     m_platform->tick(now, m_state.random);
     read_other_mirror(now);
     log_changes(m_state.upstreams.expire(now));
     update_members(now);
     m_state.links.sweep(now);
-    for (const auto& [key, connection] : m_connections) {
-      connection->check_limits(now);
-    }
+    m_callers.tick(now);
     if (now - m_last_report >= m_settings.report_interval) {
       send_report(now);
     }
@@ -552,26 +484,25 @@
 
   void leave(time_point now) {
     telemetry::log(log_level::info, "process", "leaving",
-                   {{"requests", static_cast<std::int64_t>(m_exchanges)}});
+                   {{"requests", static_cast<std::int64_t>(m_callers.requests())}});
     m_self.state = gateway::member_state::leaving;
     m_leaving_since = now;
     m_platform->withdraw();
     send_report(now);
-    for (const auto& [key, connection] : m_connections) {
-      connection->close_after_answer();
-    }
+    m_callers.close_after_answers();
   }
 
   bool stop_is_due(time_point now) const {
     const auto since = now - m_leaving_since;
     const auto addresses_expired = k_address_lifetimes_after_stop * m_settings.directory_ttl;
     const auto latest = m_settings.grace - k_stop_margin;
-    return since >= latest || (m_exchanges == 0 && since >= std::min<duration>(addresses_expired, latest));
+    return since >= latest ||
+           (m_callers.requests() == 0 && since >= std::min<duration>(addresses_expired, latest));
   }
 
   void stop() {
     telemetry::log(log_level::info, "process", "stopping",
-                   {{"requests", static_cast<std::int64_t>(m_exchanges)}});
+                   {{"requests", static_cast<std::int64_t>(m_callers.requests())}});
     m_context.stop();
   }
 
@@ -586,12 +517,9 @@
   gateway::member_report m_self;
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
-  asio::ip::tcp::acceptor m_acceptor;
+  caller_port m_callers;
   asio::steady_timer m_tick;
   asio::signal_set m_signals;
-  std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
-  std::vector<const caller_connection*> m_ended;  // Removed in the next tick.
-  std::size_t m_exchanges = 0;
   std::size_t m_skipped_rows = 0;
   bool m_store_reachable = true;
   bool m_reading_mirror = false;
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -2,7 +2,22 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cctype>
+
 namespace cuminpath::proxy {
+namespace {
+
+// Characters of a field name (RFC 9110, 5.6.2). http_parser lets spaces through, and a name like "Transfer-Encoding "
+// could mean something else to the next recipient.
+bool is_token(std::string_view name) {
+  constexpr std::string_view k_marks = "!#$%&'*+-.^_`|~";
+  return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+    return std::isalnum(c) != 0 || k_marks.find(static_cast<char>(c)) != std::string_view::npos;
+  });
+}
+
+}  // namespace
 
 class message_parser::impl {
 public:
@@ -103,6 +118,10 @@
   }
   int headers_complete() {
     m_head_done = true;
+    if (!std::all_of(m_head.headers.begin(), m_head.headers.end(),
+                     [](const auto& header) { return is_token(header.first); })) {
+      return -1;
+    }
     m_head.status = static_cast<int>(m_parser.status_code);
     if (m_kind == side::requests) {
       m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
--- /dev/null
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -0,0 +1,228 @@
+// What callers and upstreams see of a request, with upstreams that fail in each way that the platform
+// announces.
+
+#include <gmock/gmock.h>
+
+#include <fmt/format.h>
+
+#include "proxy_fixture.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+
+constexpr std::string_view k_stream_head =
+    "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n";
+
+std::string chunk(std::string_view text) {
+  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+TEST_F(proxy_fixture, passes_a_request_on_with_its_own_headers_only) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) { return reaction{answer("a", "body")}; });
+  const auto got =
+      call(request("POST", "/once/x?q=1", "a",
+                   "X-Workspace: forged\r\nX-Instance: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+                   "X-Kept: 2\r\nContent-Length: 3\r\n") +
+               "abc",
+           whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(got.bytes, HasSubstr("X-Stamp: s"));
+  ASSERT_EQ(upstream.requests().size(), 1U);
+  const std::string& seen = upstream.requests()[0];
+  EXPECT_THAT(seen, StartsWith("POST /once/x?q=1 HTTP/1.1\r\n"));
+  EXPECT_THAT(seen, HasSubstr("X-Workspace: alpha\r\n"));
+  EXPECT_THAT(seen, HasSubstr("X-Instance: i-1\r\n"));
+  EXPECT_THAT(seen, HasSubstr("X-Kept: 2\r\n"));
+  EXPECT_THAT(seen, Not(HasSubstr("forged")));
+  EXPECT_THAT(seen, Not(HasSubstr("secret")));
+  EXPECT_THAT(seen, Not(HasSubstr("X-Hop")));
+  EXPECT_TRUE(seen.ends_with("\r\n\r\nabc"));
+}
+
+TEST_F(proxy_fixture, refuses_what_no_configuration_allows) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) { return reaction{answer("a", "")}; });
+  EXPECT_THAT(call(request("GET", "/none/", "a"), whole).bytes, StartsWith("HTTP/1.1 404"));
+  EXPECT_THAT(call("GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nX-Key: wrong\r\n\r\n", whole).bytes,
+              StartsWith("HTTP/1.1 401"));
+  m_state.configuration.reset();
+  EXPECT_THAT(call(request("GET", "/safe/", "a"), whole).bytes, StartsWith("HTTP/1.1 503"));
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+TEST_F(proxy_fixture, never_sends_a_call_again_that_may_have_run) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) {
+    return reaction{"", reaction::after::reset};
+  });
+  add_upstream("i-2", [](auto, const auto&) { return reaction{"", reaction::after::reset}; });
+  const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(upstream.requests().size() + m_upstreams[1]->requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, tries_another_upstream_when_the_first_has_not_run_the_call) {
+  const auto refuse = [](auto, const auto&) {
+    return reaction{answer("a", "", "X-Not-Executed: 1\r\n", 503)};
+  };
+  add_upstream("i-1", refuse);
+  add_upstream("i-2", refuse);
+  const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(got.bytes, HasSubstr("Retry-After: "));
+  EXPECT_THAT(got.bytes, Not(HasSubstr("X-Stamp")));
+  EXPECT_EQ(m_upstreams[0]->requests().size(), 1U);
+  EXPECT_EQ(m_upstreams[1]->requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, a_wrong_instance_gets_nothing_more) {
+  add_upstream("i-1", [](auto, const auto&) { return reaction{answer("a", "", "", 421)}; });
+  EXPECT_THAT(call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole).bytes,
+              StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole).bytes,
+              StartsWith("HTTP/1.1 503"));
+  EXPECT_EQ(m_upstreams[0]->requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, repeats_a_safe_call_after_a_cut_answer) {
+  add_upstream("i-1", [](std::size_t, const auto&) {
+    return reaction{"HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Length: 10\r\n\r\nhalf",
+                    reaction::after::close};
+  });
+  add_upstream("i-2", [](auto, const auto&) { return reaction{answer("a", "whole body")}; });
+  for (int i = 0; i < 4; ++i) {
+    const auto got = call(request("GET", "/safe/x", "a"), whole);
+    EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 200"));
+    EXPECT_TRUE(got.bytes.ends_with("whole body"));
+  }
+}
+
+TEST_F(proxy_fixture, drops_an_answer_to_an_earlier_request) {
+  // The second answer to the first request arrives where the answer to the second one is expected.
+  const auto& upstream = add_upstream("i-1", [](std::size_t number, const auto&) {
+    if (number == 1) {
+      return reaction{answer("a", "first"), reaction::after::keep, answer("a", "late second")};
+    }
+    return reaction{answer("b", "own")};
+  });
+  EXPECT_TRUE(call(request("GET", "/safe/x", "a"), whole).bytes.ends_with("first"));
+  const auto got = call(request("GET", "/safe/x", "b"), whole);
+  EXPECT_TRUE(got.bytes.ends_with("own")) << got.bytes;
+  EXPECT_EQ(upstream.accepted(), 1U);  // On the kept connection, so the late answer was in the way.
+}
+
+TEST_F(proxy_fixture, does_not_use_a_connection_again_on_which_bytes_followed_an_answer) {
+  const auto& upstream = add_upstream("i-1", [](std::size_t number, const auto&) {
+    return reaction{number == 1 ? answer("a", "first") + answer("a", "again") : answer("b", "own")};
+  });
+  EXPECT_TRUE(call(request("GET", "/safe/x", "a"), whole).bytes.ends_with("first"));
+  EXPECT_TRUE(call(request("GET", "/safe/x", "b"), whole).bytes.ends_with("own"));
+  EXPECT_EQ(upstream.accepted(), 2U);
+}
+
+TEST_F(proxy_fixture, an_answer_that_is_not_the_upstreams_own_is_no_success) {
+  for (const std::string& bytes : {std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"),
+                                   answer("a", "x", "Content-Encoding: gzip\r\n"),
+                                   std::string("HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n"),
+                                   std::string("nonsense\r\n\r\n")}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    add_upstream("i-1", [bytes](auto, const auto&) { return reaction{bytes, reaction::after::close}; });
+    EXPECT_THAT(call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole).bytes,
+                StartsWith("HTTP/1.1 502"))
+        << bytes;
+  }
+}
+
+TEST_F(proxy_fixture, passes_the_upstreams_own_failure_on) {
+  add_upstream("i-1", [](auto, const auto&) { return reaction{answer("a", "broken", "", 500)}; });
+  const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 500"));
+  EXPECT_THAT(got.bytes, HasSubstr("X-Stamp: s"));
+  EXPECT_TRUE(got.bytes.ends_with("broken"));
+}
+
+TEST_F(proxy_fixture, resumes_a_stream_after_its_last_whole_event) {
+  const auto cut = [](auto, const auto&) {
+    return reaction{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\nid: 2\nda"),
+                    reaction::after::close};
+  };
+  const auto rest = [](auto, const std::string& seen) {
+    EXPECT_THAT(seen, HasSubstr("Last-Event-Id: 1\r\n"));
+    return reaction{std::string(k_stream_head) + chunk("id: 2\ndata: y\n\n") + "0\r\n\r\n"};
+  };
+  // Which upstream is first is random; each plays the part that its turn needs.
+  const auto either = [&](std::size_t number, const std::string& seen) {
+    return seen.find("Last-Event-Id") == std::string::npos ? cut(number, seen) : rest(number, seen);
+  };
+  add_upstream("i-1", either);
+  add_upstream("i-2", either);
+  const auto got = call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(got.bytes, HasSubstr("id: 1\ndata: x\n\n"));
+  EXPECT_THAT(got.bytes, HasSubstr("id: 2\ndata: y\n\n"));
+  EXPECT_THAT(got.bytes, Not(HasSubstr("id: 2\nda\r\n")));
+}
+
+TEST_F(proxy_fixture, a_stream_that_may_not_be_resumed_ends_visibly_cut) {
+  const auto cut = [](auto, const auto&) {
+    return reaction{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n"), reaction::after::reset};
+  };
+  add_upstream("i-1", cut);
+  add_upstream("i-2", cut);
+  const auto got = call(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_TRUE(got.ended);
+  EXPECT_FALSE(whole(got.bytes));
+  EXPECT_EQ(m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, answers_at_the_timeout_of_the_route) {
+  add_upstream("i-1", [](auto, const auto&) { return reaction{}; });
+  const time_point start = clock::now();
+  const auto got = call(request("POST", "/short/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 504"));
+  EXPECT_GE(clock::now() - start, milliseconds{140});
+  EXPECT_THAT(got.bytes, HasSubstr("\"execution\":\"unknown\""));
+}
+
+TEST_F(proxy_fixture, cancels_the_work_of_a_caller_that_has_left) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) { return reaction{}; });
+  call(request("GET", "/safe/x", "a"), [&](const std::string&) { return !upstream.requests().empty(); });
+  EXPECT_TRUE(run_until([&] { return upstream.closed() == 1; }));
+}
+
+TEST_F(proxy_fixture, refuses_at_once_when_no_upstream_has_a_place) {
+  const time_point start = clock::now();
+  const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(got.bytes, HasSubstr("\"execution\":\"not_run\""));
+  EXPECT_LT(clock::now() - start, seconds{1});
+}
+
+TEST_F(proxy_fixture, serves_pipelined_requests_in_order) {
+  add_upstream("i-1", [](std::size_t number, const auto&) {
+    return reaction{answer(number == 1 ? "a" : "b", number == 1 ? "one" : "two")};
+  });
+  const auto got = call(request("GET", "/safe/x", "a") + request("GET", "/safe/x", "b"),
+                        [](const std::string& bytes) { return bytes.ends_with("two"); });
+  EXPECT_LT(got.bytes.find("one"), got.bytes.find("two"));
+}
+
+TEST_F(proxy_fixture, rejects_requests_that_could_hide_another) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) { return reaction{answer("a", "")}; });
+  for (const std::string_view more :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: -1\r\n", "Bad Name: x\r\n"}) {
+    const auto got =
+        call(request("POST", "/once/x", "a", more) + "0\r\n\r\n", [](const auto&) { return false; });
+    EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 400")) << more;
+    EXPECT_TRUE(got.ended);
+  }
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+}  // namespace
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -0,0 +1,198 @@
+#include "proxy_fixture.h"
+
+#include <array>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <fmt/format.h>
+
+namespace cuminpath::proxy {
+namespace {
+
+constexpr seconds k_patience{5};
+
+std::size_t body_length(std::string_view head) {
+  constexpr std::string_view k_name = "Content-Length: ";
+  const std::size_t at = head.find(k_name);
+  return at == std::string_view::npos ? 0 : std::stoul(std::string(head.substr(at + k_name.size(), 12)));
+}
+
+}  // namespace
+
+struct scripted_upstream::connection {
+  explicit connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> buffer{};
+  std::string received;
+  std::string late;
+};
+
+scripted_upstream::scripted_upstream(asio::io_context& context, script answer)
+    : m_acceptor(context, {asio::ip::address_v4::loopback(), 0}), m_script(std::move(answer)) {
+  accept();
+}
+
+std::string scripted_upstream::address() const {
+  return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+}
+
+void scripted_upstream::accept() {
+  m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+    if (!error) {
+      ++m_accepted;
+      read(std::make_shared<connection>(std::move(socket)));
+      accept();
+    }
+  });
+}
+
+void scripted_upstream::read(const std::shared_ptr<connection>& from) {
+  from->socket.async_read_some(asio::buffer(from->buffer), [this, from](std::error_code error,
+                                                                        std::size_t size) {
+    if (error) {
+      ++m_closed;
+      return;
+    }
+    from->received.append(from->buffer.data(), size);
+    const std::size_t head = from->received.find("\r\n\r\n");
+    if (head == std::string::npos ||
+        from->received.size() < head + 4 + body_length(from->received.substr(0, head))) {
+      read(from);
+      return;
+    }
+    m_requests.push_back(std::exchange(from->received, {}));
+    const reaction does = m_script(m_requests.size(), m_requests.back());
+    std::error_code ignored;
+    asio::write(from->socket, asio::buffer(std::exchange(from->late, does.late_bytes) + does.bytes), ignored);
+    switch (does.then) {
+      case reaction::after::keep:
+        read(from);
+        return;
+      case reaction::after::reset:
+        from->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        from->socket.close(ignored);
+        return;
+      case reaction::after::close:
+        from->socket.close(ignored);
+        return;
+    }
+  });
+}
+
+proxy_fixture::proxy_fixture() {
+  m_state.names = {.request_id = "X-Id",
+                   .time_left_ms = "X-Left",
+                   .api_key = "X-Key",
+                   .workspace = "X-Workspace",
+                   .target_instance = "X-Instance",
+                   .urgency = "X-Urgency",
+                   .resume_after = "Last-Event-Id",
+                   .not_executed = "X-Not-Executed",
+                   .stamp = "X-Stamp",
+                   .token_counts = "X-Tokens"};
+  m_state.availability_zone = "z";
+  auto configuration = std::make_shared<gateway::configuration>();
+  configuration->version = 1;
+  const auto route = [](std::string prefix, gateway::call_kind kind, bool resumable, std::uint32_t attempts) {
+    return gateway::route{.name = prefix,
+                          .host = "h",
+                          .path_prefix = prefix,
+                          .kind = kind,
+                          .resumable = resumable,
+                          .timeout = milliseconds{2000},
+                          .max_attempts = attempts,
+                          .shares = {{"s", 1}}};
+  };
+  configuration->routes = {route("/safe/", gateway::call_kind::repeatable, false, 2),
+                           route("/once/", gateway::call_kind::at_most_once, false, 2),
+                           route("/stream/", gateway::call_kind::stream, true, 2),
+                           route("/fragile/", gateway::call_kind::stream, false, 2)};
+  configuration->routes.push_back(route("/short/", gateway::call_kind::at_most_once, false, 1));
+  configuration->routes.back().timeout = milliseconds{150};
+  configuration->services = {{.name = "s"}};
+  configuration->workspaces = {{.name = "alpha"}};
+  configuration->workspace_of_key = {{"secret", 0}};
+  configuration->keys_required = true;
+  configuration->build_index();
+  m_state.configuration = std::move(configuration);
+  EXPECT_TRUE(m_port.listen("127.0.0.1:0"));
+}
+
+scripted_upstream& proxy_fixture::add_upstream(std::string id, scripted_upstream::script answer) {
+  m_upstreams.push_back(std::make_unique<scripted_upstream>(m_context, std::move(answer)));
+  m_records.push_back({.id = std::move(id),
+                       .service = "s",
+                       .address = m_upstreams.back()->address(),
+                       .availability_zone = "z",
+                       .slots = 4});
+  m_state.upstreams.apply(m_records, clock::now(), false);
+  return *m_upstreams.back();
+}
+
+bool proxy_fixture::run_until(const std::function<bool()>& condition) {
+  const time_point end = clock::now() + k_patience;
+  while (!condition()) {
+    if (clock::now() >= end) {
+      return false;
+    }
+    m_context.run_one_for(milliseconds{20});
+    m_context.restart();
+  }
+  return true;
+}
+
+proxy_fixture::exchange_result proxy_fixture::call(const std::string& bytes,
+                                                   const std::function<bool(const std::string&)>& enough) {
+  asio::ip::tcp::socket socket(m_context);
+  const std::string address = m_port.address();
+  const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  asio::write(socket, asio::buffer(bytes));
+  exchange_result out;
+  std::array<char, 4096> buffer{};
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(buffer), [&](std::error_code error, std::size_t size) {
+      out.bytes.append(buffer.data(), size);
+      if (error == asio::error::operation_aborted) {
+        return;
+      }
+      if (error) {
+        out.ended = true;
+      } else {
+        read();
+      }
+    });
+  };
+  read();
+  EXPECT_TRUE(run_until([&] { return out.ended || enough(out.bytes); })) << out.bytes;
+  std::error_code ignored;
+  socket.close(ignored);
+  m_context.poll();
+  m_context.restart();
+  return out;
+}
+
+bool proxy_fixture::whole(const std::string& bytes) {
+  const std::size_t head = bytes.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return false;
+  }
+  if (bytes.find("Transfer-Encoding: chunked") < head) {
+    return bytes.ends_with("0\r\n\r\n");
+  }
+  return bytes.size() >= head + 4 + body_length(bytes.substr(0, head));
+}
+
+std::string proxy_fixture::request(std::string_view method, std::string_view path, std::string_view id,
+                                   std::string_view more) {
+  return fmt::format("{} {} HTTP/1.1\r\nHost: h\r\nX-Id: {}\r\nX-Key: secret\r\nX-Left: 1500\r\n{}\r\n",
+                     method, path, id, more);
+}
+
+std::string proxy_fixture::answer(std::string_view id, std::string_view body, std::string_view more,
+                                  int status) {
+  return fmt::format("HTTP/1.1 {} X\r\nX-Id: {}\r\nX-Stamp: s\r\n{}Content-Length: {}\r\n\r\n{}", status, id,
+                     more, body.size(), body);
+}
+
+}  // namespace cuminpath::proxy
