balancer: send maps to a few ranks at a time, and loads in a byte each

Cause: on the grown deployment no switch ever happened: the map for 32 ranks left in one burst of 84 KB, which the leader's link of 8 Mbit/s dropped for the same ranks each time; loads of 1,536 experts ten times a second from 31 ranks would have filled it as well.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -32,7 +32,13 @@
 // Without a report for this long a balancer counts as gone; the lowest rank that reports leads.
 constexpr milliseconds k_silent_after{700};
 constexpr milliseconds k_directive_interval{60};
-constexpr milliseconds k_prepare_interval{200};  // Carries a whole map.
+// The whole map goes to a few ranks at a time; all at once would overflow the link of the leader's host.
+constexpr std::size_t k_prepares_per_tick = 4;
+constexpr milliseconds k_prepare_interval{200};  // Between two for the same rank.
+// Bytes a second that the ranks of a group may send their loads to the leader with: a third of an 8 Mbit/s
+// link.
+constexpr std::size_t k_report_bytes = 300;  // Of a report beside its loads.
+constexpr std::size_t k_load_bytes_per_s = 350'000;
 constexpr milliseconds k_token_retry{1000};
 // Others that run already are heard by then.
 constexpr milliseconds k_listen_before_leading{1000};
@@ -241,12 +247,7 @@
   }
 
   void send_report(time_point now, bool to_leader_with_loads) {
-    rank_report report{.host = m_settings.name,
-                       .incarnation = m_incarnation,
-                       .sequence = ++m_sequence,
-                       .report_address = m_settings.report_address,
-                       .engine_address = m_settings.engine_address,
-                       .view = m_own.view};
+    rank_report report = own_report();
     std::vector<std::string> receivers;
     if (to_leader_with_loads) {
       report.loads = std::exchange(m_unsent_loads, {});
@@ -274,6 +275,23 @@
     }
   }
 
+  // The leader waits for each step of a switch; the others hear of it with the next periodic report.
+  void report_progress(time_point now) {
+    if (const auto* leader = leading_peer(now)) {
+      const std::vector<std::string> receivers{leader->report.report_address};
+      m_channel->send(encode(own_report()), receivers);
+    }
+  }
+
+  rank_report own_report() {
+    return {.host = m_settings.name,
+            .incarnation = m_incarnation,
+            .sequence = ++m_sequence,
+            .report_address = m_settings.report_address,
+            .engine_address = m_settings.engine_address,
+            .view = m_own.view};
+  }
+
   // True once every rank of the own group has been heard of.
   [[nodiscard]] bool group_known() const {
     const auto heard = std::count_if(m_peers.begin(), m_peers.end(),
@@ -317,8 +335,14 @@
 
   // Reading the engine.
 
+  [[nodiscard]] milliseconds counts_interval() const {
+    const std::size_t bytes = own_status().ranks * (m_last_counts.size() + k_report_bytes);
+    return std::max(k_counts_interval,
+                    milliseconds(static_cast<std::int64_t>(1000 * bytes / k_load_bytes_per_s)));
+  }
+
   void read_counts(time_point now) {
-    if (m_reading_counts || now - m_counts_read_at < k_counts_interval || !m_own.known) {
+    if (m_reading_counts || now - m_counts_read_at < counts_interval() || !m_own.known) {
       return;
     }
     m_reading_counts = true;
@@ -405,9 +429,9 @@
       plan(all, now);
     }
     if (m_leader.current() != phase::idle) {
-      const auto interval =
-          m_leader.current() == phase::preparing ? k_prepare_interval : k_directive_interval;
-      if (now - m_directed_at >= interval) {
+      if (m_leader.current() == phase::preparing) {
+        send_prepares(now);
+      } else if (now - m_directed_at >= k_directive_interval) {
         send_directive(now);
       }
     }
@@ -451,6 +475,11 @@
     for (const auto& [rank, driver] : m_remote) {
       driver->worker.set_directive(order);
     }
+    if (order != nullptr && order->kind == phase::preparing) {
+      m_prepared_hosts.clear();
+      send_prepares(now);
+      return;
+    }
     std::vector<std::string> receivers;
     for (const auto& [host, known] : m_peers) {
       if (in_group(known)) {
@@ -460,6 +489,26 @@
     m_channel->send(encode(message), receivers);
   }
 
+  // Sends the map to ranks that have not begun to copy, a few in each tick.
+  void send_prepares(time_point now) {
+    const directive* order = m_leader.order();
+    std::vector<std::string> receivers;
+    for (const auto& [host, known] : m_peers) {
+      const engine_status& status = known.report.view.status;
+      auto& sent_at = m_prepared_hosts[host];
+      if (receivers.size() < k_prepares_per_tick && in_group(known) && status.prepared != order->version &&
+          now - sent_at >= k_prepare_interval) {
+        sent_at = now;
+        receivers.push_back(known.report.report_address);
+      }
+    }
+    if (!receivers.empty()) {
+      m_channel->send(
+          encode(group_directive{.group = own_status().group, .value = *order, .token = order->token}),
+          receivers);
+    }
+  }
+
   // Ranks whose balancer is gone are read, and given orders, from here.
   void drive_silent_ranks(time_point now) {
     for (const auto& [host, known] : m_peers) {
@@ -529,6 +578,12 @@
     return filled == own_status().ranks ? map : rank_map();
   }
 
+  [[nodiscard]] std::uint32_t copies_for_a_plan(const gateway::expert_shape& shape) const {
+    const double copies =
+        static_cast<double>(m_settings.max_copy_time.count()) / std::max(shape.copy_ms, 1.0);
+    return static_cast<std::uint32_t>(std::max(1.0, copies));
+  }
+
   void plan(std::span<const std::optional<rank_view>> all, time_point now) {
     const auto shape = m_platform->shape();
     if (!shape || shape->layers == 0 || !m_leader.complete(all, now) || m_window.total(now) < k_min_tokens) {
@@ -542,7 +597,7 @@
     auto planned = placement::plan_even_shares(map, loads,
                                                {.slots_per_rank = shape->slots_per_rank,
                                                 .max_new_per_rank_layer = shape->max_new_per_layer,
-                                                .max_copies_per_rank = m_settings.max_copies_per_rank});
+                                                .max_copies_per_rank = copies_for_a_plan(*shape)});
     m_metrics.set("cuminpath_expert_skew", planned.cost_before / planned.ideal);
     if (planned.cost_after > (1 - m_settings.min_saving) * planned.cost_before) {
       return;
@@ -582,7 +637,7 @@
       m_window.clear();
     }
     if (m_own.worker.working()) {
-      send_report(now, false);
+      report_progress(now);
     }
     lead(now);
   }
@@ -636,7 +691,8 @@
   std::map<std::string, peer> m_peers;                             // By host.
   std::map<std::uint32_t, std::unique_ptr<rank_driver>> m_remote;  // By rank.
   switch_leader m_leader;
-  std::optional<engine_experts> m_experts;  // Of the own rank.
+  std::map<std::string, time_point> m_prepared_hosts;  // When the map of the switch was sent, by host.
+  std::optional<engine_experts> m_experts;             // Of the own rank.
   std::vector<std::uint64_t> m_last_counts;
   std::vector<std::uint64_t> m_unsent_loads;
   std::string m_known_group;
--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -1,5 +1,7 @@
 #include "core/balancer/messages.h"
 
+#include <algorithm>
+
 #include "core/common/json.h"
 
 namespace cuminpath::balancer {
@@ -42,15 +44,37 @@
   return status;
 }
 
+// Loads are sent in 128 steps of the largest one, a byte each; the planner needs no more.
+constexpr std::uint64_t k_load_steps = 127;
+
+json encode_loads(const std::vector<std::uint64_t>& loads) {
+  const std::uint64_t largest = loads.empty() ? 0 : *std::max_element(loads.begin(), loads.end());
+  const std::uint64_t step = largest / k_load_steps + 1;
+  json steps = json::array();
+  for (const std::uint64_t load : loads) {
+    steps.push_back((load + step / 2) / step);
+  }
+  return json::array({step, std::move(steps)});
+}
+
+std::vector<std::uint64_t> decode_loads(const json& from) {
+  const auto step = from.at(0).get<std::uint64_t>();
+  auto loads = from.at(1).get<std::vector<std::uint64_t>>();
+  for (std::uint64_t& load : loads) {
+    load *= step;
+  }
+  return loads;
+}
+
 struct encoder {
   json operator()(const rank_report& value) const {
-    return json::array(
-        {k_format, k_report, value.host, value.incarnation, value.sequence, value.report_address,
-         value.engine_address, to_json(value.view.status), value.view.disarmed_token,
-         value.view.disarmed_epoch, value.view.refused_token, value.view.followed_token, value.loads,
-         value.experts
-             ? json::array({value.experts->epoch, value.experts->map_version, value.experts->experts})
-             : json()});
+    return json::array({k_format, k_report, value.host, value.incarnation, value.sequence,
+                        value.report_address, value.engine_address, to_json(value.view.status),
+                        value.view.disarmed_token, value.view.disarmed_epoch, value.view.refused_token,
+                        value.view.followed_token, encode_loads(value.loads),
+                        value.experts ? json::array({value.experts->epoch, value.experts->map_version,
+                                                     value.experts->experts})
+                                      : json()});
   }
   json operator()(const group_directive& value) const {
     json body;
@@ -75,7 +99,7 @@
   report.view.disarmed_epoch = from.at(9).get<std::uint64_t>();
   report.view.refused_token = from.at(10).get<std::uint64_t>();
   report.view.followed_token = from.at(11).get<std::uint64_t>();
-  report.loads = from.at(12).get<std::vector<std::uint64_t>>();
+  report.loads = decode_loads(from.at(12));
   if (const json& held = from.at(13); !held.is_null()) {
     report.experts = engine_experts{.epoch = held.at(0).get<std::uint64_t>(),
                                     .map_version = held.at(1).get<std::uint64_t>(),
--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -21,10 +21,11 @@
   std::string metrics_address;        // IP:PORT for /metrics; empty for none.
   std::string store_url;              // http://IP:PORT of the platform's store.
   milliseconds report_interval{200};  // Between reports to the group. Key report_interval_ms.
-  milliseconds plan_interval{60};    // Between looks at the loads. Key plan_interval_ms.
+  milliseconds plan_interval{60};     // Between looks at the loads. Key plan_interval_ms.
   milliseconds load_half_life{250};  // Of the window of loads that plans are made for. Key load_half_life_ms.
-  std::uint32_t max_copies_per_rank = 1;  // Experts that a rank copies for one plan.
-  double min_saving = 0.12;               // Share of the expert time of a pass that a switch must save.
+  milliseconds max_copy_time{
+      160};                  // Of one plan at each rank; one expert is always allowed. Key max_copy_time_ms.
+  double min_saving = 0.12;  // Share of the expert time of a pass that a switch must save.
 
   gateway_settings::log_settings log;
 };
--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t k_max_settings_bytes = 64U << 10U;
 constexpr std::int64_t k_minute_ms = 60'000;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
-constexpr std::uint32_t k_max_copies = 100'000;
 
 // Readers that the roles share.
 class base_reader {
@@ -124,7 +123,7 @@
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
     m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
     m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
-    m_root.optional().read("max_copies_per_rank", value.max_copies_per_rank, {1U, k_max_copies});
+    m_root.optional().read("max_copy_time_ms", value.max_copy_time, {1, k_minute_ms});
     m_root.optional().read("min_saving", value.min_saving);
     if (value.min_saving < 0 || value.min_saving > 1) {
       m_root.add_error("min_saving", "must be from 0 to 1");
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -57,6 +57,7 @@
   std::uint32_t experts = 0;            // For each of them.
   std::uint32_t slots_per_rank = 0;     // Experts of one layer that a rank can hold.
   std::uint32_t max_new_per_layer = 0;  // Experts of one layer that a rank may copy for one map.
+  double copy_ms = 0;                   // Time to copy one expert to a rank.
 };
 
 struct service {
