gateway: after a restart of hosts, prefer the later instance at an address

Cause: incident inc-da85 of vidal: rows of the earlier instances stayed for three heartbeats beside those of the new ones, and half of the requests went to the earlier names, got 'another instance', and used up their attempts.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -15,8 +15,17 @@
 constexpr milliseconds k_min_retry_after{100};
 constexpr double k_max_share_of_time_left = 0.3;
 
+// A service counts as away if upstreams have refused within this time and none has served.
+constexpr milliseconds k_away_after{400};
+// Upstreams register within about two seconds of their start, and groups form meanwhile.
+constexpr milliseconds k_away_wait{2000};
+
 }  // namespace
 
+bool service_outlook::away(time_point now) const {
+  return m_refused != time_point{} && now - m_refused <= k_away_after && now - m_served > k_away_after;
+}
+
 double max_fill(const admission_request& request) {
   if (!request.engine) {
     return k_service_fill;
@@ -28,7 +37,8 @@
                          const admission_request& request, random_source& random) {
   const double places = std::max(1.0, max_fill(request) * totals.slots);
   const double excess = std::max(0.0, totals.outstanding - places) + 1;
-  const double wait_ms = static_cast<double>(mean_service.count()) * excess / places;
+  const double queue_ms = static_cast<double>(mean_service.count()) * excess / places;
+  const double wait_ms = request.service_away ? static_cast<double>(k_away_wait.count()) : queue_ms;
   const double most_ms = k_max_share_of_time_left * static_cast<double>(request.time_left.count());
   // Spread over the second half, so that callers refused together don't come back together.
   const double spread = 0.5 + std::uniform_real_distribution<double>(0, 0.5)(random);
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -14,6 +14,21 @@
   std::uint32_t rank = 0;  // 0 is the most urgent.
   bool engine = false;     // The service batches requests; else each slot runs one.
   milliseconds time_left{0};
+  bool service_away = false;  // No upstream of the service runs anything now; see service_outlook.
+};
+
+// Whether a service as a whole runs requests. Upstreams that start, and groups that form, refuse everything
+// for a second or two; callers that come back within that time are refused again.
+class service_outlook {
+public:
+  void on_served(time_point now) { m_served = now; }
+  void on_refused(time_point now) { m_refused = now; }
+  // Refusals of upstreams, and nothing served for a while.
+  [[nodiscard]] bool away(time_point now) const;
+
+private:
+  time_point m_served{};
+  time_point m_refused{};
 };
 
 // Most requests at one upstream for which a request of that rank is still placed, in slots of the upstream.
--- a/source/core/gateway/attempt_policy.cpp
+++ b/source/core/gateway/attempt_policy.cpp
@@ -10,7 +10,13 @@
   if (end == attempt_end::not_sent) {
     return true;  // No upstream got it, so neither the budget nor the number of attempts is touched.
   }
-  if (facts.sent >= facts.max_attempts || !facts.budget_left) {
+  if (!facts.budget_left) {
+    return false;
+  }
+  if (end == attempt_end::wrong_instance) {
+    return !facts.may_have_run || facts.repeatable;  // The upstream that was meant never got it.
+  }
+  if (facts.sent >= facts.max_attempts) {
     return false;
   }
   return facts.repeatable || !facts.may_have_run;
--- a/source/core/gateway/attempt_policy.h
+++ b/source/core/gateway/attempt_policy.h
@@ -8,11 +8,12 @@
 namespace cuminpath::gateway {
 
 enum class attempt_end : std::uint8_t {
-  not_sent,      // No byte has left for the upstream.
-  not_executed,  // The upstream says that it has not run the request.
-  broken,        // The connection ended or answered nonsense; the request may have run.
-  failed,        // A whole failure answer (5xx) of the upstream.
-  silent,        // No sign of progress for too long.
+  not_sent,        // No byte has left for the upstream.
+  wrong_instance,  // Another instance has the address; it has not run the request.
+  not_executed,    // The upstream says that it has not run the request.
+  broken,          // The connection ended or answered nonsense; the request may have run.
+  failed,          // A whole failure answer (5xx) of the upstream.
+  silent,          // No sign of progress for too long.
 };
 
 struct attempt_facts {
--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -134,8 +134,8 @@
 }
 
 std::size_t member_list::reporting(time_point now) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_members.begin(), m_members.end(), [&](const member& known) { return alive(known, now); }));
+  return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                [&](const member& known) { return alive(known, now); }));
 }
 
 const member_list::member* member_list::newer_mirror(std::uint64_t version, time_point now,
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -64,6 +64,18 @@
   m_upstreams.pop_back();
 }
 
+// After hosts have restarted, rows of earlier instances stand beside those of the new ones until they lapse.
+void upstream_table::mark_superseded() {
+  std::unordered_map<std::string_view, std::uint64_t> latest;
+  for (const upstream& known : m_upstreams) {
+    auto& start = latest[known.record.address];
+    start = std::max(start, known.record.started_ms);
+  }
+  for (upstream& known : m_upstreams) {
+    known.superseded = known.record.started_ms < latest[known.record.address];
+  }
+}
+
 std::vector<upstream_table::change> upstream_table::apply(std::span<const upstream_record> records,
                                                           time_point now, bool store_disturbed) {
   using kind = change::kind;
@@ -111,6 +123,7 @@
       erase_index(i);
     }
   }
+  mark_superseded();
   return changes;
 }
 
@@ -133,7 +146,7 @@
   std::uint64_t ties = 0;
   for (const upstream& candidate : m_upstreams) {
     const upstream_record& record = candidate.record;
-    if (record.service != service || record.leaving || candidate.wrong_instance ||
+    if (record.service != service || record.leaving || candidate.wrong_instance || candidate.superseded ||
         !candidate.health.usable(now, k_ejection)) {
       continue;
     }
@@ -236,7 +249,8 @@
 upstream_table::service_totals upstream_table::totals(std::string_view service, time_point now) const {
   service_totals sum;
   for (const upstream& known : m_upstreams) {
-    if (known.record.service == service && !known.record.leaving && !known.health.ejected(now)) {
+    if (known.record.service == service && !known.record.leaving && !known.superseded &&
+        !known.health.ejected(now)) {
       ++sum.upstreams;
       sum.slots += known.record.slots;
       sum.outstanding += known.own + known.peers;
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -53,7 +53,8 @@
     std::uint32_t own = 0;    // Requests of this gateway that run or wait there.
     std::uint32_t peers = 0;  // The same of other gateways, as last reported.
     routing::ejection_state health;
-    bool wrong_instance = false;           // Another instance answers at the address.
+    bool wrong_instance = false;  // Another instance answers at the address.
+    bool superseded = false;  // A later instance is listed at the same address; this row has not lapsed yet.
     std::optional<time_point> removed_at;  // The row is gone, but the upstream is kept until the grace ends.
   };
 
@@ -95,6 +96,7 @@
 private:
   upstream* find_mutable(std::string_view id);
   void add(const upstream_record& record);
+  void mark_superseded();
   void erase_index(std::size_t index);
   [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
 
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -115,6 +115,8 @@
   switch (end) {
     case attempt_end::not_sent:
       return "not_sent";
+    case attempt_end::wrong_instance:
+      return "wrong_instance";
     case attempt_end::not_executed:
       return "not_executed";
     case attempt_end::broken:
@@ -413,10 +415,14 @@
 
 void exchange::on_answer_end() {
   message_head& head = *m_attempt->head;
-  if (head.status == 421 || http::find_header(head.headers, m_state.names.not_executed)) {
-    if (head.status == 421) {
-      m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
-    }
+  if (head.status == 421) {
+    m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
+    --m_sent;
+    end_attempt(attempt_end::wrong_instance, "another instance has the address");
+    return;
+  }
+  if (http::find_header(head.headers, m_state.names.not_executed)) {
+    m_state.outlook(m_service).on_refused(clock::now());
     end_attempt(attempt_end::not_executed, fmt::format("upstream answered {}", head.status));
     return;
   }
@@ -433,6 +439,7 @@
     return;
   }
   m_state.upstreams.on_success(m_attempt->upstream_id, clock::now());
+  m_state.outlook(m_service).on_served(clock::now());
   if (!m_attempt->streamed) {
     deliver_whole();
     return;
@@ -493,11 +500,11 @@
   const time_point now = clock::now();
   const std::string upstream_id = m_attempt->upstream_id;
   const bool sent = m_attempt->sent;
-  const bool link_sound = end == attempt_end::not_executed || end == attempt_end::failed;
+  const bool refused = end == attempt_end::not_executed || end == attempt_end::wrong_instance;
+  const bool link_sound = refused || end == attempt_end::failed;
   m_state.upstreams.on_failure(upstream_id, now);
   release_attempt(link_sound);
-  m_may_have_run =
-      m_may_have_run || (sent && end != attempt_end::not_sent && end != attempt_end::not_executed);
+  m_may_have_run = m_may_have_run || (sent && end != attempt_end::not_sent && !refused);
   const auto* target = next_upstream(now);
   gateway::attempt_facts facts{.repeatable = m_route->repeatable(),
                                .caller_has_bytes = m_answer_begun,
@@ -615,10 +622,14 @@
   milliseconds wait{1000};
   if (!m_service.empty()) {
     const auto mean = m_state.mean_service_times.find(m_service);
-    wait = gateway::retry_after(
-        m_state.upstreams.totals(m_service, now),
-        mean == m_state.mean_service_times.end() ? k_default_service_time : mean->second,
-        {.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now)}, m_state.random);
+    wait =
+        gateway::retry_after(m_state.upstreams.totals(m_service, now),
+                             mean == m_state.mean_service_times.end() ? k_default_service_time : mean->second,
+                             {.rank = m_rank,
+                              .engine = is_engine_call(),
+                              .time_left = time_left(now),
+                              .service_away = m_state.outlook(m_service).away(now)},
+                             m_state.random);
   }
   respond_problem(status, reason, "not_run", wait);
   finish("refused", status, reason);
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -8,8 +8,8 @@
 namespace cuminpath::proxy {
 namespace {
 
-// Characters of a field name (RFC 9110, 5.6.2). http_parser lets spaces through, and a name like "Transfer-Encoding "
-// could mean something else to the next recipient.
+// Characters of a field name (RFC 9110, 5.6.2). http_parser lets spaces through, and a name like
+// "Transfer-Encoding " could mean something else to the next recipient.
 bool is_token(std::string_view name) {
   constexpr std::string_view k_marks = "!#$%&'*+-.^_`|~";
   return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "core/common/random.h"
+#include "core/gateway/admission.h"
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
 #include "core/gateway/upstream_table.h"
@@ -33,6 +34,9 @@
   std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
 
+  std::unordered_map<std::string, gateway::service_outlook> outlooks;  // By service.
+
+  gateway::service_outlook& outlook(const std::string& service) { return outlooks[service]; }
   routing::retry_budget& budget(const std::string& service) {
     return retry_budgets.try_emplace(service, retry_options).first->second;
   }
--- a/source/unit_tests/gateway/admission_test.cpp
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -32,5 +32,23 @@
   EXPECT_GT(flooded_sum, 2 * calm_sum);
 }
 
+TEST(admission, callers_of_a_service_that_is_away_come_back_when_it_can_be_there) {
+  constexpr time_point k_start{seconds{100}};
+  service_outlook outlook;
+  EXPECT_FALSE(outlook.away(k_start));
+  outlook.on_served(k_start);
+  outlook.on_refused(k_start + milliseconds{100});
+  EXPECT_FALSE(outlook.away(k_start + milliseconds{100}));
+  outlook.on_refused(k_start + milliseconds{500});
+  EXPECT_TRUE(outlook.away(k_start + milliseconds{500}));
+  outlook.on_served(k_start + milliseconds{600});
+  EXPECT_FALSE(outlook.away(k_start + milliseconds{600}));
+  random_source random(3);
+  const auto wait =
+      retry_after({}, milliseconds{100}, {.time_left = milliseconds{8000}, .service_away = true}, random);
+  EXPECT_GE(wait, milliseconds{1000});
+  EXPECT_LE(wait, milliseconds{2400});
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
--- a/source/unit_tests/gateway/attempt_policy_test.cpp
+++ b/source/unit_tests/gateway/attempt_policy_test.cpp
@@ -61,6 +61,18 @@
   EXPECT_EQ(after_attempt(attempt_end::not_sent, facts), next_step::try_another);
 }
 
+TEST(attempt_policy, a_wrong_instance_costs_budget_but_no_attempt) {
+  attempt_facts facts = fresh();
+  facts.sent = 0;
+  facts.max_attempts = 0;
+  EXPECT_EQ(after_attempt(attempt_end::wrong_instance, facts), next_step::try_another);
+  facts.budget_left = false;
+  EXPECT_EQ(after_attempt(attempt_end::wrong_instance, facts), next_step::refuse);
+  facts.budget_left = true;
+  facts.may_have_run = true;
+  EXPECT_EQ(after_attempt(attempt_end::wrong_instance, facts), next_step::fail);
+}
+
 TEST(attempt_policy, delivers_the_failure_of_the_upstream_itself) {
   attempt_facts facts = fresh();
   facts.may_have_run = true;
--- a/source/unit_tests/gateway/upstream_table_test.cpp
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -9,10 +9,12 @@
 
 constexpr time_point k_start{seconds{100}};
 
+// Each upstream has an address of its own unless a test gives it another.
 upstream_record record(std::string id, std::string zone = "z") {
+  std::string address = id + ":80";
   return {.id = std::move(id),
           .service = "s",
-          .address = "10.0.0.1:80",
+          .address = std::move(address),
           .availability_zone = std::move(zone),
           .slots = 4};
 }
@@ -148,6 +150,23 @@
   EXPECT_EQ(chosen(table, k_start), "a");
 }
 
+TEST(upstream_table, prefers_the_later_instance_at_an_address) {
+  upstream_table table;
+  auto list = records({"earlier", "later"});
+  list[0].address = list[1].address;
+  list[0].started_ms = 1;
+  list[1].started_ms = 2;
+  table.apply(list, k_start, false);
+  for (int i = 0; i < 3; ++i) {
+    table.on_started("later", k_start);
+  }
+  EXPECT_EQ(chosen(table, k_start), "later");
+  EXPECT_EQ(table.totals("s", k_start).upstreams, 1U);
+  list.pop_back();
+  table.apply(list, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "earlier");
+}
+
 TEST(upstream_table, does_not_choose_what_a_request_has_tried) {
   upstream_table table;
   table.apply(records({"a", "b"}), k_start, false);
