--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -27,7 +27,7 @@
 };
 
 // The response to one request. Holds the connection until a response has been sent; dropping the last
-// reference without one closes the connection.
+// reference without one answers 500, or closes the connection if a stream has begun.
 class responder {
 public:
   virtual ~responder() = default;
