--- a/source/bench/capacity/membership_slope.cpp
+++ b/source/bench/capacity/membership_slope.cpp
@@ -72,7 +72,7 @@
   time_point now = k_start;
   const double before = heap_bytes();
   membership::member_table table({.name = "entry-00000",
-                                  .role = platform::host_role::entry,
+                                  .role = storage::host_role::entry,
                                   .availability_zone = zone_name(0),
                                   .number = incarnation{1}});
   const double first_us = cpu_us_of([&] { table.on_host_list(now, hosts); });
@@ -81,7 +81,7 @@
   const double again_us = cpu_us_of([&] { table.on_host_list(now, hosts); });
   run_seconds(table, now, entries, random);
   const traffic idle = run_seconds(table, now, entries, random);
-  const double copy_us = cpu_us_of([&] { static_cast<void>(table.members(platform::host_role::agent)); });
+  const double copy_us = cpu_us_of([&] { static_cast<void>(table.members(storage::host_role::agent)); });
   wire::heartbeat news;
   for (std::uint32_t i = 0; i < k_rack; ++i) {
     news.events.push_back({hosts.hosts[entries + agents / 2 + i].name, {}, wire::member_state::suspected});
--- a/source/bench/capacity/sample_fleet.cpp
+++ b/source/bench/capacity/sample_fleet.cpp
@@ -18,14 +18,14 @@
   return fmt::format("10.{}.{}.{}:7000", number >> 16U, (number >> 8U) & 255U, number & 255U);
 }
 
-platform::host_list sample_hosts(std::uint32_t entries, std::uint32_t agents) {
-  platform::host_list list{.generation = 1, .hosts = {}};
+storage::host_list sample_hosts(std::uint32_t entries, std::uint32_t agents) {
+  storage::host_list list{.generation = 1, .hosts = {}};
   list.hosts.reserve(entries + agents);
   for (std::uint32_t i = 0; i < entries + agents; ++i) {
     const bool entry = i < entries;
     const std::uint32_t number = entry ? i : i - entries;
     list.hosts.push_back({.name = fmt::format("{}-{:05}", entry ? "entry" : "host", number),
-                          .role = entry ? platform::host_role::entry : platform::host_role::agent,
+                          .role = entry ? storage::host_role::entry : storage::host_role::agent,
                           .availability_zone = zone_name(number),
                           .region = region_name(number),
                           .address = entry ? fmt::format("10.200.{}.{}:80", number >> 8U, number & 255U) : "",
--- a/source/bench/capacity/sample_fleet.h
+++ b/source/bench/capacity/sample_fleet.h
@@ -8,7 +8,7 @@
 
 #include "core/common/time.h"
 #include "core/config/manifest.h"
-#include "core/platform/host_list_client.h"
+#include "core/storage/host_list_client.h"
 
 namespace cuminpath::bench {
 
@@ -26,7 +26,7 @@
 std::string peer_address(std::uint32_t number);
 
 // Entries first. Entry 0 is in availability zone 0.
-platform::host_list sample_hosts(std::uint32_t entries, std::uint32_t agents);
+storage::host_list sample_hosts(std::uint32_t entries, std::uint32_t agents);
 // `upstreams` is a multiple of k_ranks.
 config::manifest sample_manifest(std::uint32_t upstreams, std::uint32_t workspaces);
 
--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -16,9 +16,9 @@
 #include "core/http/client.h"
 #include "core/http/server.h"
 #include "core/membership/member_table.h"
-#include "core/platform/host_list_client.h"
-#include "core/platform/object_client.h"
 #include "core/rollout/rollout.h"
+#include "core/storage/host_list_client.h"
+#include "core/storage/object_client.h"
 #include "core/telemetry/log.h"
 #include "core/transport/link_metrics.h"
 #include "core/transport/mailbox.h"
@@ -101,7 +101,7 @@
                 .max_queued = settings.agent.max_queued,
                 .attempts = {}}),
         m_members({.name = settings.host,
-                   .role = platform::host_role::agent,
+                   .role = storage::host_role::agent,
                    .availability_zone = settings.availability_zone,
                    .number = m_incarnation}),
         m_rollout(
@@ -401,7 +401,7 @@
       return;
     }
     m_next_host_list = now + k_host_list_retry;
-    m_hosts.fetch([this](const result<platform::host_list>& hosts) {
+    m_hosts.fetch([this](const result<storage::host_list>& hosts) {
       if (!hosts) {
         return;
       }
@@ -418,9 +418,9 @@
 
   // Entries of the own availability zone first: they hear of a new configuration soonest.
   std::vector<std::string> configuration_peers() {
-    auto entries = m_members.members(platform::host_role::entry);
+    auto entries = m_members.members(storage::host_role::entry);
     std::shuffle(entries.begin(), entries.end(), m_random);
-    std::stable_partition(entries.begin(), entries.end(), [this](const platform::host_entry& entry) {
+    std::stable_partition(entries.begin(), entries.end(), [this](const storage::host_entry& entry) {
       return entry.availability_zone == m_settings.availability_zone;
     });
     std::vector<std::string> peers = m_settings.seed_peers;
@@ -509,8 +509,8 @@
   telemetry::hybrid_clock m_hybrid_clock;
   telemetry::timeline m_timeline;
   http::client m_client;
-  platform::object_client m_objects;
-  platform::host_list_client m_hosts;
+  storage::object_client m_objects;
+  storage::host_list_client m_hosts;
   agent_core m_core;
   membership::member_table m_members;
   rollout::rollout m_rollout;
--- a/source/core/agent/expert_service.cpp
+++ b/source/core/agent/expert_service.cpp
@@ -387,7 +387,7 @@
     return;
   }
   m_fetching_hosts = true;
-  m_hosts.fetch([this, unknown](const result<platform::host_list>& hosts) {
+  m_hosts.fetch([this, unknown](const result<storage::host_list>& hosts) {
     m_fetching_hosts = false;
     m_next_hosts = clock::now() + (unknown ? k_hosts_again : k_slow_switch);
     if (!hosts) {
@@ -398,7 +398,7 @@
         continue;
       }
       for (const auto& host : hosts.value().hosts) {
-        if (host.name == upstream.host && host.role == platform::host_role::agent) {
+        if (host.name == upstream.host && host.role == storage::host_role::agent) {
           m_addresses[upstream.rank] = host.peer_address;
         }
       }
--- a/source/core/agent/expert_service.h
+++ b/source/core/agent/expert_service.h
@@ -19,9 +19,9 @@
 #include "core/group_switch/coordinator.h"
 #include "core/group_switch/participant.h"
 #include "core/http/client.h"
-#include "core/platform/host_list_client.h"
-#include "core/platform/object_client.h"
-#include "core/platform/table_client.h"
+#include "core/storage/host_list_client.h"
+#include "core/storage/object_client.h"
+#include "core/storage/table_client.h"
 
 namespace cuminpath::agent {
 
@@ -102,9 +102,9 @@
   std::string m_own_address;
   std::string m_writer;
   expert_service_hooks m_hooks;
-  platform::table_client m_table;
-  platform::object_client m_objects;
-  platform::host_list_client m_hosts;
+  storage::table_client m_table;
+  storage::object_client m_objects;
+  storage::host_list_client m_hosts;
 
   std::shared_ptr<const config::manifest> m_manifest;
   std::string m_group;
--- a/source/core/agent/group_record.cpp
+++ b/source/core/agent/group_record.cpp
@@ -20,10 +20,10 @@
 
 }  // namespace
 
-group_record::group_record(platform::table_client& table, std::string group, std::string writer)
+group_record::group_record(storage::table_client& table, std::string group, std::string writer)
     : m_table(table), m_group(std::move(group)), m_writer(std::move(writer)) {}
 
-group_record::content group_record::to_content(const std::optional<platform::row>& value) {
+group_record::content group_record::to_content(const std::optional<storage::row>& value) {
   content found;
   if (value) {
     found.version = value->version;
@@ -37,15 +37,14 @@
 }
 
 void group_record::read(std::function<void(const content*)> done) {
-  m_table.read(k_table, m_group,
-               [done = std::move(done)](const result<std::optional<platform::row>>& answer) {
-                 if (!answer) {
-                   done(nullptr);
-                   return;
-                 }
-                 const auto found = to_content(answer.value());
-                 done(&found);
-               });
+  m_table.read(k_table, m_group, [done = std::move(done)](const result<std::optional<storage::row>>& answer) {
+    if (!answer) {
+      done(nullptr);
+      return;
+    }
+    const auto found = to_content(answer.value());
+    done(&found);
+  });
 }
 
 void group_record::acquire(std::function<void(fencing_token)> done) {
@@ -65,7 +64,7 @@
     }
     const auto token = found->fencing + 1;
     m_table.write(k_table, m_group, {{"fencing", token}, {"digest", found->digest}, {"writer", m_writer}},
-                  found->version, [this, token, done](const result<platform::write_outcome>& answer) {
+                  found->version, [this, token, done](const result<storage::write_outcome>& answer) {
                     m_acquiring = false;
                     if (answer && answer.value().won) {
                       done(fencing_token{token});
@@ -110,7 +109,7 @@
     }
     m_table.write(
         k_table, m_group, {{"fencing", found->fencing}, {"digest", wanted.digest}, {"writer", m_writer}},
-        found->version, [this, wanted](const result<platform::write_outcome>& answer) {
+        found->version, [this, wanted](const result<storage::write_outcome>& answer) {
           m_recording = false;
           // A lost write is read and tried again by the next tick.
           if (answer && answer.value().won && m_unrecorded && m_unrecorded->digest == wanted.digest) {
--- a/source/core/agent/group_record.h
+++ b/source/core/agent/group_record.h
@@ -7,7 +7,7 @@
 
 #include "core/common/ids.h"
 #include "core/common/time.h"
-#include "core/platform/table_client.h"
+#include "core/storage/table_client.h"
 
 namespace cuminpath::agent {
 
@@ -16,7 +16,7 @@
 public:
   // `writer` is unique for each start of a process. It tells whether a write whose response was lost has
   // taken effect.
-  group_record(platform::table_client& table, std::string group, std::string writer);
+  group_record(storage::table_client& table, std::string group, std::string writer);
 
   // Raises the fencing token by compare-and-set. `done` is called with the token if that succeeded, and not
   // at all otherwise. Ignored while a call is under way.
@@ -40,11 +40,11 @@
     std::string digest;
   };
 
-  static content to_content(const std::optional<platform::row>& value);
+  static content to_content(const std::optional<storage::row>& value);
   void read(std::function<void(const content*)> done);
   void write_digest();
 
-  platform::table_client& m_table;
+  storage::table_client& m_table;
   std::string m_group;
   std::string m_writer;
   bool m_acquiring = false;
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -18,10 +18,10 @@
 #include "core/http/client.h"
 #include "core/http/server.h"
 #include "core/membership/member_table.h"
-#include "core/platform/host_list_client.h"
-#include "core/platform/object_client.h"
-#include "core/platform/table_client.h"
 #include "core/rollout/rollout.h"
+#include "core/storage/host_list_client.h"
+#include "core/storage/object_client.h"
+#include "core/storage/table_client.h"
 #include "core/telemetry/log.h"
 #include "core/telemetry/metrics.h"
 #include "core/telemetry/timeline.h"
@@ -77,7 +77,7 @@
         m_hosts(m_client, settings.platform.hosts),
         m_core(core_options(settings)),
         m_members({.name = settings.host,
-                   .role = platform::host_role::entry,
+                   .role = storage::host_role::entry,
                    .availability_zone = settings.availability_zone,
                    .number = m_incarnation,
                    .address = settings.address}),
@@ -158,7 +158,7 @@
             .links = m_mailbox->counters(),
             .hosts_known = m_hosts_known || m_settings.platform.hosts.empty(),
             .draining = m_draining,
-            .known_entries = m_members.members(platform::host_role::entry).size(),
+            .known_entries = m_members.members(storage::host_role::entry).size(),
             .drain = [this] { start_drain(); }};
   }
 
@@ -270,7 +270,7 @@
 
   void execute_one(const read_claim& value) {
     m_table.read(k_claims_table, value.key,
-                 [this, caller = value.caller](const result<std::optional<platform::row>>& row) {
+                 [this, caller = value.caller](const result<std::optional<storage::row>>& row) {
                    report([&](step& step) {
                      if (!row) {
                        m_core.on_claim_row_failed(step, caller);
@@ -285,7 +285,7 @@
 
   void execute_one(write_claim& value) {
     m_table.write(k_claims_table, value.key, std::move(value.value), value.if_version,
-                  [this, caller = value.caller](const result<platform::write_outcome>& outcome) {
+                  [this, caller = value.caller](const result<storage::write_outcome>& outcome) {
                     report([&](step& step) {
                       if (outcome) {
                         const auto& write = outcome.value();
@@ -377,7 +377,7 @@
   }
 
   void execute_one(const rollout::poll_head&) {
-    m_table.read("configuration", "head", [this](const result<std::optional<platform::row>>& row) {
+    m_table.read("configuration", "head", [this](const result<std::optional<storage::row>>& row) {
       report_rollout([&](time_point now, auto& actions) {
         if (const auto head = read_head(row)) {
           m_rollout.on_head(now, *head, actions);
@@ -388,7 +388,7 @@
     });
   }
 
-  static std::optional<rollout::head> read_head(const result<std::optional<platform::row>>& row) {
+  static std::optional<rollout::head> read_head(const result<std::optional<storage::row>>& row) {
     if (!row || !row.value()) {
       return std::nullopt;
     }
@@ -427,7 +427,7 @@
       return;
     }
     m_next_host_list = now + k_min_host_list_interval;
-    m_hosts.fetch([this](const result<platform::host_list>& hosts) {
+    m_hosts.fetch([this](const result<storage::host_list>& hosts) {
       if (!hosts) {
         return;
       }
@@ -447,14 +447,14 @@
     }
     m_member_generation = m_members.generation();
     std::vector<host_location> agents;
-    for (auto& agent : m_members.members(platform::host_role::agent)) {
+    for (auto& agent : m_members.members(storage::host_role::agent)) {
       agents.push_back({std::move(agent.name), std::move(agent.availability_zone), std::move(agent.region),
                         std::move(agent.peer_address)});
     }
     report([&](step& step) { m_core.on_hosts(step, agents); });
 
     std::vector<std::string> peers = m_settings.seed_peers;
-    for (const auto& entry : m_members.members(platform::host_role::entry)) {
+    for (const auto& entry : m_members.members(storage::host_role::entry)) {
       if (entry.name != m_settings.host && peers.size() < k_max_configuration_peers) {
         peers.push_back(entry.peer_address);
       }
@@ -573,9 +573,9 @@
   telemetry::hybrid_clock m_hybrid_clock;
   telemetry::timeline m_timeline;
   http::client m_client;
-  platform::table_client m_table;
-  platform::object_client m_objects;
-  platform::host_list_client m_hosts;
+  storage::table_client m_table;
+  storage::object_client m_objects;
+  storage::host_list_client m_hosts;
   entry_core m_core;
   membership::member_table m_members;
   rollout::rollout m_rollout;
--- a/source/core/membership/member_table.cpp
+++ b/source/core/membership/member_table.cpp
@@ -38,7 +38,7 @@
 public:
   explicit impl(member_options options) : m_options(std::move(options)) {}
 
-  void on_host_list(time_point now, const platform::host_list& hosts) {
+  void on_host_list(time_point now, const storage::host_list& hosts) {
     // An empty list cannot be right: this process runs on a host.
     const bool older = hosts.generation < m_list_generation && now < m_list_time + k_older_list_after;
     if (hosts.hosts.empty() || older) {
@@ -163,7 +163,7 @@
     return m_zone_entries;
   }
 
-  [[nodiscard]] std::optional<platform::host_entry> find(std::string_view host) const {
+  [[nodiscard]] std::optional<storage::host_entry> find(std::string_view host) const {
     const auto found = m_members.find(std::string(host));
     if (found == m_members.end() || found->second.leaving()) {
       return std::nullopt;
@@ -171,8 +171,8 @@
     return found->second.host;
   }
 
-  [[nodiscard]] std::vector<platform::host_entry> members(platform::host_role role) const {
-    std::vector<platform::host_entry> found;
+  [[nodiscard]] std::vector<storage::host_entry> members(storage::host_role role) const {
+    std::vector<storage::host_entry> found;
     for (const auto& [name, value] : m_members) {
       if (value.host.role == role && !value.leaving()) {
         found.push_back(value.host);
@@ -185,7 +185,7 @@
 
 private:
   struct member {
-    platform::host_entry host;
+    storage::host_entry host;
     bool listed = true;
     bool left = false;  // It has said so, for this incarnation.
     incarnation number{};
@@ -207,7 +207,7 @@
   };
 
   // Returns whether find() or members() would give another answer.
-  bool update(time_point now, const platform::host_entry& host) {
+  bool update(time_point now, const storage::host_entry& host) {
     const auto [found, added] = m_members.try_emplace(host.name);
     auto& value = found->second;
     if (added) {
@@ -233,7 +233,7 @@
     return true;
   }
 
-  static bool same(const platform::host_entry& left, const platform::host_entry& right) {
+  static bool same(const storage::host_entry& left, const storage::host_entry& right) {
     return left.role == right.role && left.availability_zone == right.availability_zone &&
            left.region == right.region && left.address == right.address &&
            left.peer_address == right.peer_address && left.admin_address == right.admin_address &&
@@ -406,13 +406,13 @@
   void choose_targets(time_point now) {
     m_targets_stale = false;
     std::map<std::string, std::string> chosen;
-    std::vector<const platform::host_entry*> entries;
+    std::vector<const storage::host_entry*> entries;
     for (const auto& [name, value] : m_members) {
-      if (value.host.role == platform::host_role::entry && !value.leaving() && name != m_options.name) {
+      if (value.host.role == storage::host_role::entry && !value.leaving() && name != m_options.name) {
         entries.push_back(&value.host);
       }
     }
-    const bool is_entry = m_options.role == platform::host_role::entry;
+    const bool is_entry = m_options.role == storage::host_role::entry;
     const auto peers = is_entry ? entry_peers(m_options.name, m_options.availability_zone, entries)
                                 : agent_peers(m_options.name, m_options.availability_zone, entries);
     for (const auto* host : peers) {
@@ -464,23 +464,23 @@
 
   void collect_entries() {
     m_entries_stale = false;
-    std::vector<const platform::host_entry*> usable;
+    std::vector<const storage::host_entry*> usable;
     bool listed = false;
     for (const auto& [name, value] : m_members) {
       listed = listed || name == m_options.name;
       const bool live = !value.leaving() && value.suspected_until == time_point{};
       const bool own = name == m_options.name;
-      if (value.host.role == platform::host_role::entry && (own ? !m_leaving && !value.host.leaving : live)) {
+      if (value.host.role == storage::host_role::entry && (own ? !m_leaving && !value.host.leaving : live)) {
         usable.push_back(&value.host);
       }
     }
-    platform::host_entry self{.name = m_options.name,
-                              .role = m_options.role,
-                              .availability_zone = m_options.availability_zone,
-                              .region = {},
-                              .address = m_options.address,
-                              .peer_address = {},
-                              .admin_address = {}};
+    storage::host_entry self{.name = m_options.name,
+                             .role = m_options.role,
+                             .availability_zone = m_options.availability_zone,
+                             .region = {},
+                             .address = m_options.address,
+                             .peer_address = {},
+                             .admin_address = {}};
     if (!listed && !m_leaving && !m_options.address.empty()) {
       usable.push_back(&self);
     }
@@ -521,7 +521,7 @@
 member_table::member_table(member_table&&) noexcept = default;
 member_table& member_table::operator=(member_table&&) noexcept = default;
 
-void member_table::on_host_list(time_point now, const platform::host_list& hosts) {
+void member_table::on_host_list(time_point now, const storage::host_list& hosts) {
   m_impl->on_host_list(now, hosts);
 }
 void member_table::on_message(time_point now, std::string_view peer_address, incarnation number) {
@@ -546,10 +546,10 @@
 std::vector<std::string> member_table::live_zone_entries() const {
   return m_impl->live_zone_entries();
 }
-std::optional<platform::host_entry> member_table::find(std::string_view host) const {
+std::optional<storage::host_entry> member_table::find(std::string_view host) const {
   return m_impl->find(host);
 }
-std::vector<platform::host_entry> member_table::members(platform::host_role role) const {
+std::vector<storage::host_entry> member_table::members(storage::host_role role) const {
   return m_impl->members(role);
 }
 std::uint64_t member_table::generation() const {
--- a/source/core/membership/member_table.h
+++ b/source/core/membership/member_table.h
@@ -12,14 +12,14 @@
 
 #include "core/common/random.h"
 #include "core/common/time.h"
-#include "core/platform/host_list_client.h"
+#include "core/storage/host_list_client.h"
 #include "core/wire/messages.h"
 
 namespace cuminpath::membership {
 
 struct member_options {
   std::string name;  // Host name of this process.
-  platform::host_role role = platform::host_role::entry;
+  storage::host_role role = storage::host_role::entry;
   std::string availability_zone;
   incarnation number{};
   std::string address = {};  // Of this process for callers; entries only. Announced before it is listed.
@@ -60,7 +60,7 @@
   member_table(member_table&&) noexcept;
   member_table& operator=(member_table&&) noexcept;
 
-  void on_host_list(time_point now, const platform::host_list& hosts);
+  void on_host_list(time_point now, const storage::host_list& hosts);
   // Any message shows that its sender is alive.
   void on_message(time_point now, std::string_view peer_address, incarnation number);
   void on_heartbeat(time_point now, std::string_view peer_address, incarnation number,
@@ -79,8 +79,8 @@
   [[nodiscard]] std::vector<std::string> live_zone_entries() const;
   // The host of an agent or entry, if it is known and not leaving. Suspected hosts are included: routing
   // suspects the upstreams that it uses itself.
-  [[nodiscard]] std::optional<platform::host_entry> find(std::string_view host) const;
-  [[nodiscard]] std::vector<platform::host_entry> members(platform::host_role role) const;
+  [[nodiscard]] std::optional<storage::host_entry> find(std::string_view host) const;
+  [[nodiscard]] std::vector<storage::host_entry> members(storage::host_role role) const;
   // Changes whenever find() or members() would give another answer.
   [[nodiscard]] std::uint64_t generation() const;
 
--- a/source/core/membership/peer_choice.cpp
+++ b/source/core/membership/peer_choice.cpp
@@ -12,7 +12,7 @@
 host_refs ring_peers(std::string_view name, host_refs ring) {
   const auto start = hash64(name);
   // Distance on the ring from this process, with wrap-around.
-  const auto distance = [start](const platform::host_entry* host) { return hash64(host->name) - start; };
+  const auto distance = [start](const storage::host_entry* host) { return hash64(host->name) - start; };
   std::sort(ring.begin(), ring.end(),
             [&](const auto* left, const auto* right) { return distance(left) < distance(right); });
   if (ring.size() <= k_zone_peers) {
@@ -28,7 +28,7 @@
 
 host_refs entry_peers(std::string_view name, std::string_view zone, const host_refs& others) {
   host_refs own;
-  std::map<std::string_view, const platform::host_entry*> best;
+  std::map<std::string_view, const storage::host_entry*> best;
   for (const auto* host : others) {
     if (host->availability_zone == zone) {
       own.push_back(host);
@@ -57,7 +57,7 @@
 }
 
 void order_for_callers(std::string_view name, std::string_view zone, host_refs& entries) {
-  std::vector<std::pair<std::uint64_t, const platform::host_entry*>> weighted;
+  std::vector<std::pair<std::uint64_t, const storage::host_entry*>> weighted;
   weighted.reserve(entries.size());
   for (const auto* host : entries) {
     weighted.emplace_back(rendezvous_weight(name, host->name), host);
--- a/source/core/membership/peer_choice.h
+++ b/source/core/membership/peer_choice.h
@@ -5,11 +5,11 @@
 #include <string_view>
 #include <vector>
 
-#include "core/platform/host_list_client.h"
+#include "core/storage/host_list_client.h"
 
 namespace cuminpath::membership {
 
-using host_refs = std::vector<const platform::host_entry*>;
+using host_refs = std::vector<const storage::host_entry*>;
 
 // Peers of an entry: on the ring of its availability zone, in the order of hashed names, the next, the second
 // next and the opposite entry; of each other availability zone the one of the highest rendezvous weight. The
--- a/source/core/operation/apply.cpp
+++ b/source/core/operation/apply.cpp
@@ -113,7 +113,7 @@
     if (i > 0) {
       on.pause(k_first_pause * (1U << static_cast<unsigned>(i - 1)));
     }
-    const auto written = on.wait<platform::write_outcome>(
+    const auto written = on.wait<storage::write_outcome>(
         [&](auto done) { on.table.write(k_table, "head", to_json(entry), row_version, std::move(done)); });
     if (written && written.value().won) {
       return {apply_outcome::applied, entry, ""};
--- a/source/core/operation/commands.cpp
+++ b/source/core/operation/commands.cpp
@@ -308,13 +308,13 @@
     return print({{"entries", document}}, text.empty() ? "no configuration has been applied yet\n" : text);
   }
 
-  std::optional<std::vector<platform::host_entry>> host_list() {
+  std::optional<std::vector<storage::host_entry>> host_list() {
     if (!require(false, false, true)) {
       m_code = exit_code::usage;
       return std::nullopt;
     }
     auto list =
-        m_session.wait<platform::host_list>([this](auto done) { m_session.hosts.fetch(std::move(done)); });
+        m_session.wait<storage::host_list>([this](auto done) { m_session.hosts.fetch(std::move(done)); });
     if (!list) {
       m_code = fail("host list", list.error());
       return std::nullopt;
@@ -352,8 +352,8 @@
     std::string text = fmt::format("{:<20} {:<6} {:<16} {:<8} {:<8} {}\n", "HOST", "ROLE", "ZONE", "LISTED",
                                    "VERSION", "STATE");
     for (const host_answer& answer : *answers) {
-      const platform::host_entry& host = answer.host;
-      const char* role = host.role == platform::host_role::entry ? "entry" : "agent";
+      const storage::host_entry& host = answer.host;
+      const char* role = host.role == storage::host_role::entry ? "entry" : "agent";
       const char* listed = host.leaving ? "leaving" : "live";
       const json body = answer.body && answer.body.value().is_object() ? answer.body.value() : json::object();
       document.push_back({{"host", host.name},
@@ -404,13 +404,13 @@
   }
 
   // The host of that name; absent with the exit code in m_code.
-  std::optional<platform::host_entry> find_host(const std::string& name) {
+  std::optional<storage::host_entry> find_host(const std::string& name) {
     const auto hosts = host_list();
     if (!hosts) {
       return std::nullopt;
     }
     const auto found = std::find_if(hosts->begin(), hosts->end(),
-                                    [&name](const platform::host_entry& host) { return host.name == name; });
+                                    [&name](const storage::host_entry& host) { return host.name == name; });
     if (found == hosts->end()) {
       m_code = fail(exit_code::failure, "host \"" + name + "\" is not in the host list");
       return std::nullopt;
--- a/source/core/operation/fleet.cpp
+++ b/source/core/operation/fleet.cpp
@@ -50,11 +50,11 @@
 
 }  // namespace
 
-std::vector<host_answer> ask_all(session& on, const std::vector<platform::host_entry>& hosts,
+std::vector<host_answer> ask_all(session& on, const std::vector<storage::host_entry>& hosts,
                                  const std::string& path) {
   std::vector<host_answer> answers;
   answers.reserve(hosts.size());
-  for (const platform::host_entry& host : hosts) {
+  for (const storage::host_entry& host : hosts) {
     answers.push_back({host});
   }
   on.wait_for_all(hosts.size(), k_requests_in_flight, [&](std::size_t i, auto done) {
@@ -77,7 +77,7 @@
   return telemetry::merge(rings);
 }
 
-result<json> ask(session& on, const platform::host_entry& host, const std::string& method,
+result<json> ask(session& on, const storage::host_entry& host, const std::string& method,
                  const std::string& path, const std::string& operator_key) {
   http::request request{.method = method, .target = path};
   if (method != "GET") {
--- a/source/core/operation/fleet.h
+++ b/source/core/operation/fleet.h
@@ -12,12 +12,12 @@
 namespace cuminpath::operation {
 
 struct host_answer {
-  platform::host_entry host;
+  storage::host_entry host;
   result<json> body = json();
 };
 
 // GET of `path` from every host, at most 64 at a time, in the order of the host list.
-std::vector<host_answer> ask_all(session& on, const std::vector<platform::host_entry>& hosts,
+std::vector<host_answer> ask_all(session& on, const std::vector<storage::host_entry>& hosts,
                                  const std::string& path);
 
 // Events of all answers in causal order. Answers and events that are malformed are left out.
@@ -25,7 +25,7 @@
 
 // One request to one process; orders carry the operator key. Errors: unreachable, timed_out, refused with the
 // status and the detail of the problem, conflict for status 409.
-result<json> ask(session& on, const platform::host_entry& host, const std::string& method,
+result<json> ask(session& on, const storage::host_entry& host, const std::string& method,
                  const std::string& path, const std::string& operator_key);
 
 }  // namespace cuminpath::operation
--- a/source/core/operation/head_store.cpp
+++ b/source/core/operation/head_store.cpp
@@ -23,8 +23,8 @@
   return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-result<std::optional<platform::row>> read_row(session& on, const std::string& key) {
-  return on.wait<std::optional<platform::row>>(
+result<std::optional<storage::row>> read_row(session& on, const std::string& key) {
+  return on.wait<std::optional<storage::row>>(
       [&](auto done) { on.table.read(k_table, key, std::move(done)); });
 }
 
@@ -103,7 +103,7 @@
 result<void> write_history(session& on, const head_entry& entry) {
   std::optional<error> failure;
   for (int i = 0; i < k_history_tries; ++i) {
-    const auto written = on.wait<platform::write_outcome>([&](auto done) {
+    const auto written = on.wait<storage::write_outcome>([&](auto done) {
       on.table.write(k_table, history_key(entry.version), to_json(entry), 0, std::move(done));
     });
     if (written) {
--- a/source/core/operation/session.h
+++ b/source/core/operation/session.h
@@ -8,9 +8,9 @@
 
 #include "core/common/error.h"
 #include "core/http/client.h"
-#include "core/platform/host_list_client.h"
-#include "core/platform/object_client.h"
-#include "core/platform/table_client.h"
+#include "core/storage/host_list_client.h"
+#include "core/storage/object_client.h"
+#include "core/storage/table_client.h"
 
 namespace cuminpath::operation {
 
@@ -49,9 +49,9 @@
   http::client m_client{m_context};
 
 public:
-  platform::table_client table;
-  platform::object_client objects;
-  platform::host_list_client hosts;
+  storage::table_client table;
+  storage::object_client objects;
+  storage::host_list_client hosts;
 };
 
 }  // namespace cuminpath::operation
--- a/source/core/platform/host_list_client.cpp
+++ b/source/core/storage/host_list_client.cpp
@@ -1,8 +1,8 @@
-#include "core/platform/host_list_client.h"
+#include "core/storage/host_list_client.h"
 
-#include "core/platform/url_path.h"
+#include "core/storage/url_path.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 namespace {
 
 std::string text_of(const json& value, const char* key) {
@@ -58,4 +58,4 @@
                 [done = std::move(done)](const auto& answer) { done(to_host_list(answer)); });
 }
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/host_list_client.h
+++ b/source/core/storage/host_list_client.h
@@ -10,7 +10,7 @@
 #include "core/common/time.h"
 #include "core/http/client.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 
 enum class host_role : std::uint8_t { entry, agent };
 
@@ -41,4 +41,4 @@
   milliseconds m_timeout;
 };
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/object_client.cpp
+++ b/source/core/storage/object_client.cpp
@@ -1,9 +1,9 @@
-#include "core/platform/object_client.h"
+#include "core/storage/object_client.h"
 
 #include "core/common/hash.h"
-#include "core/platform/url_path.h"
+#include "core/storage/url_path.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 namespace {
 
 result<std::string> to_content(http::client::whole_response answer, const std::string& digest) {
@@ -41,4 +41,4 @@
                 });
 }
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/object_client.h
+++ b/source/core/storage/object_client.h
@@ -9,7 +9,7 @@
 #include "core/common/time.h"
 #include "core/http/client.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 
 class object_client {
 public:
@@ -26,4 +26,4 @@
   milliseconds m_timeout;
 };
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/table_client.cpp
+++ b/source/core/storage/table_client.cpp
@@ -1,8 +1,8 @@
-#include "core/platform/table_client.h"
+#include "core/storage/table_client.h"
 
-#include "core/platform/url_path.h"
+#include "core/storage/url_path.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 namespace {
 
 std::string rows_target(std::string_view table) {
@@ -113,4 +113,4 @@
                 });
 }
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/table_client.h
+++ b/source/core/storage/table_client.h
@@ -14,7 +14,7 @@
 #include "core/common/time.h"
 #include "core/http/client.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 
 struct row {
   std::string key;
@@ -54,4 +54,4 @@
   milliseconds m_timeout;
 };
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/url_path.cpp
+++ b/source/core/storage/url_path.cpp
@@ -1,6 +1,6 @@
-#include "core/platform/url_path.h"
+#include "core/storage/url_path.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 
 std::string encode_segment(std::string_view text) {
   constexpr std::string_view k_digits = "0123456789ABCDEF";
@@ -44,4 +44,4 @@
   return parsed;
 }
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/core/platform/url_path.h
+++ b/source/core/storage/url_path.h
@@ -8,7 +8,7 @@
 #include "core/common/json.h"
 #include "core/http/client.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 
 // Percent-encodes everything but unreserved characters (RFC 3986), so that a key is one path segment.
 std::string encode_segment(std::string_view text);
@@ -19,4 +19,4 @@
 // The error of a response that is not 200, by the same rules.
 error to_error(const http::client::whole_response& answer);
 
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
--- a/source/unit_tests/agent/expert_service_test.cpp
+++ b/source/unit_tests/agent/expert_service_test.cpp
@@ -132,11 +132,11 @@
 
   void write_token(std::uint64_t token) {
     bool done = false;
-    platform::table_client table(m_client, m_tables.url());
-    table.read("groups", "g", [&](const result<std::optional<platform::row>>& found) {
+    storage::table_client table(m_client, m_tables.url());
+    table.read("groups", "g", [&](const result<std::optional<storage::row>>& found) {
       const auto version = found && found.value() ? found.value()->version : 0;
       table.write("groups", "g", {{"fencing", token}, {"digest", ""}, {"writer", "another"}}, version,
-                  [&done](const result<platform::write_outcome>& outcome) {
+                  [&done](const result<storage::write_outcome>& outcome) {
                     EXPECT_TRUE(outcome && outcome.value().won);
                     done = true;
                   });
@@ -264,7 +264,7 @@
   json row() {
     json found;
     bool done = false;
-    m_table.read("groups", "g", [&](const result<std::optional<platform::row>>& answer) {
+    m_table.read("groups", "g", [&](const result<std::optional<storage::row>>& answer) {
       found = answer && answer.value() ? answer.value()->value : json();
       done = true;
     });
@@ -278,7 +278,7 @@
     EXPECT_TRUE(support::run_until(m_context, [&done] { return done; }));
   }
 
-  platform::table_client m_table{m_client, m_tables.url()};
+  storage::table_client m_table{m_client, m_tables.url()};
 };
 
 // Guards against two coordinators with the same token.
--- a/source/unit_tests/membership/member_table_test.cpp
+++ b/source/unit_tests/membership/member_table_test.cpp
@@ -20,9 +20,9 @@
   return "10.0.0.1:" + std::to_string(10000 + i);
 }
 
-platform::host_entry entry(std::size_t i, std::size_t zones = 3) {
+storage::host_entry entry(std::size_t i, std::size_t zones = 3) {
   return {.name = name_of(i),
-          .role = platform::host_role::entry,
+          .role = storage::host_role::entry,
           .availability_zone = "zone-" + std::to_string(i % zones),
           .region = "r",
           .address = "10.1.0.1:" + std::to_string(10000 + i),
@@ -30,8 +30,8 @@
           .admin_address = {}};
 }
 
-platform::host_list list_of(std::size_t count, std::uint64_t generation = 1) {
-  platform::host_list list{.generation = generation, .hosts = {}};
+storage::host_list list_of(std::size_t count, std::uint64_t generation = 1) {
+  storage::host_list list{.generation = generation, .hosts = {}};
   for (std::size_t i = 0; i < count; ++i) {
     list.hosts.push_back(entry(i));
   }
@@ -40,7 +40,7 @@
 
 member_table table_of(std::size_t i, std::uint64_t number = 1) {
   return member_table({.name = name_of(i),
-                       .role = platform::host_role::entry,
+                       .role = storage::host_role::entry,
                        .availability_zone = entry(i).availability_zone,
                        .number = incarnation{number}});
 }
@@ -69,7 +69,7 @@
     tables.resize(std::max(tables.size(), i + 1));
     tables[i] = std::make_unique<member_table>(table_of(i, numbers[i]));
   }
-  void list(const platform::host_list& hosts) {
+  void list(const storage::host_list& hosts) {
     for (auto& table : tables) {
       if (table != nullptr) {
         table->on_host_list(now, hosts);
@@ -250,11 +250,11 @@
   const auto generation = table.generation();
   table.on_host_list(now + seconds(1), {.generation = 6, .hosts = {}});
   table.on_host_list(now + seconds(2), list_of(4, 3));
-  EXPECT_EQ(table.members(platform::host_role::entry).size(), 10U);
+  EXPECT_EQ(table.members(storage::host_role::entry).size(), 10U);
   EXPECT_EQ(table.generation(), generation);
   // A list service that has started anew counts from the beginning.
   table.on_host_list(now + seconds(90), list_of(4, 1));
-  EXPECT_EQ(table.members(platform::host_role::entry).size(), 4U);
+  EXPECT_EQ(table.members(storage::host_role::entry).size(), 4U);
 }
 
 // Guards against a process that was paused and then takes all its peers for dead.
--- a/source/unit_tests/platform/clients_test.cpp
+++ b/source/unit_tests/storage/clients_test.cpp
@@ -3,15 +3,15 @@
 #include <asio/io_context.hpp>
 
 #include "core/common/hash.h"
-#include "core/platform/host_list_client.h"
-#include "core/platform/object_client.h"
-#include "core/platform/table_client.h"
+#include "core/storage/host_list_client.h"
+#include "core/storage/object_client.h"
+#include "core/storage/table_client.h"
 #include "emulator/host_role.h"
 #include "emulator/object_role.h"
 #include "emulator/table_role.h"
 #include "unit_tests/support/run_until.h"
 
-namespace cuminpath::platform {
+namespace cuminpath::storage {
 namespace {
 
 template <class role_type>
@@ -178,4 +178,4 @@
 }
 
 }  // namespace
-}  // namespace cuminpath::platform
+}  // namespace cuminpath::storage
