--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -34,6 +34,8 @@
 // A caller that is further behind is waited for before more is read from the upstream.
 constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
 constexpr milliseconds k_default_service_time{500};
+// Retry-After while no configuration is known: gateways read it within a second of their start.
+constexpr milliseconds k_wait_without_service{1000};
 // Weight of the newest sample in the mean time of a request at an upstream.
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_most_urgency = 9;
@@ -619,17 +621,27 @@
 }
 
 void exchange::refuse(int status, std::string_view reason, time_point now) {
-  milliseconds wait{1000};
+  milliseconds wait = k_wait_without_service;
   if (!m_service.empty()) {
-    const auto mean = m_state.mean_service_times.find(m_service);
-    wait =
-        gateway::retry_after(m_state.upstreams.totals(m_service, now),
-                             mean == m_state.mean_service_times.end() ? k_default_service_time : mean->second,
-                             {.rank = m_rank,
-                              .engine = is_engine_call(),
-                              .time_left = time_left(now),
-                              .service_away = m_state.outlook(m_service).away(now)},
-                             m_state.random);
+    const auto totals = m_state.upstreams.totals(m_service, now);
+    const auto known = m_state.mean_service_times.find(m_service);
+    const milliseconds mean =
+        known == m_state.mean_service_times.end() ? k_default_service_time : known->second;
+    const bool away = m_state.outlook(m_service).away(now);
+    wait = gateway::retry_after(
+        totals, mean,
+        {.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now), .service_away = away},
+        m_state.random);
+    telemetry::log(log_level::info, "request", "refused",
+                   {{"request", m_request_id},
+                    {"reason", reason},
+                    {"rank", static_cast<std::int64_t>(m_rank)},
+                    {"upstreams", static_cast<std::int64_t>(totals.upstreams)},
+                    {"slots", static_cast<std::int64_t>(totals.slots)},
+                    {"outstanding", static_cast<std::int64_t>(totals.outstanding)},
+                    {"mean_ms", mean.count()},
+                    {"service_away", away},
+                    {"retry_after_ms", wait.count()}});
   }
   respond_problem(status, reason, "not_run", wait);
   finish("refused", status, reason);
