--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -9,7 +9,7 @@
 
 #include "core/balancer/load_window.h"
 #include "core/balancer/messages.h"
-#include "core/balancer/rank_worker.h"
+#include "core/balancer/rank_driver.h"
 #include "core/balancer/switch_leader.h"
 #include "core/http/server.h"
 #include "core/net/datagram_channel.h"
@@ -51,101 +51,14 @@
   return address.substr(address.rfind(':'));
 }
 
-// The work at one rank: reads of its engine, and the orders that the worker asks for.
-class rank_driver {
-public:
-  rank_driver(std::unique_ptr<engine_port> engine, std::string address)
-      : m_engine(std::move(engine)), m_address(std::move(address)) {}
-
-  // Reads the status if it is due and gives the order that is needed. `changed` is called after each new
-  // status.
-  void tick(time_point now, milliseconds interval, const std::function<void()>& changed) {
-    if (!m_reading &&
-        now - m_read_at >= (worker.working() ? std::min(interval, k_tick_interval) : interval)) {
-      read(now, changed);
-    }
-  }
-
-  void read(time_point now, const std::function<void()>& changed) {
-    m_reading = true;
-    m_read_at = now;
-    m_engine->read_status(
-        [this, changed, alive = std::weak_ptr<bool>(m_alive)](result<engine_status> status) {
-          if (alive.expired()) {
-            return;
-          }
-          m_reading = false;
-          const time_point read_at = clock::now();
-          if (!status) {
-            return;
-          }
-          view.status = std::move(status.value());
-          view.at = read_at;
-          known = true;
-          worker.on_status(view.status);
-          give_order(read_at, changed);
-          changed();
-        });
-  }
-
-  void give_order(time_point now, const std::function<void()>& changed) {
-    auto next = worker.next_order(now);
-    if (!next) {
-      return;
-    }
-    const std::string name(order_name(next->body));
-    m_engine->give(*next, [this, changed, name, token = next->token,
-                           alive = std::weak_ptr<bool>(m_alive)](order_result result) {
-      if (alive.expired()) {
-        return;
-      }
-      const time_point done_at = clock::now();
-      telemetry::log(result == order_result::accepted ? log_level::debug : log_level::info, "engine",
-                     "order given",
-                     {{"order", name},
-                      {"engine", m_address},
-                      {"rank", static_cast<std::int64_t>(view.status.rank)},
-                      {"token", static_cast<std::int64_t>(token)},
-                      {"result", static_cast<std::int64_t>(result)},
-                      {"step", static_cast<std::int64_t>(view.status.step)}});
-      worker.on_result(result, done_at);
-      note_worker();
-      if (!m_reading) {
-        read(done_at, changed);
-      }
-    });
-  }
-
-  engine_port& engine() { return *m_engine; }
-  [[nodiscard]] const std::string& address() const { return m_address; }
-
-  rank_worker worker;
-  rank_view view;
-  bool known = false;
-
-private:
-  void note_worker() {
-    view.disarmed_token = worker.disarmed_token();
-    view.disarmed_epoch = worker.disarmed_epoch();
-    view.refused_token = worker.refused_token();
-    view.followed_token = worker.followed_token();
-  }
-
-  std::unique_ptr<engine_port> m_engine;
-  std::string m_address;
-  std::shared_ptr<bool> m_alive =
-      std::make_shared<bool>(true);  // Answers may come after the driver has ended.
-  bool m_reading = false;
-  time_point m_read_at{};
-};
-
 class balancer_process {
 public:
   balancer_process(const config::balancer_settings& settings, const platform_factory& make_platform)
       : m_settings(settings),
         m_client(m_context),
         m_platform(make_platform(m_client, settings)),
-        m_own(m_platform->engine(settings.engine_address), settings.engine_address),
+        m_own(m_platform->engine(settings.engine_address), settings.engine_address,
+              [this](time_point read_at) { on_own_status(read_at); }),
         m_window(settings.load_half_life),
         m_tick(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
@@ -213,7 +126,7 @@
     if (auto* report = std::get_if<rank_report>(&read.value())) {
       on_report(std::move(*report), now);
     } else {
-      on_directive(std::get<group_directive>(read.value()));
+      on_directive(std::get<group_directive>(read.value()), now);
     }
   }
 
@@ -238,12 +151,12 @@
     }
   }
 
-  void on_directive(const group_directive& message) {
-    if (!m_own.known || message.group != own_status().group || message.token < m_followed_token) {
+  void on_directive(const group_directive& message, time_point now) {
+    if (!m_own.known() || message.group != own_status().group || message.token < m_followed_token) {
       return;
     }
     m_followed_token = message.token;
-    m_own.worker.set_directive(message.value ? &*message.value : nullptr);
+    m_own.follow(message.value ? &*message.value : nullptr, now);
   }
 
   void send_report(time_point now, bool to_leader_with_loads) {
@@ -289,14 +202,14 @@
             .sequence = ++m_sequence,
             .report_address = m_settings.report_address,
             .engine_address = m_settings.engine_address,
-            .view = m_own.view};
+            .view = m_own.view()};
   }
 
   // True once every rank of the own group has been heard of.
   [[nodiscard]] bool group_known() const {
     const auto heard = std::count_if(m_peers.begin(), m_peers.end(),
                                      [&](const auto& entry) { return in_group(entry.second); });
-    return m_own.known && static_cast<std::uint32_t>(heard) + 1 >= own_status().ranks;
+    return m_own.known() && static_cast<std::uint32_t>(heard) + 1 >= own_status().ranks;
   }
 
   // Balancers on hosts with engines of the service that have not reported yet.
@@ -314,7 +227,7 @@
     return addresses;
   }
 
-  [[nodiscard]] const engine_status& own_status() const { return m_own.view.status; }
+  [[nodiscard]] const engine_status& own_status() const { return m_own.view().status; }
 
   [[nodiscard]] bool in_group(const peer& known) const {
     return known.report.view.status.group == own_status().group;
@@ -342,7 +255,7 @@
   }
 
   void read_counts(time_point now) {
-    if (m_reading_counts || now - m_counts_read_at < counts_interval() || !m_own.known) {
+    if (m_reading_counts || now - m_counts_read_at < counts_interval() || !m_own.known()) {
       return;
     }
     m_reading_counts = true;
@@ -392,20 +305,20 @@
         }
       }
     };
-    place(m_own.view);
+    place(m_own.view());
     for (const auto& [host, known] : m_peers) {
       place(known.report.view);
     }
     for (const auto& [rank, driver] : m_remote) {
-      if (driver->known) {
-        place(driver->view);
+      if (driver->known()) {
+        place(driver->view());
       }
     }
     return all;
   }
 
   void lead(time_point now) {
-    if (!m_own.known || own_status().ranks == 0) {
+    if (!m_own.known() || own_status().ranks == 0) {
       return;
     }
     const bool leads = leading_peer(now) == nullptr && now - m_started >= k_listen_before_leading;
@@ -470,10 +383,9 @@
       message.token = order->token;
     }
     m_followed_token = std::max(m_followed_token, message.token);
-    m_own.worker.set_directive(order);
-    m_own.give_order(now, [this] { on_own_status(clock::now()); });
+    m_own.follow(order, now);
     for (const auto& [rank, driver] : m_remote) {
-      driver->worker.set_directive(order);
+      driver->follow(order, now);
     }
     if (order != nullptr && order->kind == phase::preparing) {
       m_prepared_hosts.clear();
@@ -523,11 +435,11 @@
       auto& driver = m_remote[rank];
       if (!driver) {
         driver = std::make_unique<rank_driver>(m_platform->engine(known.report.engine_address),
-                                               known.report.engine_address);
-        driver->worker.set_directive(m_leader.order());
+                                               known.report.engine_address, [](time_point) {});
+        driver->follow(m_leader.order(), now);
       }
       const bool working = m_leader.current() != phase::idle;
-      driver->tick(now, working ? k_remote_status_interval_working : k_remote_status_interval, [] {});
+      driver->tick(now, working ? k_remote_status_interval_working : k_remote_status_interval);
     }
   }
 
@@ -636,7 +548,7 @@
       m_known_group = status.group;
       m_window.clear();
     }
-    if (m_own.worker.working()) {
+    if (m_own.working()) {
       report_progress(now);
     }
     lead(now);
@@ -653,9 +565,9 @@
 
   void tick(time_point now) {
     m_platform->tick(now, m_random);
-    m_own.tick(now, k_status_interval, [this] { on_own_status(clock::now()); });
+    m_own.tick(now, k_status_interval);
     read_counts(now);
-    if (m_own.known && now - m_reported >= m_settings.report_interval) {
+    if (m_own.known() && now - m_reported >= m_settings.report_interval) {
       send_report(now, false);
     }
     lead(now);
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -1,8 +1,6 @@
 #include "core/proxy/exchange.h"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 #include <charconv>
 #include <cmath>
 
@@ -10,6 +8,7 @@
 
 #include "core/gateway/admission.h"
 #include "core/net/socket_options.h"
+#include "core/proxy/forwarded_headers.h"
 #include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
@@ -40,57 +39,6 @@
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_most_urgency = 9;
 
-bool same_name(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(),
-                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
-// Headers that concern one connection only (RFC 9110, 7.6.1), and those that the sender of a body sets
-// itself.
-bool is_hop_header(std::string_view name) {
-  constexpr std::array<std::string_view, 10> k_names{
-      "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE",
-      "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",     "Expect"};
-  return std::any_of(k_names.begin(), k_names.end(),
-                     [&](std::string_view hop) { return same_name(hop, name); });
-}
-
-// True if the Connection header names `name`.
-bool named_by_connection(const http::header_list& headers, std::string_view name) {
-  for (const auto& [field, value] : headers) {
-    if (!same_name(field, "Connection")) {
-      continue;
-    }
-    std::string_view rest = value;
-    while (!rest.empty()) {
-      const std::size_t comma = rest.find(',');
-      std::string_view token = rest.substr(0, comma);
-      rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
-      while (token.starts_with(' ')) {
-        token.remove_prefix(1);
-      }
-      while (token.ends_with(' ')) {
-        token.remove_suffix(1);
-      }
-      if (same_name(token, name)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
-http::header_list end_to_end_headers(const http::header_list& headers) {
-  http::header_list kept;
-  for (const auto& header : headers) {
-    if (!is_hop_header(header.first) && !named_by_connection(headers, header.first)) {
-      kept.push_back(header);
-    }
-  }
-  return kept;
-}
-
 std::optional<std::int64_t> parse_integer(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
