--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -264,6 +264,8 @@
       m_reading_counts = false;
       if (read) {
         on_counts(read.value(), clock::now());
+      } else {
+        log_unread("counts", read.error());
       }
     });
     const bool outdated = !m_experts || m_experts->epoch != own_status().epoch ||
@@ -272,11 +274,18 @@
       m_own.engine().read_experts([this](result<engine_experts> read) {
         if (read) {
           m_experts = std::move(read.value());
+        } else {
+          log_unread("experts", read.error());
         }
       });
     }
   }
 
+  void log_unread(std::string_view what, const error& failure) const {
+    telemetry::log(log_level::info, "engine", "not read",
+                   {{"what", what}, {"engine", m_settings.engine_address}, {"reason", failure.message}});
+  }
+
   void on_counts(const engine_counts& read, time_point now) {
     const auto& counts = read.counts;
     const bool continued = m_last_counts.size() == counts.size() && m_last_epoch == read.epoch &&
--- a/source/core/balancer/rank_driver.cpp
+++ b/source/core/balancer/rank_driver.cpp
@@ -52,7 +52,10 @@
     }
     m_reading = false;
     if (!status) {
-      return;  // The view grows old, which is what the leader goes by.
+      // The view grows old, which is what the leader goes by.
+      telemetry::log(log_level::info, "engine", "status not read",
+                     {{"engine", m_address}, {"reason", status.error().message}});
+      return;
     }
     const time_point read_at = clock::now();
     m_view.status = std::move(status.value());
