--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -19,6 +19,19 @@
 
 namespace cuminpath::proxy {
 
+// One try of a request at an upstream.
+struct upstream_attempt {
+  std::string upstream_id;
+  std::shared_ptr<upstream_link> link;
+  time_point started;
+  bool fresh_connection = false;
+  bool sent = false;
+  std::optional<message_head> head;
+  std::string body;  // Of an answer that is not streamed.
+  bool streamed = false;
+  std::uint32_t events = 0;
+};
+
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
   // `finished` is called once, when the final answer has been handed to the connection.
@@ -35,18 +48,6 @@
   void on_caller_drained();
 
 private:
-  struct attempt {
-    std::string upstream_id;
-    std::shared_ptr<upstream_link> link;
-    time_point started;
-    bool fresh_connection = false;
-    bool sent = false;
-    std::optional<message_head> head;
-    std::string body;  // Of an answer that is not streamed.
-    bool streamed = false;
-    std::uint32_t events = 0;
-  };
-
   // Checks of the request; each answers the caller and returns false if the request can't be served.
   bool identify(time_point now);
   bool authorize(time_point now);
@@ -96,7 +97,7 @@
   time_point m_deadline;
   asio::steady_timer m_deadline_timer;
   asio::steady_timer m_silence_timer;
-  std::optional<attempt> m_attempt;
+  std::optional<upstream_attempt> m_attempt;
   std::vector<std::string> m_tried;  // Ids of upstreams.
   std::uint32_t m_sent = 0;
   bool m_may_have_run = false;
