config: read what all roles' settings share in one place

The readers of gateways and balancers had their own copies of the checks of names, addresses, URLs and the log table that the reader of entries and agents has, and each kind of settings its own log_settings. They now share one base and one type. No key, bound or message changes; the tests of the library pass unchanged.

--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/common/time.h"
-#include "core/config/gateway_settings.h"
+#include "core/config/log_settings.h"
 #include "core/config/manifest_parser.h"
 
 namespace cuminpath::config {
@@ -27,7 +27,7 @@
       160};                  // Of one plan at each rank; one expert is always allowed. Key max_copy_time_ms.
   double min_saving = 0.12;  // Share of the expert time of a pass that a switch must save.
 
-  gateway_settings::log_settings log;
+  log_settings log;
 };
 
 struct parsed_balancer_settings {
--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -4,77 +4,17 @@
 
 #include "core/config/addresses.h"
 #include "core/config/balancer_settings.h"
-#include "core/config/toml_reader.h"
+#include "core/config/settings_reader.h"
 
 namespace cuminpath::config {
 namespace {
 
-constexpr std::size_t k_max_settings_bytes = 64U << 10U;
 constexpr std::int64_t k_minute_ms = 60'000;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
 
-// Readers that the roles share.
-class base_reader {
-protected:
-  base_reader(const toml::table& table, diagnostics& faults) : m_root(table, "", faults), m_faults(faults) {}
-
-  void read_filled(std::string_view key, std::string& field) {
-    const std::size_t errors = m_root.errors();
-    m_root.read(key, field);
-    if (field.empty() && m_root.errors() == errors) {
-      m_root.add_error(key, "must not be empty");
-    }
-  }
-
-  void read_address(std::string_view key, std::string& field) {
-    const std::size_t errors = m_root.errors();
-    m_root.read(key, field);
-    if (!is_address(field) && m_root.errors() == errors) {
-      m_root.add_error(key, "must be IP:PORT with a numeric address");
-    }
-  }
-
-  void read_log(gateway_settings::log_settings& value) {
-    const toml::table* table = m_root.table("log");
-    if (table == nullptr) {
-      return;
-    }
-    table_reader log(*table, "log.", m_faults);
-    log.optional().read("level", value.level);
-    log.optional().read("subsystems", value.subsystems);
-    if (!is_log_level(value.level)) {
-      log.add_error("level", "must be trace, debug, info, warning or error");
-    }
-    for (const auto& [subsystem, level] : value.subsystems) {
-      if (!is_log_level(level)) {
-        log.add_error("subsystems", subsystem + " must be trace, debug, info, warning or error");
-      }
-    }
-    log.finish();
-  }
-
-  void read_optional_address(std::string_view key, std::string& field) {
-    m_root.optional().read(key, field);
-    if (!field.empty() && !is_address(field)) {
-      m_root.add_error(key, "must be IP:PORT with a numeric address");
-    }
-  }
-
-  void read_store_url(std::string& field) {
-    const std::size_t errors = m_root.errors();
-    m_root.read("store_url", field);
-    if (!is_url(field) && m_root.errors() == errors) {
-      m_root.add_error("store_url", "must be http://IP:PORT with a numeric address");
-    }
-  }
-
-  table_reader m_root;
-  diagnostics& m_faults;
-};
-
-class gateway_reader : private base_reader {
+class gateway_reader : private settings_reader {
 public:
-  gateway_reader(const toml::table& table, diagnostics& faults) : base_reader(table, faults) {}
+  gateway_reader(const toml::table& table, diagnostics& faults) : settings_reader(table, faults) {}
 
   // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
   void read(gateway_settings& value) {
@@ -89,7 +29,7 @@
     read_address("mirror_address", value.mirror_address);
     read_address("report_address", value.report_address);
     read_optional_address("metrics_address", value.metrics_address);
-    read_store_url(value.store_url);
+    read_url(m_root, "store_url", value.store_url, true);
     m_root.optional().read("seeds", value.seeds);
     // Seeds may be stale; one that cannot be read is left out and the others hold.
     std::erase_if(value.seeds, [](const std::string& seed) { return !is_address(seed); });
@@ -106,9 +46,9 @@
   }
 };
 
-class balancer_reader : private base_reader {
+class balancer_reader : private settings_reader {
 public:
-  balancer_reader(const toml::table& table, diagnostics& faults) : base_reader(table, faults) {}
+  balancer_reader(const toml::table& table, diagnostics& faults) : settings_reader(table, faults) {}
 
   // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
   void read(balancer_settings& value) {
@@ -119,7 +59,7 @@
     read_address("engine_address", value.engine_address);
     read_address("report_address", value.report_address);
     read_optional_address("metrics_address", value.metrics_address);
-    read_store_url(value.store_url);
+    read_url(m_root, "store_url", value.store_url, true);
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
     m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
     m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
@@ -133,26 +73,14 @@
   }
 };
 
-// Parses the text and lets `reader_type` fill in the settings.
-template <class reader_type, class parsed_type>
-parsed_type parse(std::string_view text, std::string_view file) {
-  diagnostics faults{.file = std::string(file), .errors = {}};
-  parsed_type parsed;
-  if (const auto table = parse_toml(text, k_max_settings_bytes, faults)) {
-    reader_type(*table, faults).read(parsed.value);
-  }
-  parsed.errors = std::move(faults.errors);
-  return parsed;
-}
-
 }  // namespace
 
 parsed_gateway_settings parse_gateway_settings(std::string_view text, std::string_view file) {
-  return parse<gateway_reader, parsed_gateway_settings>(text, file);
+  return parse_with<gateway_reader, parsed_gateway_settings>(text, file);
 }
 
 parsed_balancer_settings parse_balancer_settings(std::string_view text, std::string_view file) {
-  return parse<balancer_reader, parsed_balancer_settings>(text, file);
+  return parse_with<balancer_reader, parsed_balancer_settings>(text, file);
 }
 
 std::string role_of(std::string_view text) {
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/config/log_settings.h"
 #include "core/config/manifest_parser.h"
 
 namespace cuminpath::config {
@@ -32,10 +32,7 @@
   double retry_ratio = 0.2;           // Retries to requests of a service, of all gateways together.
   std::uint32_t retry_burst = 100;    // Retries beyond that in one window, of all gateways together.
 
-  struct log_settings {
-    std::string level = "info";                     // trace, debug, info, warning, error.
-    std::map<std::string, std::string> subsystems;  // Level of single subsystems.
-  } log;
+  log_settings log;
 };
 
 struct parsed_gateway_settings {
--- a/source/core/config/settings.cpp
+++ b/source/core/config/settings.cpp
@@ -1,29 +1,31 @@
 #include "core/config/settings.h"
 
 #include "core/config/addresses.h"
-#include "core/config/toml_reader.h"
+#include "core/config/settings_reader.h"
 
 namespace cuminpath::config {
 namespace {
 
-constexpr std::size_t k_max_settings_bytes = 64U << 10U;
 constexpr std::int64_t k_hour_ms = 3'600'000;
 
-class settings_reader {
+class daemon_reader : private settings_reader {
 public:
-  settings_reader(const toml::table& table, diagnostics& faults)
-      : m_root(table, "", faults), m_faults(faults) {}
+  daemon_reader(const toml::table& table, diagnostics& faults) : settings_reader(table, faults) {}
 
   // Each setting is declared here once, with its key, type and bounds; its default is that of the member.
   void read(daemon_settings& value) {
     read_role(value.kind);
-    read_filled(m_root, "name", value.name);
-    read_filled(m_root, "host", value.host);
-    read_filled(m_root, "availability_zone", value.availability_zone);
+    read_filled("name", value.name);
+    read_filled("host", value.host);
+    read_filled("availability_zone", value.availability_zone);
     m_root.optional().read("region", value.region);
-    read_address("address", value.address, value.kind == role::entry);
-    read_address("peer_address", value.peer_address, true);
-    read_address("admin_address", value.admin_address, true);
+    if (value.kind == role::entry) {
+      read_address("address", value.address);
+    } else {
+      read_optional_address("address", value.address);
+    }
+    read_address("peer_address", value.peer_address);
+    read_address("admin_address", value.admin_address);
     m_root.read("operator_key_sha256", value.operator_key_sha256);
     if (!value.operator_key_sha256.empty() && !is_sha256(value.operator_key_sha256)) {
       m_root.add_error("operator_key_sha256", "must be 64 lower-case hexadecimal digits");
@@ -42,14 +44,6 @@
   }
 
 private:
-  static void read_filled(table_reader& reader, std::string_view key, std::string& field) {
-    const std::size_t errors = reader.errors();
-    reader.read(key, field);
-    if (field.empty() && reader.errors() == errors) {
-      reader.add_error(key, "must not be empty");
-    }
-  }
-
   void read_role(role& kind) {
     std::string name;
     m_root.read("role", name);
@@ -60,28 +54,6 @@
     }
   }
 
-  void read_address(std::string_view key, std::string& field, bool required) {
-    const std::size_t errors = m_root.errors();
-    if (!required) {
-      m_root.optional();
-    }
-    m_root.read(key, field);
-    if (!is_address(field) && (required || !field.empty()) && m_root.errors() == errors) {
-      m_root.add_error(key, "must be IP:PORT with a numeric address");
-    }
-  }
-
-  static void read_url(table_reader& reader, std::string_view key, std::string& field, bool required) {
-    const std::size_t errors = reader.errors();
-    if (!required) {
-      reader.optional();
-    }
-    reader.read(key, field);
-    if (!is_url(field) && (required || !field.empty()) && reader.errors() == errors) {
-      reader.add_error(key, "must be http://IP:PORT with a numeric address");
-    }
-  }
-
   void read_platform(daemon_settings::platform_urls& value) {
     const toml::table* table = m_root.table("platform");
     if (table == nullptr) {
@@ -125,40 +97,12 @@
                            {std::uint64_t{1}, std::uint64_t{1} << 50U});
     reader.finish();
   }
-
-  void read_log(daemon_settings::log_settings& value) {
-    const toml::table* table = m_root.table("log");
-    if (table == nullptr) {
-      return;
-    }
-    table_reader reader(*table, "log.", m_faults);
-    reader.optional().read("level", value.level);
-    reader.optional().read("subsystems", value.subsystems);
-    if (!is_log_level(value.level)) {
-      reader.add_error("level", "must be trace, debug, info, warning or error");
-    }
-    for (const auto& [subsystem, level] : value.subsystems) {
-      if (!is_log_level(level)) {
-        reader.add_error("subsystems", subsystem + " must be trace, debug, info, warning or error");
-      }
-    }
-    reader.finish();
-  }
-
-  table_reader m_root;
-  diagnostics& m_faults;
 };
 
 }  // namespace
 
 parsed_settings parse_settings(std::string_view text, std::string_view file) {
-  diagnostics faults{.file = std::string(file), .errors = {}};
-  parsed_settings parsed;
-  if (const auto table = parse_toml(text, k_max_settings_bytes, faults)) {
-    settings_reader(*table, faults).read(parsed.value);
-  }
-  parsed.errors = std::move(faults.errors);
-  return parsed;
+  return parse_with<daemon_reader, parsed_settings>(text, file);
 }
 
 }  // namespace cuminpath::config
--- a/source/core/config/settings.h
+++ b/source/core/config/settings.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/config/log_settings.h"
 #include "core/config/manifest_parser.h"
 
 namespace cuminpath::config {
@@ -53,10 +53,7 @@
     std::uint64_t weight_store_bytes_per_s = 1'000'000'000;  // Rate that the weight store gives a group.
   } agent;
 
-  struct log_settings {
-    std::string level = "info";                     // trace, debug, info, warning, error.
-    std::map<std::string, std::string> subsystems;  // Level of single subsystems.
-  } log;
+  log_settings log;
 };
 
 struct parsed_settings {
--- a/source/programs/cuminpathd/main.cpp
+++ b/source/programs/cuminpathd/main.cpp
@@ -57,8 +57,7 @@
   return errors.empty();
 }
 
-template <class log_settings>
-void start_logging(std::string_view name, const log_settings& settings) {
+void start_logging(std::string_view name, const config::log_settings& settings) {
   telemetry::start_logging(name, level_of(settings.level));
   for (const auto& [subsystem, level] : settings.subsystems) {
     telemetry::set_log_level(subsystem, level_of(level));
