http, proxy, entry: compare names and write status lines with one function each

The proxy had a second table of reason phrases and two more comparisons without regard to case; the entry had a third. Both now stand in http/message.h.

--- a/source/core/entry/caller_request.cpp
+++ b/source/core/entry/caller_request.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -31,17 +30,11 @@
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
 }
 
-bool equal_ignoring_case(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
 std::optional<std::string_view> bearer_key(const http::request& request) {
   constexpr std::string_view k_scheme = "Bearer ";
   const auto header = request.header("Authorization");
   if (!header || header->size() <= k_scheme.size() ||
-      !equal_ignoring_case(header->substr(0, k_scheme.size()), k_scheme)) {
+      !http::equal_ignoring_case(header->substr(0, k_scheme.size()), k_scheme)) {
     return std::nullopt;
   }
   return header->substr(k_scheme.size());
@@ -65,7 +58,7 @@
                                                         "expect",
                                                         "x-request-id"};
   return std::any_of(k_names.begin(), k_names.end(),
-                     [&](std::string_view other) { return equal_ignoring_case(name, other); });
+                     [&](std::string_view other) { return http::equal_ignoring_case(name, other); });
 }
 
 std::optional<problem> read_class(const http::request& request, const config::workspace& workspace,
@@ -191,10 +184,10 @@
   std::string text;
   for (std::size_t i = 0; i < path.size(); ++i) {
     const auto escape = path[i] == '%' ? path.substr(i + 1, 2) : std::string_view();
-    if (equal_ignoring_case(escape, "2e")) {
+    if (http::equal_ignoring_case(escape, "2e")) {
       text.push_back('.');
       i += 2;
-    } else if (equal_ignoring_case(escape, "2f") || equal_ignoring_case(escape, "5c")) {
+    } else if (http::equal_ignoring_case(escape, "2f") || http::equal_ignoring_case(escape, "5c")) {
       text.push_back('/');
       i += 2;
     } else {
--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -9,12 +9,57 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+}  // namespace
+
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](char a, char b) { return to_lower(a) == to_lower(b); });
 }
 
-}  // namespace
+std::string_view reason_phrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
 
 std::optional<std::string_view> find_header(const header_list& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -11,6 +11,11 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+bool equal_ignoring_case(std::string_view left, std::string_view right);
+
+// Reason phrase of a status line; "Status" for a status that is not known here.
+std::string_view reason_phrase(int status);
+
 // Value of the first header of that name, compared without regard to case.
 std::optional<std::string_view> find_header(const header_list& headers, std::string_view name);
 
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -169,27 +169,8 @@
 
 private:
   static restinio::http_status_line_t status_line(int status) {
-    static const std::unordered_map<int, std::string> s_phrases = {{200, "OK"},
-                                                                   {201, "Created"},
-                                                                   {202, "Accepted"},
-                                                                   {204, "No Content"},
-                                                                   {400, "Bad Request"},
-                                                                   {401, "Unauthorized"},
-                                                                   {403, "Forbidden"},
-                                                                   {404, "Not Found"},
-                                                                   {405, "Method Not Allowed"},
-                                                                   {408, "Request Timeout"},
-                                                                   {409, "Conflict"},
-                                                                   {413, "Content Too Large"},
-                                                                   {422, "Unprocessable Content"},
-                                                                   {429, "Too Many Requests"},
-                                                                   {500, "Internal Server Error"},
-                                                                   {502, "Bad Gateway"},
-                                                                   {503, "Service Unavailable"},
-                                                                   {504, "Gateway Timeout"}};
-    const auto found = s_phrases.find(status);
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
-            found == s_phrases.end() ? std::string("Status") : found->second};
+            std::string(reason_phrase(status))};
   }
 
   // The response is complete: the connection may serve another request.
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -1,10 +1,8 @@
 #include "core/proxy/caller_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
-#include <cctype>
 
 #include <fmt/format.h>
 
@@ -19,44 +17,9 @@
 // the caller has sent more, and the answer could be lost.
 constexpr milliseconds k_linger{1000};
 
-std::string_view reason_phrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 204:
-      return "No Content";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 bool expects_continue(const http::header_list& headers) {
   const auto value = http::find_header(headers, "Expect");
-  constexpr std::string_view k_continue = "100-continue";
-  return value && std::equal(value->begin(), value->end(), k_continue.begin(), k_continue.end(),
-                             [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
+  return value && http::equal_ignoring_case(*value, "100-continue");
 }
 
 }  // namespace
@@ -175,7 +138,7 @@
 }
 
 std::string caller_connection::head_text(int status, const http::header_list& headers) const {
-  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, http::reason_phrase(status));
   for (const auto& [name, value] : headers) {
     text += fmt::format("{}: {}\r\n", name, value);
   }
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -254,10 +254,10 @@
   const gateway::header_names& names = m_state.names;
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", m_request.method, m_request.target);
   const auto own = [&](std::string_view name) {
-    return same_name(name, names.api_key) || same_name(name, names.workspace) ||
-           same_name(name, names.target_instance) || same_name(name, names.urgency) ||
-           same_name(name, names.time_left_ms) ||
-           (!m_last_event_id.empty() && same_name(name, names.resume_after));
+    const auto same = [name](std::string_view other) { return http::equal_ignoring_case(name, other); };
+    return same(names.api_key) || same(names.workspace) || same(names.target_instance) ||
+           same(names.urgency) || same(names.time_left_ms) ||
+           (!m_last_event_id.empty() && same(names.resume_after));
   };
   for (const auto& [name, value] : end_to_end_headers(m_request.headers)) {
     if (!own(name)) {
--- a/source/core/proxy/forwarded_headers.cpp
+++ b/source/core/proxy/forwarded_headers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace cuminpath::proxy {
 namespace {
@@ -14,13 +13,13 @@
       "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE",
       "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",     "Expect"};
   return std::any_of(k_names.begin(), k_names.end(),
-                     [&](std::string_view hop) { return same_name(hop, name); });
+                     [&](std::string_view hop) { return http::equal_ignoring_case(hop, name); });
 }
 
 // True if the Connection header names `name`.
 bool named_by_connection(const http::header_list& headers, std::string_view name) {
   for (const auto& [field, value] : headers) {
-    if (!same_name(field, "Connection")) {
+    if (!http::equal_ignoring_case(field, "Connection")) {
       continue;
     }
     std::string_view rest = value;
@@ -34,7 +33,7 @@
       while (token.ends_with(' ')) {
         token.remove_suffix(1);
       }
-      if (same_name(token, name)) {
+      if (http::equal_ignoring_case(token, name)) {
         return true;
       }
     }
@@ -44,12 +43,6 @@
 
 }  // namespace
 
-bool same_name(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(),
-                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
 http::header_list end_to_end_headers(const http::header_list& headers) {
   http::header_list kept;
   for (const auto& header : headers) {
--- a/source/core/proxy/forwarded_headers.h
+++ b/source/core/proxy/forwarded_headers.h
@@ -1,15 +1,10 @@
 // Which headers of a message go on to the next recipient.
 #pragma once
 
-#include <string_view>
-
 #include "core/http/message.h"
 
 namespace cuminpath::proxy {
 
-// Compares header names without regard to case.
-bool same_name(std::string_view a, std::string_view b);
-
 // All headers but those that concern one connection only (RFC 9110, 7.6.1) and those that the sender of a
 // body sets.
 http::header_list end_to_end_headers(const http::header_list& headers);
