proxy, gateway: drop what nothing uses

Gone: moving a message parser and asking it whether a message has begun, the flag of a reset that every listener ignored, the mark of a fresh connection, three accessors, the name of a header that is only passed on, and arguments that were not read. The check for the upstream's marks stood twice. No behaviour changes.

--- a/source/core/gateway/header_names.h
+++ b/source/core/gateway/header_names.h
@@ -16,7 +16,6 @@
   std::string resume_after;     // Id of the last event that the caller has.
   std::string not_executed;     // In an answer: the upstream has not run the request.
   std::string stamp;            // In an answer: the upstream's own mark.
-  std::string token_counts;     // Prompt tokens and the most output tokens, separated by a comma.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -94,7 +94,6 @@
   };
   [[nodiscard]] service_totals totals(std::string_view service, time_point now) const;
   [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
-  [[nodiscard]] std::span<const upstream> all() const { return m_upstreams; }
 
 private:
   upstream* find_mutable(std::string_view id);
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -255,12 +255,6 @@
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-void caller_connection::close_if_idle() {
-  if (m_phase == phase::idle) {
-    end();
-  }
-}
-
 void caller_connection::check_limits(time_point now) {
   switch (m_phase) {
     case phase::idle:
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -36,7 +36,7 @@
 
   void start();
 
-  // Writes a whole answer. `length_of_head` replaces the length of the body for answers to HEAD.
+  // Writes a whole answer. A Content-Length among its headers goes before the length of the body (HEAD).
   void respond(const http::response& answer);
   // An answer in chunks: head, any number of chunks, then end or abort.
   void begin_stream(int status, const http::header_list& headers);
@@ -47,14 +47,10 @@
 
   // Later answers say that the connection closes after them.
   void close_after_answer() { m_closing = true; }
-  // Closes a connection that has no request under way.
-  void close_if_idle();
   // Closes connections that break the limits of callers. Called several times a second.
   void check_limits(time_point now);
 
   [[nodiscard]] std::size_t unsent_bytes() const { return m_out.size() + m_in_flight.size(); }
-  [[nodiscard]] bool busy() const { return m_phase == phase::answering; }
-  [[nodiscard]] bool open() const { return m_phase != phase::ended; }
 
 private:
   enum class phase : std::uint8_t {
--- a/source/core/proxy/caller_port.cpp
+++ b/source/core/proxy/caller_port.cpp
@@ -65,7 +65,7 @@
   };
   callbacks.gone = [current] {
     if (const auto active = *current) {
-      active->on_caller_gone(clock::now());
+      active->on_caller_gone();
     }
   };
   callbacks.drained = [current] {
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 
 #include <fmt/format.h>
 
@@ -97,6 +96,11 @@
   return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(m_deadline - now));
 }
 
+bool exchange::bears_upstream_marks(const message_head& head) const {
+  return http::find_header(head.headers, m_state.names.stamp) &&
+         http::find_header(head.headers, m_state.names.request_id);
+}
+
 bool exchange::is_engine_call() const {
   const gateway::service* service = m_configuration->find_service(m_service);
   return service != nullptr && service->engine.has_value();
@@ -109,7 +113,7 @@
     refuse(503, "no configuration yet", now);
     return;
   }
-  if (!identify(now) || !authorize(now) || !choose_service(now)) {
+  if (!identify(now) || !authorize() || !choose_service(now)) {
     return;
   }
   m_deadline_timer.expires_at(m_deadline);
@@ -155,7 +159,7 @@
   return true;
 }
 
-bool exchange::authorize(time_point /*now*/) {
+bool exchange::authorize() {
   m_rank = m_route->rank;
   if (m_route->is_public || !m_configuration->keys_required) {
     return true;
@@ -224,7 +228,6 @@
     send_request(now);
     return;
   }
-  m_attempt->fresh_connection = true;
   const auto peer = net::parse_endpoint(target.record.address);
   if (!peer) {
     end_attempt(attempt_end::not_sent, "upstream has no valid address");
@@ -313,9 +316,9 @@
       self->on_answer_end();
     }
   };
-  events.broken = [self, current](bool reset, std::string_view reason) {
+  events.broken = [self, current](std::string_view reason) {
     if (current()) {
-      self->on_broken(reset, reason);
+      self->end_attempt(attempt_end::broken, reason);
     }
   };
   m_attempt->link->send(request_text(*target, now), m_state.names.request_id, m_request_id,
@@ -327,9 +330,8 @@
 void exchange::on_head(message_head&& head) {
   m_attempt->head = std::move(head);
   const message_head& kept = *m_attempt->head;
-  m_attempt->streamed = m_route->kind == call_kind::stream && kept.status == 200 &&
-                        http::find_header(kept.headers, m_state.names.stamp).has_value() &&
-                        http::find_header(kept.headers, m_state.names.request_id).has_value();
+  m_attempt->streamed =
+      m_route->kind == call_kind::stream && kept.status == 200 && bears_upstream_marks(kept);
 }
 
 void exchange::on_body(std::string_view bytes) {
@@ -376,9 +378,7 @@
     end_attempt(attempt_end::not_executed, fmt::format("upstream answered {}", head.status));
     return;
   }
-  const bool own_answer = http::find_header(head.headers, m_state.names.stamp) &&
-                          http::find_header(head.headers, m_state.names.request_id) &&
-                          !http::find_header(head.headers, "Content-Encoding");
+  const bool own_answer = bears_upstream_marks(head) && !http::find_header(head.headers, "Content-Encoding");
   if (!own_answer) {
     end_attempt(attempt_end::broken, fmt::format("answer {} is not the upstream's own", head.status));
     return;
@@ -423,10 +423,6 @@
   finish(status < 400 ? "served" : "upstream_failure", status, "");
 }
 
-void exchange::on_broken(bool /*reset*/, std::string_view reason) {
-  end_attempt(attempt_end::broken, reason);
-}
-
 void exchange::release_attempt(bool keep_link) {
   m_silence_timer.cancel();
   const time_point now = clock::now();
@@ -552,7 +548,7 @@
   }
 }
 
-void exchange::on_caller_gone(time_point /*now*/) {
+void exchange::on_caller_gone() {
   if (m_done) {
     return;
   }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -24,7 +24,6 @@
   std::string upstream_id;
   std::shared_ptr<upstream_link> link;
   time_point started;
-  bool fresh_connection = false;
   bool sent = false;
   std::optional<message_head> head;
   std::string body;  // Of an answer that is not streamed.
@@ -43,14 +42,14 @@
 
   void start(time_point now);
   // The caller has left: cancels the work at the upstream.
-  void on_caller_gone(time_point now);
+  void on_caller_gone();
   // The caller has taken all bytes so far; a paused upstream goes on.
   void on_caller_drained();
 
 private:
   // Checks of the request; each answers the caller and returns false if the request can't be served.
   bool identify(time_point now);
-  bool authorize(time_point now);
+  bool authorize();
   bool choose_service(time_point now);
 
   [[nodiscard]] const gateway::upstream_table::upstream* next_upstream(time_point now) const;
@@ -63,7 +62,6 @@
   void on_head(message_head&& head);
   void on_body(std::string_view bytes);
   void on_answer_end();
-  void on_broken(bool reset, std::string_view reason);
   void forward_event(const gateway::event_splitter::event& event);
 
   // Ends the attempt under way and does what the policy says.
@@ -81,6 +79,8 @@
   void finish(std::string_view outcome, int status, std::string_view reason);
 
   [[nodiscard]] milliseconds time_left(time_point now) const;
+  // The answer carries what every answer of an upstream does.
+  [[nodiscard]] bool bears_upstream_marks(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
 
   proxy_state& m_state;
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -22,7 +22,6 @@
 class message_parser::impl {
 public:
   impl(message_parser* owner, side kind) : m_owner(owner), m_kind(kind) {
-    m_settings.on_message_begin = [](http_parser* parser) { return self(parser).begin(); };
     m_settings.on_url = [](http_parser* parser, const char* at, std::size_t length) {
       return self(parser).target(at, length);
     };
@@ -47,7 +46,7 @@
     m_head = {};
     m_head_bytes = 0;
     m_body_bytes = 0;
-    m_inside = m_head_done = m_complete = m_value_last = false;
+    m_head_done = m_complete = m_value_last = false;
     m_failure = parse_status::malformed;
   }
 
@@ -74,7 +73,6 @@
   }
 
   message_parser* m_owner;
-  bool m_inside = false;
   bool m_head_done = false;
 
 private:
@@ -89,10 +87,6 @@
     return false;
   }
 
-  int begin() {
-    m_inside = true;
-    return 0;
-  }
   int target(const char* at, std::size_t length) {
     m_head.target.append(at, length);
     return over_head_limit(length) ? 1 : 0;
@@ -154,7 +148,6 @@
   }
   int message_complete() {
     m_complete = true;
-    m_inside = false;
     http_parser_pause(&m_parser, 1);
     return 0;
   }
@@ -176,17 +169,6 @@
   m_impl->start({}, false);
 }
 message_parser::~message_parser() = default;
-message_parser::message_parser(message_parser&& other) noexcept
-    : on_head(std::move(other.on_head)), on_body(std::move(other.on_body)), m_impl(std::move(other.m_impl)) {
-  m_impl->m_owner = this;
-}
-message_parser& message_parser::operator=(message_parser&& other) noexcept {
-  on_head = std::move(other.on_head);
-  on_body = std::move(other.on_body);
-  m_impl = std::move(other.m_impl);
-  m_impl->m_owner = this;
-  return *this;
-}
 
 void message_parser::start(parse_limits limits, bool no_body) {
   m_impl->start(limits, no_body);
@@ -197,9 +179,6 @@
 bool message_parser::finish() {
   return m_impl->finish();
 }
-bool message_parser::inside_message() const {
-  return m_impl->m_inside;
-}
 bool message_parser::head_done() const {
   return m_impl->m_head_done;
 }
--- a/source/core/proxy/message_parser.h
+++ b/source/core/proxy/message_parser.h
@@ -39,8 +39,8 @@
 
   explicit message_parser(side kind);
   ~message_parser();
-  message_parser(message_parser&&) noexcept;
-  message_parser& operator=(message_parser&&) noexcept;
+  message_parser(const message_parser&) = delete;
+  message_parser& operator=(const message_parser&) = delete;
 
   // Called when the head is complete, and for each piece of the body.
   std::function<void(message_head&&)> on_head;
@@ -58,8 +58,6 @@
   // The peer has ended the connection in good order. True if that completes a message.
   bool finish();
 
-  // True between the first byte of a message and its end.
-  [[nodiscard]] bool inside_message() const;
   [[nodiscard]] bool head_done() const;
 
 private:
--- a/source/core/proxy/upstream_link.cpp
+++ b/source/core/proxy/upstream_link.cpp
@@ -163,7 +163,7 @@
       case parse_status::malformed:
       case parse_status::head_too_large:
       case parse_status::body_too_large:
-        fail(true, "answer is not valid HTTP");
+        fail("answer is not valid HTTP");
         return;
     }
   }
@@ -220,15 +220,15 @@
     on_message_end(true);
     return;
   }
-  fail(reset, reason);
+  fail(reason);
 }
 
-void upstream_link::fail(bool reset, std::string_view reason) {
+void upstream_link::fail(std::string_view reason) {
   m_busy = false;
   const auto broken = std::exchange(m_events, {}).broken;
   close();
   if (broken) {
-    broken(reset, reason);
+    broken(reason);
   }
 }
 
--- a/source/core/proxy/upstream_link.h
+++ b/source/core/proxy/upstream_link.h
@@ -19,8 +19,7 @@
   std::function<void(message_head&&)> head;
   std::function<void(std::string_view)> body;
   std::function<void()> end;
-  // `reset`: the peer did not end the connection in good order. Text for the log.
-  std::function<void(bool reset, std::string_view reason)> broken;
+  std::function<void(std::string_view reason)> broken;
 };
 
 class upstream_link : public std::enable_shared_from_this<upstream_link> {
@@ -59,7 +58,7 @@
   void take_head(message_head&& head);
   void on_message_end(bool bytes_follow);
   void on_connection_end(bool reset, std::string_view reason);
-  void fail(bool reset, std::string_view reason);
+  void fail(std::string_view reason);
 
   asio::ip::tcp::socket m_socket;
   asio::steady_timer m_connect_timer;
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -88,8 +88,7 @@
                    .urgency = "X-Urgency",
                    .resume_after = "Last-Event-Id",
                    .not_executed = "X-Not-Executed",
-                   .stamp = "X-Stamp",
-                   .token_counts = "X-Tokens"};
+                   .stamp = "X-Stamp"};
   m_state.availability_zone = "z";
   auto configuration = std::make_shared<gateway::configuration>();
   configuration->version = 1;
