http, balancer: serve single pages and send reports through one function each

Gateway and balancer each had the code that serves one page at an address. The balancer built reports to its leader in two places, told apart by a flag, and the list of its group's addresses in two more. What is sent stays the same.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <map>
+#include <span>
 
 #include "core/balancer/load_window.h"
 #include "core/balancer/messages.h"
@@ -35,9 +36,9 @@
 // The whole map goes to a few ranks at a time; all at once would overflow the link of the leader's host.
 constexpr std::size_t k_prepares_per_tick = 4;
 constexpr milliseconds k_prepare_interval{200};  // Between two for the same rank.
+constexpr std::size_t k_report_bytes = 300;      // Of a report beside its loads.
 // Bytes a second that the ranks of a group may send their loads to the leader with: a third of an 8 Mbit/s
 // link.
-constexpr std::size_t k_report_bytes = 300;  // Of a report beside its loads.
 constexpr std::size_t k_load_bytes_per_s = 350'000;
 constexpr milliseconds k_token_retry{1000};
 // Others that run already are heard by then.
@@ -98,13 +99,10 @@
     if (m_settings.metrics_address.empty()) {
       return true;
     }
-    auto server = http::server::start(
-        m_context, {.address = m_settings.metrics_address},
-        [this](const http::request& request, const std::shared_ptr<http::responder>& out) {
-          out->respond(request.path() == "/metrics"
-                           ? http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                                            .body = m_metrics.prometheus_text()}
-                           : http::response{.status = 404});
+    auto server =
+        http::serve_page(m_context, m_settings.metrics_address, "/metrics", [this](const http::request&) {
+          return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                                .body = m_metrics.prometheus_text()};
         });
     if (!server) {
       telemetry::log(log_level::error, "process", "address cannot be bound",
@@ -159,41 +157,34 @@
     m_own.follow(message.value ? &*message.value : nullptr, now);
   }
 
-  void send_report(time_point now, bool to_leader_with_loads) {
-    rank_report report = own_report();
-    std::vector<std::string> receivers;
-    if (to_leader_with_loads) {
-      report.loads = std::exchange(m_unsent_loads, {});
-      report.experts = m_experts;
-      if (const auto* leader = leading_peer(now)) {
-        receivers.push_back(leader->report.report_address);
-      }
-    } else {
-      for (const auto& [host, known] : m_peers) {
-        if (known.report.view.status.group == own_status().group) {
-          receivers.push_back(known.report.report_address);
-        }
-      }
-      if (now - m_said_hello >= k_hello_interval) {
-        m_said_hello = now;
-        for (const std::string& address : unknown_hosts()) {
-          receivers.push_back(address);
-        }
-      }
-      m_reported = now;
-      m_platform->set_group_complete(group_known());
-    }
-    if (!receivers.empty()) {
-      m_channel->send(encode(report), receivers);
+  // Says to the group, and to hosts that have not been heard of, how this rank stands.
+  void report_to_group(time_point now) {
+    m_reported = now;
+    m_platform->set_group_complete(group_known());
+    std::vector<std::string> receivers = group_addresses();
+    if (now - m_said_hello >= k_hello_interval) {
+      m_said_hello = now;
+      const auto unknown = unknown_hosts();
+      receivers.insert(receivers.end(), unknown.begin(), unknown.end());
     }
+    m_channel->send(encode(own_report()), receivers);
   }
 
-  // The leader waits for each step of a switch; the others hear of it with the next periodic report.
-  void report_progress(time_point now) {
+  // The leader needs loads, and each step of a switch at once; the others hear of steps with the next report.
+  void report_to_leader(const rank_report& report, time_point now) {
     if (const auto* leader = leading_peer(now)) {
-      const std::vector<std::string> receivers{leader->report.report_address};
-      m_channel->send(encode(own_report()), receivers);
+      m_channel->send(encode(report), std::span(&leader->report.report_address, 1));
+    }
+  }
+
+  [[nodiscard]] std::vector<std::string> group_addresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& [host, known] : m_peers) {
+      if (in_group(known)) {
+        addresses.push_back(known.report.report_address);
+      }
     }
+    return addresses;
   }
 
   rank_report own_report() {
@@ -295,8 +286,10 @@
       std::vector<std::uint64_t> fresh(counts.size());
       std::transform(counts.begin(), counts.end(), m_last_counts.begin(), fresh.begin(), std::minus<>());
       m_window.add(fresh, now);
-      m_unsent_loads = std::move(fresh);
-      send_report(now, true);
+      rank_report report = own_report();
+      report.loads = std::move(fresh);
+      report.experts = m_experts;
+      report_to_leader(report, now);
     }
     m_last_counts = counts;
     m_last_epoch = read.epoch;
@@ -350,12 +343,10 @@
       m_planned_at = now;
       plan(all, now);
     }
-    if (m_leader.current() != phase::idle) {
-      if (m_leader.current() == phase::preparing) {
-        send_prepares(now);
-      } else if (now - m_directed_at >= k_directive_interval) {
-        send_directive(now);
-      }
+    if (m_leader.current() == phase::preparing) {
+      send_prepares(now);
+    } else if (m_leader.current() != phase::idle && now - m_directed_at >= k_directive_interval) {
+      send_directive(now);
     }
   }
 
@@ -401,13 +392,7 @@
       send_prepares(now);
       return;
     }
-    std::vector<std::string> receivers;
-    for (const auto& [host, known] : m_peers) {
-      if (in_group(known)) {
-        receivers.push_back(known.report.report_address);
-      }
-    }
-    m_channel->send(encode(message), receivers);
+    m_channel->send(encode(message), group_addresses());
   }
 
   // Sends the map to ranks that have not begun to copy, a few in each tick.
@@ -558,7 +543,7 @@
       m_window.clear();
     }
     if (m_own.working()) {
-      report_progress(now);
+      report_to_leader(own_report(), now);
     }
     lead(now);
   }
@@ -577,7 +562,7 @@
     m_own.tick(now, k_status_interval);
     read_counts(now);
     if (m_own.known() && now - m_reported >= m_settings.report_interval) {
-      send_report(now, false);
+      report_to_group(now);
     }
     lead(now);
     schedule_tick();
@@ -615,7 +600,6 @@
   std::map<std::string, time_point> m_prepared_hosts;  // When the map of the switch was sent, by host.
   std::optional<engine_experts> m_experts;             // Of the own rank.
   std::vector<std::uint64_t> m_last_counts;
-  std::vector<std::uint64_t> m_unsent_loads;
   std::string m_known_group;
   std::uint64_t m_known_epoch = 0;
   std::uint64_t m_last_epoch = 0;
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -338,4 +338,13 @@
   m_impl->stop_accepting();
 }
 
+result<std::unique_ptr<server>> serve_page(asio::io_context& context, const std::string& address,
+                                           std::string path, page answer) {
+  return server::start(context, {.address = address},
+                       [path = std::move(path), answer = std::move(answer)](
+                           const request& value, const std::shared_ptr<responder>& out) {
+                         out->respond(value.path() == path ? answer(value) : response{.status = 404});
+                       });
+}
+
 }  // namespace cuminpath::http
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -73,4 +73,9 @@
   std::unique_ptr<impl> m_impl;
 };
 
+// Serves one page at an address and answers 404 elsewhere. Errors as server::start().
+using page = std::function<response(const request&)>;
+result<std::unique_ptr<server>> serve_page(asio::io_context& context, const std::string& address,
+                                           std::string path, page answer);
+
 }  // namespace cuminpath::http
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -146,24 +146,15 @@
     if (!bound) {
       return false;
     }
-    if (!m_settings.metrics_address.empty() &&
-        !serve(m_settings.metrics_address, "/metrics", [this](const auto&) {
-          return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                                .body = metrics_text()};
-        })) {
-      return false;
-    }
-    return true;
+    return m_settings.metrics_address.empty() ||
+           serve(m_settings.metrics_address, "/metrics", [this](const http::request&) {
+             return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                                   .body = metrics_text()};
+           });
   }
 
-  using page = std::function<http::response(const http::request&)>;
-  bool serve(const std::string& address, std::string_view path, page answer) {
-    auto started = http::server::start(
-        m_context, {.address = address},
-        [path = std::string(path), answer = std::move(answer)](const http::request& request,
-                                                               const std::shared_ptr<http::responder>& out) {
-          out->respond(request.path() == path ? answer(request) : http::response{.status = 404});
-        });
+  bool serve(const std::string& address, std::string_view path, http::page answer) {
+    auto started = http::serve_page(m_context, address, std::string(path), std::move(answer));
     if (!started) {
       telemetry::log(log_level::error, "process", "address cannot be bound",
                      {{"address", address}, {"reason", started.error().message}});
