proxy: end a stream visibly when its rest is refused, and take no encoded stream

Cause: on_head() took a 200 with a Content-Encoding for a stream of the upstream's own and passed its events on; and an upstream that answered the rest of a broken stream with 400, 404 or an encoded 200 had that answer written as a whole HTTP message into the chunks that the caller was already reading. Ruled out: after_attempt(), which breaks off once the caller has bytes; it was not asked in these two cases. Change: one check of what is an upstream's own answer for both places; an answer that is no stream ends the attempt as broken once events have been passed on. Before: both new tests fail (200 passed on; the caller's bytes end with an HTTP head inside a chunked body).

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -96,9 +96,10 @@
   return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(m_deadline - now));
 }
 
-bool exchange::bears_upstream_marks(const message_head& head) const {
+bool exchange::is_upstreams_own(const message_head& head) const {
   return http::find_header(head.headers, m_state.names.stamp) &&
-         http::find_header(head.headers, m_state.names.request_id);
+         http::find_header(head.headers, m_state.names.request_id) &&
+         !http::find_header(head.headers, "Content-Encoding");
 }
 
 bool exchange::is_engine_call() const {
@@ -330,8 +331,7 @@
 void exchange::on_head(message_head&& head) {
   m_attempt->head = std::move(head);
   const message_head& kept = *m_attempt->head;
-  m_attempt->streamed =
-      m_route->kind == call_kind::stream && kept.status == 200 && bears_upstream_marks(kept);
+  m_attempt->streamed = m_route->kind == call_kind::stream && kept.status == 200 && is_upstreams_own(kept);
 }
 
 void exchange::on_body(std::string_view bytes) {
@@ -378,8 +378,7 @@
     end_attempt(attempt_end::not_executed, fmt::format("upstream answered {}", head.status));
     return;
   }
-  const bool own_answer = bears_upstream_marks(head) && !http::find_header(head.headers, "Content-Encoding");
-  if (!own_answer) {
+  if (!is_upstreams_own(head)) {
     end_attempt(attempt_end::broken, fmt::format("answer {} is not the upstream's own", head.status));
     return;
   }
@@ -388,6 +387,11 @@
     end_attempt(attempt_end::failed, fmt::format("upstream answered {}", head.status));
     return;
   }
+  if (m_answer_begun && !m_attempt->streamed) {
+    end_attempt(attempt_end::broken,
+                fmt::format("upstream answered {} to the rest of a stream", head.status));
+    return;
+  }
   m_state.upstreams.on_success(m_attempt->upstream_id, clock::now());
   m_state.outlook(m_service).on_served(clock::now());
   if (!m_attempt->streamed) {
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -79,8 +79,8 @@
   void finish(std::string_view outcome, int status, std::string_view reason);
 
   [[nodiscard]] milliseconds time_left(time_point now) const;
-  // The answer carries what every answer of an upstream does.
-  [[nodiscard]] bool bears_upstream_marks(const message_head& head) const;
+  // The answer carries what every answer of an upstream does, and its body is as the upstream wrote it.
+  [[nodiscard]] bool is_upstreams_own(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
 
   proxy_state& m_state;
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -167,6 +167,35 @@
   EXPECT_THAT(got.bytes, Not(HasSubstr("id: 2\nda\r\n")));
 }
 
+TEST_F(proxy_fixture, a_stream_with_an_encoding_is_not_the_upstreams_own) {
+  add_upstream("i-1", [](auto, const auto&) {
+    return reaction{
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Encoding: gzip\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n" +
+        chunk("id: 1\ndata: x\n\n") + "0\r\n\r\n"};
+  });
+  EXPECT_THAT(call(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"), whole).bytes,
+              StartsWith("HTTP/1.1 502"));
+}
+
+// A failure to resume may not be written into the answer that the caller is already reading.
+TEST_F(proxy_fixture, a_stream_whose_rest_is_refused_ends_visibly_cut) {
+  for (const int status : {200, 400, 404, 500}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    const auto either = [status](auto, const std::string& seen) {
+      return seen.find("Last-Event-Id") == std::string::npos
+                 ? reaction{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n"), reaction::after::close}
+                 : reaction{answer("a", "rest", status == 200 ? "Content-Encoding: gzip\r\n" : "", status)};
+    };
+    add_upstream("i-1", either);
+    add_upstream("i-2", either);
+    const auto got = call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), whole);
+    EXPECT_TRUE(got.bytes.ends_with("id: 1\ndata: x\n\n\r\n")) << status << ": " << got.bytes;
+    EXPECT_TRUE(got.ended) << status;
+  }
+}
+
 TEST_F(proxy_fixture, a_stream_that_may_not_be_resumed_ends_visibly_cut) {
   const auto cut = [](auto, const auto&) {
     return reaction{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n"), reaction::after::reset};
