scenario: reserve ports between runs on one machine

Cause: free_address() gave out ports that were free a moment ago; another scenario that ran at the same time could take the same one before either program listened. Change: port_pool holds each port by a socket name in the abstract namespace, which the kernel frees with the process.

--- /dev/null
+++ b/source/scenario/port_pool.cpp
@@ -0,0 +1,72 @@
+#include "scenario/port_pool.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <random>
+
+namespace cuminpath::scenario {
+namespace {
+
+// Below the range from which the kernel takes ports of outgoing connections, so that none of those takes a
+// port between the check and its use.
+constexpr int k_first_port = 15000;
+constexpr int k_last_port = 31999;
+
+// A socket with a name in the abstract namespace: the kernel frees it when the process ends in any way.
+// Negative if another process has it.
+int reserve(int port) {
+  const int socket = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_un name{};
+  name.sun_family = AF_UNIX;
+  const std::string text = "cuminpath-port-" + std::to_string(port);
+  std::copy(text.begin(), text.end(), name.sun_path + 1);
+  const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
+  if (::bind(socket, reinterpret_cast<const sockaddr*>(&name), size) == 0) {
+    return socket;
+  }
+  ::close(socket);
+  return -1;
+}
+
+bool is_free(int port, int type) {
+  const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
+  const bool free = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+  ::close(socket);
+  return free;
+}
+
+}  // namespace
+
+port_pool::~port_pool() {
+  for (const int socket : m_reservations) {
+    ::close(socket);
+  }
+}
+
+std::uint16_t port_pool::take() {
+  std::random_device random;
+  std::uniform_int_distribution<int> ports(k_first_port, k_last_port);
+  for (;;) {
+    const int port = ports(random);
+    const int reservation = reserve(port);
+    if (reservation < 0) {
+      continue;
+    }
+    m_reservations.push_back(reservation);
+    if (is_free(port, SOCK_STREAM) && is_free(port, SOCK_DGRAM)) {
+      return static_cast<std::uint16_t>(port);
+    }
+  }
+}
+
+}  // namespace cuminpath::scenario
--- a/source/scenario/runner.cpp
+++ b/source/scenario/runner.cpp
@@ -1,9 +1,7 @@
 #include "scenario/runner.h"
 
-#include <asio/ip/tcp.hpp>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <sstream>
 
 namespace cuminpath::scenario {
@@ -12,10 +10,6 @@
 using emulator::call_order;
 using emulator::call_outcome;
 
-// Below the range from which the kernel takes ports of outgoing connections, so that none of those takes a
-// port between the check and its use.
-constexpr int k_first_port = 15000;
-constexpr int k_last_port = 31999;
 constexpr std::size_t k_log_lines = 15;
 
 call_order to_order(const json& value) {
@@ -102,18 +96,7 @@
 }
 
 std::string runner::free_address() {
-  std::random_device random;
-  std::uniform_int_distribution<int> ports(k_first_port, k_last_port);
-  for (;;) {
-    const auto port = ports(random);
-    asio::ip::tcp::acceptor probe(m_context);
-    std::error_code failure;
-    probe.open(asio::ip::tcp::v4(), failure);
-    probe.bind({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, failure);
-    if (!failure && m_given_ports.insert(port).second) {
-      return "127.0.0.1:" + std::to_string(port);
-    }
-  }
+  return "127.0.0.1:" + std::to_string(m_ports.take());
 }
 
 result<std::string> runner::open_forwarder(const std::string& name, const std::string& target) {
--- a/source/scenario/runner.h
+++ b/source/scenario/runner.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "emulator/load_generator.h"
 #include "scenario/child_process.h"
 #include "scenario/forwarder.h"
+#include "scenario/port_pool.h"
 
 namespace cuminpath::scenario {
 
@@ -32,7 +32,7 @@
   // What the process has written to its standard output.
   [[nodiscard]] std::string output(const std::string& name) const;
 
-  // A loopback address whose port was free a moment ago and that this runner has not given out before.
+  // A loopback address whose port is free and reserved for this runner.
   std::string free_address();
   result<std::string> open_forwarder(const std::string& name, const std::string& target);
   forwarder* find_forwarder(const std::string& name);
@@ -69,7 +69,7 @@
   std::map<std::string, std::unique_ptr<forwarder>> m_forwarders;
   std::map<std::uint64_t, json> m_results;
   std::map<std::uint64_t, std::unique_ptr<emulator::load_generator>> m_loads;
-  std::set<int> m_given_ports;
+  port_pool m_ports;
   std::uint64_t m_last_id = 0;
 };
 
