transport: hold the port of a mailbox that has gone in its test

Ruled out: the mailbox; all 9 failures were a message accepted by another copy's listener. Change: a bound socket that does not listen keeps the port until the second mailbox opens.

--- a/source/unit_tests/transport/mailbox_test.cpp
+++ b/source/unit_tests/transport/mailbox_test.cpp
@@ -28,6 +28,31 @@
   return !failure;
 }
 
+// Keeps a port from other programs without taking connections, which are reset.
+class held_port {
+public:
+  held_port(asio::io_context& context, const std::string& address) : m_socket(context) {
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
+    m_socket.open(endpoint.protocol());
+    m_socket.set_option(asio::socket_base::reuse_address(true));
+    // The mailbox closes its listener on a thread of its own.
+    bool bound = false;
+    asio::error_code failure;
+    run_until(context, [&] {
+      if (!bound) {
+        m_socket.bind(endpoint, failure);
+        bound = !failure;
+      }
+      return bound;
+    });
+    EXPECT_TRUE(bound) << address << ": " << failure.message();
+  }
+
+private:
+  asio::ip::tcp::acceptor m_socket;
+};
+
 struct peer {
   std::vector<wire::envelope> received;
   std::vector<link_loss> losses;
@@ -110,6 +135,7 @@
   std::optional<peer> second(std::in_place, context, "second", 2);
   const auto address = second->box->address();
   second.reset();
+  std::optional<held_port> held(std::in_place, context, address);
   peer first(context, "first", 1);
   first.box->send(address, wire::subscribe_load{.lease_ms = 1});
   first.box->flush({}, 0);
@@ -117,6 +143,7 @@
   EXPECT_EQ(first.losses.front(), link_loss::not_accepted);
   EXPECT_EQ(first.box->counters().queued_bytes, 0U);
 
+  held.reset();
   peer again(context, "second", 3, address);
   first.box->send(address, wire::subscribe_load{.lease_ms = 2});
   first.box->flush({}, 0);
