--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -92,7 +92,8 @@
   m_state.availability_zone = "z";
   auto configuration = std::make_shared<gateway::configuration>();
   configuration->version = 1;
-  const auto route = [](const std::string& prefix, gateway::call_kind kind, bool resumable, std::uint32_t attempts) {
+  const auto route = [](const std::string& prefix, gateway::call_kind kind, bool resumable,
+                        std::uint32_t attempts) {
     return gateway::route{.name = prefix,
                           .host = "h",
                           .path_prefix = prefix,
