--- a/tests/scenarios/pair_table_slow_and_agent_frozen.lua
+++ b/tests/scenarios/pair_table_slow_and_agent_frozen.lua
@@ -20,7 +20,8 @@
 system:check_outcomes(bookings)
 for number = 1, 8 do
   local retry
-  within(20, "the retry of b" .. number .. " ends", function()
+  local last = function() return "the retry of b" .. number .. " ends: " .. describe(retry) end
+  within(20, last, function()
     retry = system:book{entry = number % 2 + 1, idempotency_key = "b" .. number, body = "{}"}
     finish(retry)
     expect(retry.outcome == "complete" or retry.outcome == "unknown" or retry.outcome == "not_run", describe(retry))
--- a/tests/scenarios/support/language.lua
+++ b/tests/scenarios/support/language.lua
@@ -18,14 +18,16 @@
   end
 end
 
--- Waits until the condition returns a true value and returns it; fails after so many seconds.
+-- Waits until the condition returns a true value and returns it; fails after so many seconds. The message may be a
+-- function, which is called when the wait has failed.
 function within(seconds, message, condition)
   local deadline = runner.now() + seconds
   while true do
     local value = condition()
     if value then return value end
     if runner.now() > deadline then
-      error(string.format("not within %s s: %s", seconds, message), 2)
+      local text = type(message) == "function" and message() or message
+      error(string.format("not within %s s: %s", seconds, text), 2)
     end
     runner.poll(10)
   end
