--- a/source/scenario/forwarder.cpp
+++ b/source/scenario/forwarder.cpp
@@ -39,26 +39,29 @@
   }
   tcp::socket near;
   tcp::socket far;
+  bool silent = false;
 };
 
 // What the test sets for all connections of a forwarder.
 struct link_state {
-  bool cut = false;
+  bool cut_to_target = false;
+  bool cut_from_target = false;
   milliseconds delay{0};
 };
 
-// Calls `done` once data may pass.
-void pass(const std::shared_ptr<asio::steady_timer>& timer, const std::shared_ptr<const link_state>& state,
-          milliseconds wait, std::function<void()> done) {
+// Calls `done` once `may_pass` holds, after `wait` at the earliest.
+void pass(const std::shared_ptr<asio::steady_timer>& timer, milliseconds wait, std::function<bool()> may_pass,
+          std::function<void()> done) {
   timer->expires_after(wait);
-  timer->async_wait([timer, state, done = std::move(done)](const std::error_code& failure) mutable {
+  timer->async_wait([timer, may_pass = std::move(may_pass),
+                     done = std::move(done)](const std::error_code& failure) mutable {
     if (failure) {
       return;
     }
-    if (state->cut) {
-      pass(timer, state, k_cut_check, std::move(done));
-    } else {
+    if (may_pass()) {
       done();
+    } else {
+      pass(timer, k_cut_check, std::move(may_pass), std::move(done));
     }
   });
 }
@@ -66,24 +69,29 @@
 // Copies one direction of a connection.
 class copier : public std::enable_shared_from_this<copier> {
 public:
-  copier(std::shared_ptr<connection_pair> pair, tcp::socket& from, tcp::socket& to,
-         std::shared_ptr<const link_state> state)
+  copier(std::shared_ptr<connection_pair> pair, bool to_target, std::shared_ptr<const link_state> state)
       : m_pair(std::move(pair)),
-        m_from(from),
-        m_to(to),
+        m_to_target(to_target),
+        m_from(to_target ? m_pair->near : m_pair->far),
+        m_to(to_target ? m_pair->far : m_pair->near),
         m_state(std::move(state)),
-        m_timer(std::make_shared<asio::steady_timer>(from.get_executor())),
+        m_timer(std::make_shared<asio::steady_timer>(m_from.get_executor())),
         m_buffer(k_buffer_bytes) {}
 
   void read() {
     m_from.async_read_some(asio::buffer(m_buffer),
                            [self = shared_from_this()](std::error_code failure, std::size_t size) {
-                             pass(self->m_timer, self->m_state, self->m_state->delay,
-                                  [self, failure, size] { self->on_read(failure, size); });
+                             pass(
+                                 self->m_timer, self->m_state->delay, [self] { return self->may_pass(); },
+                                 [self, failure, size] { self->on_read(failure, size); });
                            });
   }
 
 private:
+  [[nodiscard]] bool may_pass() const {
+    return !m_pair->silent && !(m_to_target ? m_state->cut_to_target : m_state->cut_from_target);
+  }
+
   void on_read(std::error_code failure, std::size_t size) {
     if (failure == asio::error::eof) {
       m_to.shutdown(tcp::socket::shutdown_send, failure);
@@ -102,6 +110,7 @@
   }
 
   std::shared_ptr<connection_pair> m_pair;
+  bool m_to_target;
   tcp::socket& m_from;
   tcp::socket& m_to;
   std::shared_ptr<const link_state> m_state;
@@ -113,12 +122,12 @@
 
 class forwarder::impl : public std::enable_shared_from_this<impl> {
 public:
-  impl(asio::io_context& context, tcp::endpoint target)
-      : m_target(std::move(target)),
-        m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+  impl(asio::io_context& context, tcp::endpoint target, const asio::ip::address& listen_ip)
+      : m_target(std::move(target)), m_acceptor(context, tcp::endpoint(listen_ip, 0)) {}
 
   [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    const auto bound = m_acceptor.local_endpoint();
+    return bound.address().to_string() + ":" + std::to_string(bound.port());
   }
 
   void accept() {
@@ -129,8 +138,10 @@
       self->m_pairs.remove_if([](const auto& weak) { return weak.expired(); });
       const auto opened = std::make_shared<connection_pair>(std::move(socket));
       self->m_pairs.push_back(opened);
-      pass(std::make_shared<asio::steady_timer>(opened->near.get_executor()), self->m_state,
-           self->m_state->delay, [self, opened] { self->connect(opened); });
+      pass(
+          std::make_shared<asio::steady_timer>(opened->near.get_executor()), self->m_state->delay,
+          [state = self->m_state] { return !state->cut_to_target && !state->cut_from_target; },
+          [self, opened] { self->connect(opened); });
       self->accept();
     });
   }
@@ -146,6 +157,14 @@
     m_pairs.clear();
   }
 
+  void silence_connections() {
+    for (const auto& weak : m_pairs) {
+      if (const auto open = weak.lock()) {
+        open->silent = true;
+      }
+    }
+  }
+
   void stop() {
     std::error_code ignored;
     m_acceptor.close(ignored);
@@ -161,8 +180,8 @@
       }
       pair->near.set_option(tcp::no_delay(true), failure);
       pair->far.set_option(tcp::no_delay(true), failure);
-      std::make_shared<copier>(pair, pair->near, pair->far, state)->read();
-      std::make_shared<copier>(pair, pair->far, pair->near, state)->read();
+      std::make_shared<copier>(pair, true, state)->read();
+      std::make_shared<copier>(pair, false, state)->read();
     });
   }
 
@@ -172,12 +191,16 @@
   std::shared_ptr<link_state> m_state = std::make_shared<link_state>();
 };
 
-result<std::unique_ptr<forwarder>> forwarder::start(asio::io_context& context, const std::string& target) {
+result<std::unique_ptr<forwarder>> forwarder::start(asio::io_context& context, const std::string& target,
+                                                    const std::string& listen_ip) {
   const auto endpoint = to_endpoint(target);
-  if (!endpoint) {
-    return make_error(error_code::invalid_input, "not an IP:PORT address: " + target);
+  std::error_code failure;
+  const auto ip = asio::ip::make_address(listen_ip, failure);
+  if (!endpoint || failure) {
+    return make_error(error_code::invalid_input,
+                      "not an IP:PORT address: " + target + ", or IP: " + listen_ip);
   }
-  auto implementation = std::make_shared<impl>(context, *endpoint);
+  auto implementation = std::make_shared<impl>(context, *endpoint, ip);
   implementation->accept();
   return std::unique_ptr<forwarder>(new forwarder(std::move(implementation)));
 }
@@ -189,8 +212,10 @@
 std::string forwarder::address() const {
   return m_impl->address();
 }
-void forwarder::cut() {
-  m_impl->state().cut = true;
+void forwarder::cut(direction way) {
+  auto& state = m_impl->state();
+  state.cut_to_target = state.cut_to_target || way != direction::from_target;
+  state.cut_from_target = state.cut_from_target || way != direction::to_target;
 }
 void forwarder::heal() {
   m_impl->state() = {};
@@ -201,5 +226,8 @@
 void forwarder::reset_connections() {
   m_impl->reset_connections();
 }
+void forwarder::silence_connections() {
+  m_impl->silence_connections();
+}
 
 }  // namespace cuminpath::scenario
