balancer: pass maps on in chains and leave the group less time before a switch

Cause: a plan on a grown site took 390 ms to be prepared though its four copies take 146: the leader sent 32 maps of 2.4 KB, four in each tick of 20 ms, so the group copied, 15% slower, for twice the time it had to. The switch then waited three passes of 80 to 100 ms where 45 ms were used. Ruled out: the copies themselves, and the polls of 20 ms. Change: the leader sends 8 maps at once and ranks pass them on (map_relay); who is not reached gets it from the leader after 200 ms as before. The margin before a switch is 50 ms in passes, of whose length an estimate is kept (pass_clock).

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -9,7 +9,9 @@
 #include <span>
 
 #include "core/balancer/load_window.h"
+#include "core/balancer/map_relay.h"
 #include "core/balancer/messages.h"
+#include "core/balancer/pass_clock.h"
 #include "core/balancer/rank_driver.h"
 #include "core/balancer/switch_leader.h"
 #include "core/http/server.h"
@@ -33,7 +35,8 @@
 // Without a report for this long a balancer counts as gone; the lowest rank that reports leads.
 constexpr milliseconds k_silent_after{700};
 constexpr milliseconds k_directive_interval{60};
-// The whole map goes to a few ranks at a time; all at once would overflow the link of the leader's host.
+// Ranks that the chains have not reached get the map from the leader, a few at a time: all at once would
+// overflow the link of its host.
 constexpr std::size_t k_prepares_per_tick = 4;
 constexpr milliseconds k_prepare_interval{200};  // Between two for the same rank.
 constexpr std::size_t k_report_bytes = 300;      // Of a report beside its loads.
@@ -155,6 +158,33 @@
     }
     m_followed_token = message.token;
     m_own.follow(message.value ? &*message.value : nullptr, now);
+    if (message.value && message.value->kind == phase::preparing &&
+        message.value->version > m_passed_on_version) {
+      m_passed_on_version = message.value->version;
+      if (const auto next = next_in_chain(balancer_ranks(now), own_status().rank)) {
+        send_to_rank(message, *next);
+      }
+    }
+  }
+
+  // Ranks of the group whose balancer has been heard lately, in ascending order.
+  [[nodiscard]] std::vector<std::uint32_t> balancer_ranks(time_point now) const {
+    std::vector<std::uint32_t> ranks;
+    for (const auto& [host, known] : m_peers) {
+      if (in_group(known) && now - known.heard_at <= k_silent_after) {
+        ranks.push_back(known.report.view.status.rank);
+      }
+    }
+    std::sort(ranks.begin(), ranks.end());
+    return ranks;
+  }
+
+  void send_to_rank(const group_directive& message, std::uint32_t rank) {
+    for (const auto& [host, known] : m_peers) {
+      if (in_group(known) && known.report.view.status.rank == rank) {
+        m_channel->send(encode(message), std::span(&known.report.report_address, 1));
+      }
+    }
   }
 
   // Says to the group, and to hosts that have not been heard of, how this rank stands.
@@ -331,6 +361,7 @@
     drive_silent_ranks(now);
     const auto all = views();
     const phase before = m_leader.current();
+    m_leader.set_pass_time(m_pass_clock.mean());
     m_leader.step(all, own_status().rank, m_token, now);
     const bool outdated = m_leader.outdated_token() != 0 && m_token <= m_leader.outdated_token();
     if ((m_leader.needs_recovery(all, now) && m_token == 0) || outdated) {
@@ -388,14 +419,19 @@
       driver->follow(order, now);
     }
     if (order != nullptr && order->kind == phase::preparing) {
-      m_prepared_hosts.clear();
-      send_prepares(now);
+      m_passed_on_version = order->version;
+      for (const std::uint32_t rank : chain_heads(balancer_ranks(now), own_status().rank)) {
+        send_to_rank(message, rank);
+      }
+      for (const auto& [host, known] : m_peers) {
+        m_prepared_hosts[host] = now;
+      }
       return;
     }
     m_channel->send(encode(message), group_addresses());
   }
 
-  // Sends the map to ranks that have not begun to copy, a few in each tick.
+  // Sends the map to ranks that have not begun to copy although it was sent on its way, a few in each tick.
   void send_prepares(time_point now) {
     const directive* order = m_leader.order();
     std::vector<std::string> receivers;
@@ -403,7 +439,7 @@
       const engine_status& status = known.report.view.status;
       auto& sent_at = m_prepared_hosts[host];
       if (receivers.size() < k_prepares_per_tick && in_group(known) && status.prepared != order->version &&
-          now - sent_at >= k_prepare_interval) {
+          !status.busy && now - sent_at >= k_prepare_interval) {
         sent_at = now;
         receivers.push_back(known.report.report_address);
       }
@@ -542,6 +578,7 @@
       m_known_group = status.group;
       m_window.clear();
     }
+    m_pass_clock.observe(status.epoch, status.step, now);
     if (m_own.working()) {
       report_to_leader(own_report(), now);
     }
@@ -597,6 +634,8 @@
   std::map<std::string, peer> m_peers;                             // By host.
   std::map<std::uint32_t, std::unique_ptr<rank_driver>> m_remote;  // By rank.
   switch_leader m_leader;
+  pass_clock m_pass_clock;
+  std::uint64_t m_passed_on_version = 0;               // Newest map that was sent to the next of the chain.
   std::map<std::string, time_point> m_prepared_hosts;  // When the map of the switch was sent, by host.
   std::optional<engine_experts> m_experts;             // Of the own rank.
   std::vector<std::uint64_t> m_last_counts;
--- a/source/core/balancer/switch_leader.cpp
+++ b/source/core/balancer/switch_leader.cpp
@@ -51,6 +51,15 @@
   }
 }
 
+std::uint64_t switch_leader::margin_steps() const {
+  if (m_pass_time.count() <= 0) {
+    return m_options.most_margin_steps;
+  }
+  // The pass under way may be about to end, so it does not count.
+  const auto steps = 1 + (m_options.margin + m_pass_time - milliseconds{1}) / m_pass_time;
+  return std::min(m_options.most_margin_steps, static_cast<std::uint64_t>(steps));
+}
+
 bool switch_leader::complete(views ranks, time_point now) const {
   if (ranks.empty() || !ranks.front()) {
     return false;
@@ -192,7 +201,7 @@
     return;
   }
   m_directive.holder = own_rank;
-  m_directive.step = furthest_step(ranks) + m_options.margin_steps;
+  m_directive.step = furthest_step(ranks) + margin_steps();
   enter(phase::holding, now);
 }
 
@@ -209,7 +218,7 @@
     enter(phase::idle, now);
   } else if (holder->status.step >= m_directive.step) {
     // The pass has begun before the hold arrived; nothing is armed yet, so a later pass will do.
-    m_directive.step = furthest_step(ranks) + m_options.margin_steps;
+    m_directive.step = furthest_step(ranks) + margin_steps();
   }
 }
 
--- a/source/core/balancer/switch_leader.h
+++ b/source/core/balancer/switch_leader.h
@@ -52,8 +52,11 @@
   milliseconds fresh{500};             // Older views count as absent.
   milliseconds prepare_timeout{8000};  // Copies take under a second; after this the plan is out of date.
   milliseconds hold_timeout{3000};
-  // Passes between the last known one and the switch, so that arming rarely stalls the group.
-  std::uint64_t margin_steps = 3;
+  // Time between the last known pass and the switch, so that arming rarely stalls the group: two reports of a
+  // status, 20 ms old each, and an order.
+  milliseconds margin{50};
+  // Passes in that time while their length is not known, and at most.
+  std::uint64_t most_margin_steps = 3;
 };
 
 class switch_leader {
@@ -65,6 +68,9 @@
   bool start(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, std::uint64_t version,
              rank_map map, time_point now);
 
+  // How long a pass takes now.
+  void set_pass_time(milliseconds time) { m_pass_time = time; }
+
   // Moves on as far as the views allow. `own_rank` is the rank beside which the leader runs. A `token` of 0
   // says that this process does not lead; nothing is ordered then.
   void step(std::span<const std::optional<rank_view>> ranks, std::uint32_t own_rank, std::uint64_t token,
@@ -88,6 +94,8 @@
 
 private:
   void enter(phase next, time_point now);
+  // Passes from the last known one to the switch.
+  [[nodiscard]] std::uint64_t margin_steps() const;
   void note_outdated(std::span<const std::optional<rank_view>> ranks, std::uint64_t token);
   void step_idle(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, time_point now);
   void step_preparing(std::span<const std::optional<rank_view>> ranks, std::uint32_t own_rank,
@@ -98,6 +106,7 @@
   void step_disarming(std::span<const std::optional<rank_view>> ranks, time_point now);
 
   leader_options m_options;
+  milliseconds m_pass_time{0};  // 0: not known.
   directive m_directive;
   time_point m_entered{};
   std::uint64_t m_outdated_token = 0;
