gateway: place by the best of four instead of the least loaded of all

Every gateway took the least loaded of 64 upstreams by reports that are 100 ms old on average, so 49 gateways sent to the same few until the next reports. Change: the least loaded of four upstreams drawn at random among those with a place.

--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -1,7 +1,7 @@
 #include "core/gateway/upstream_table.h"
 
 #include <algorithm>
-#include <limits>
+#include <array>
 #include <unordered_set>
 
 #include "core/common/hash.h"
@@ -21,6 +21,9 @@
 // Load that a request adds in another availability zone, in slots: enough to prefer the own zone at equal
 // load.
 constexpr double k_other_zone_slots = 0.5;
+// Upstreams of which the least loaded is taken. Reports of other gateways are 100 ms old on average: if all
+// gateways took the least loaded of all upstreams, the same few would get everything until the next reports.
+constexpr std::size_t k_candidates = 4;
 // Each recent failure counts as this many requests, so that an upstream that fails at once attracts none.
 constexpr double k_failure_slots = 3;
 
@@ -28,6 +31,11 @@
 constexpr std::size_t k_min_lapse = 3;
 constexpr double k_lapse_share = 0.3;
 
+struct candidate {
+  const upstream_table::upstream* known = nullptr;
+  double load = 0;  // Requests to slots.
+};
+
 std::uint32_t short_hash(std::string_view id) {
   return static_cast<std::uint32_t>(hash64(id));
 }
@@ -141,34 +149,36 @@
 const upstream_table::upstream* upstream_table::choose(std::string_view service,
                                                        const choice_options& options, time_point now,
                                                        random_source& random) const {
-  const upstream* best = nullptr;
-  double best_load = std::numeric_limits<double>::infinity();
-  std::uint64_t ties = 0;
-  for (const upstream& candidate : m_upstreams) {
-    const upstream_record& record = candidate.record;
-    if (record.service != service || record.leaving || candidate.wrong_instance || candidate.superseded ||
-        !candidate.health.usable(now, k_ejection)) {
+  std::array<candidate, k_candidates> sample;
+  std::size_t eligible = 0;
+  for (const upstream& known : m_upstreams) {
+    const upstream_record& record = known.record;
+    if (record.service != service || record.leaving || known.wrong_instance || known.superseded ||
+        !known.health.usable(now, k_ejection)) {
       continue;
     }
     if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
       continue;
     }
-    const double outstanding = candidate.own + candidate.peers;
+    const double outstanding = known.own + known.peers;
     if (outstanding >= options.max_fill * record.slots) {
       continue;
     }
-    const double distance = record.availability_zone == options.availability_zone ? 0 : k_other_zone_slots;
-    const double load =
-        (outstanding + distance + k_failure_slots * candidate.health.recent_failures(now)) / record.slots;
-    if (load < best_load) {
-      best = &candidate;
-      best_load = load;
-      ties = 1;
-    } else if (load == best_load && random_index(random, ++ties) == 0) {
-      best = &candidate;
+    // Each eligible upstream is as likely as any other to be in the sample.
+    const std::size_t place = eligible < sample.size() ? eligible : random_index(random, eligible + 1);
+    ++eligible;
+    if (place < sample.size()) {
+      const double distance = record.availability_zone == options.availability_zone ? 0 : k_other_zone_slots;
+      sample[place] = {
+          &known,
+          (outstanding + distance + k_failure_slots * known.health.recent_failures(now)) / record.slots};
     }
   }
-  return best;
+  const std::span<const candidate> drawn(sample.data(), std::min(eligible, sample.size()));
+  const auto least =
+      std::min_element(drawn.begin(), drawn.end(),
+                       [](const candidate& left, const candidate& right) { return left.load < right.load; });
+  return least == drawn.end() ? nullptr : least->known;
 }
 
 void upstream_table::on_started(std::string_view id, time_point now) {
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -71,7 +71,7 @@
   // Drops upstreams whose grace has ended.
   std::vector<change> expire(time_point now);
 
-  // The upstream of `service` that is expected to serve a request soonest; null if there is none.
+  // An upstream of `service` with little load: the best of a few drawn at random. Null if none has a place.
   [[nodiscard]] const upstream* choose(std::string_view service, const choice_options& options,
                                        time_point now, random_source& random) const;
   [[nodiscard]] const upstream* find(std::string_view id) const;
