--- /dev/null
+++ b/source/core/config/settings_check.h
@@ -0,0 +1,14 @@
+// Checks a settings file of any role without starting a process.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "core/config/manifest_parser.h"
+
+namespace cuminpath::config {
+
+// Every error of the file, with line and key; empty if a daemon would take it.
+std::vector<diagnostic> check_settings(std::string_view text, std::string_view file);
+
+}  // namespace cuminpath::config
--- a/source/core/operation/command_line.cpp
+++ b/source/core/operation/command_line.cpp
@@ -21,6 +21,8 @@
     {"status", "", "Show the state of every process in the host list."},
     {"drain", "HOST", "Let the process on HOST finish its work and exit. Needs the operator key."},
     {"timeline", "", "Show the recent events of all processes in causal order (--limit, default 200)."},
+    {"settings check", "FILE",
+     "Check the settings of a process of any role; report every error with file, line and key."},
     {"manifest check", "FILE", "Check a manifest; report every error with file, line and key."},
     {"manifest diff", "FILE [FILE]",
      "Compare the manifest in force with FILE, or two files with each other."},
--- a/source/core/operation/commands.cpp
+++ b/source/core/operation/commands.cpp
@@ -8,6 +8,8 @@
 #include <map>
 
 #include "core/config/manifest_parser.h"
+#include "core/config/settings_check.h"
+#include "core/config/settings_reader.h"
 #include "core/operation/apply.h"
 #include "core/operation/fleet.h"
 
@@ -45,6 +47,9 @@
     if (first == "timeline" && words.size() == 1) {
       return show_timeline();
     }
+    if (first == "settings" && second == "check" && words.size() == 3) {
+      return check_settings_file();
+    }
     if (first == "manifest") {
       return run_manifest(second);
     }
@@ -126,22 +131,24 @@
            !missing(hosts, m_line.urls.hosts, "hosts");
   }
 
-  // Reads and checks a manifest; reports every error.
-  std::optional<config::manifest> load(const std::string& file) {
+  // The start of a file, one byte more than `most` if it is longer. Absent, and reported, if it cannot be
+  // read.
+  std::optional<std::string> read(const std::string& file, std::size_t most) {
     std::ifstream in(file, std::ios::binary);
-    std::string text(config::k_max_manifest_bytes + 1, '\0');
+    std::string text(most + 1, '\0');
     in.read(text.data(), static_cast<std::streamsize>(text.size()));
     if (!in.is_open() || in.bad()) {
       fail(exit_code::usage, file + ": cannot be read");
       return std::nullopt;
     }
     text.resize(static_cast<std::size_t>(in.gcount()));
-    config::parsed_manifest parsed = config::parse_manifest(text, file);
-    if (parsed.errors.empty()) {
-      return std::move(parsed.value);
-    }
+    return text;
+  }
+
+  // Reports every error of a file.
+  exit_code report(std::span<const config::diagnostic> faults) {
     json errors = json::array();
-    for (const config::diagnostic& fault : parsed.errors) {
+    for (const config::diagnostic& fault : faults) {
       m_err << config::to_string(fault) << "\n";
       errors.push_back(
           {{"file", fault.file}, {"line", fault.line}, {"key", fault.key}, {"message", fault.message}});
@@ -149,9 +156,33 @@
     if (m_line.json) {
       m_out << to_text({{"errors", errors}, {"exit_code", static_cast<int>(exit_code::usage)}});
     }
+    return exit_code::usage;
+  }
+
+  // Reads and checks a manifest; reports every error.
+  std::optional<config::manifest> load(const std::string& file) {
+    const auto text = read(file, config::k_max_manifest_bytes);
+    if (!text) {
+      return std::nullopt;
+    }
+    config::parsed_manifest parsed = config::parse_manifest(*text, file);
+    if (parsed.errors.empty()) {
+      return std::move(parsed.value);
+    }
+    report(parsed.errors);
     return std::nullopt;
   }
 
+  exit_code check_settings_file() {
+    const std::string& file = m_line.words[2];
+    const auto text = read(file, config::k_max_settings_bytes);
+    if (!text) {
+      return exit_code::usage;
+    }
+    const auto errors = config::check_settings(*text, file);
+    return errors.empty() ? print({{"errors", json::array()}}, file + ": no errors\n") : report(errors);
+  }
+
   exit_code check() {
     const auto manifest = load(m_line.words[2]);
     if (!manifest) {
--- a/source/unit_tests/operation/apply_test.cpp
+++ b/source/unit_tests/operation/apply_test.cpp
@@ -145,5 +145,22 @@
   EXPECT_EQ(stats(m_objects_url)["requests"], 0);
 }
 
+TEST_F(apply_command, settings_of_each_role_are_checked_without_a_platform) {
+  for (const char* role : {"gateway", "balancer", "entry", "agent"}) {
+    const std::string faulty =
+        file("bad.toml", std::string("role = \"") + role + "\"\nname = 5\nnonsense = 1\n");
+    const outcome refused = run({"settings", "check", faulty, "--json"});
+    EXPECT_EQ(refused.code, exit_code::usage) << role;
+    EXPECT_THAT(refused.err, HasSubstr("bad.toml:2: name: ")) << role;
+    EXPECT_THAT(refused.err, HasSubstr("bad.toml:3: nonsense: unknown key")) << role;
+  }
+  const std::string sound =
+      file("good.toml",
+           "role = \"balancer\"\nname = \"b\"\nservice = \"s\"\nengine_address = \"127.0.0.1:1\"\n"
+           "report_address = \"127.0.0.1:2\"\nstore_url = \"http://127.0.0.1:3\"\n");
+  EXPECT_EQ(run({"settings", "check", sound}).code, exit_code::success);
+  EXPECT_EQ(run({"settings", "check", "/nonexistent/s.toml"}).code, exit_code::usage);
+}
+
 }  // namespace
 }  // namespace cuminpath::operation
