telemetry: serve latency histograms with fixed buckets

Ruled out: keeping both; the estimator costs more memory for each series than the buckets. Change: observe() counts into 15 fixed bounds in seconds, callers' targets among them; requests also have a histogram of their whole time by kind and outcome. The test of quantiles is replaced by one that is exact: each bucket holds the values up to its bound, for 20,000 values, where the old one allowed 1% at one quantile.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -634,6 +634,8 @@
                   {"total_ms", ms_between(m_arrived, now)}});
   m_state.metrics.add("cuminpath_requests_total",
                       {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
+  m_state.metrics.observe("cuminpath_request_seconds", std::chrono::duration<double>(now - m_arrived).count(),
+                          {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
   if (m_first_byte) {
     m_state.metrics.observe("cuminpath_first_byte_seconds",
                             std::chrono::duration<double>(*m_first_byte - m_arrived).count(),
--- a/source/core/telemetry/metrics.cpp
+++ b/source/core/telemetry/metrics.cpp
@@ -2,51 +2,39 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
 #include <cmath>
 #include <functional>
 #include <map>
+#include <numeric>
 
 #include <fmt/format.h>
 
 namespace cuminpath::telemetry {
 namespace {
 
-namespace accumulators = boost::accumulators;
+// Upper bounds in seconds. Callers' targets and the platform's limits on pauses are among them, so that the
+// share in time can be read off without interpolation.
+constexpr std::array<double, 15> k_bounds{0.005, 0.01, 0.02, 0.05, 0.1, 0.12, 0.2, 0.3,
+                                          0.4,   0.6,  0.8,  1.2,  2,   4,    8};
 
-constexpr std::array<double, 4> k_quantiles{0.5, 0.9, 0.95, 0.99};
-// extended_p_square starts to estimate once it has a sample for each of its 2 * quantiles + 3 markers.
-constexpr std::size_t k_exact_samples = 2 * k_quantiles.size() + 3;
-
-class summary {
+class histogram {
 public:
   void add(double value) {
     m_sum += value;
-    ++m_count;
-    m_estimate(value);
-    if (m_first.size() < k_exact_samples) {
-      m_first.insert(std::upper_bound(m_first.begin(), m_first.end(), value), value);
-    }
+    const auto bucket = std::lower_bound(k_bounds.begin(), k_bounds.end(), value) - k_bounds.begin();
+    ++m_counts.at(static_cast<std::size_t>(bucket));
   }
-  [[nodiscard]] double quantile(std::size_t index) const {
-    if (m_count <= k_exact_samples) {
-      const auto rank = std::ceil(k_quantiles.at(index) * static_cast<double>(m_first.size()));
-      return m_first.at(static_cast<std::size_t>(std::max(1.0, rank)) - 1);
-    }
-    return accumulators::extended_p_square(m_estimate)[static_cast<std::ptrdiff_t>(index)];
+  // Values up to each bound, and all values last.
+  [[nodiscard]] std::array<std::uint64_t, k_bounds.size() + 1> cumulative() const {
+    auto counts = m_counts;
+    std::partial_sum(counts.begin(), counts.end(), counts.begin());
+    return counts;
   }
   [[nodiscard]] double sum() const { return m_sum; }
-  [[nodiscard]] std::uint64_t count() const { return m_count; }
 
 private:
-  using estimator =
-      accumulators::accumulator_set<double, accumulators::stats<accumulators::tag::extended_p_square>>;
-  estimator m_estimate{accumulators::extended_p_square_probabilities = k_quantiles};
-  std::vector<double> m_first;  // Sorted.
+  std::array<std::uint64_t, k_bounds.size() + 1> m_counts{};
   double m_sum = 0;
-  std::uint64_t m_count = 0;
 };
 
 template <class value_type>
@@ -72,13 +60,13 @@
   return out;
 }
 
-std::string format_labels(const labels& with, std::string_view quantile = {}) {
+std::string format_labels(const labels& with, std::string_view bound = {}) {
   std::string out;
   for (const auto& [name, value] : with) {
     out += fmt::format("{}{}=\"{}\"", out.empty() ? "" : ",", name, escape(value));
   }
-  if (!quantile.empty()) {
-    out += fmt::format("{}quantile=\"{}\"", out.empty() ? "" : ",", quantile);
+  if (!bound.empty()) {
+    out += fmt::format("{}le=\"{}\"", out.empty() ? "" : ",", bound);
   }
   return out.empty() ? out : "{" + out + "}";
 }
@@ -92,13 +80,15 @@
   }
 }
 
-void append_summary(std::string& out, std::string_view name, const labels& with, const summary& value) {
-  for (std::size_t i = 0; i < k_quantiles.size(); ++i) {
-    out += fmt::format("{}{} {}\n", name, format_labels(with, fmt::format("{}", k_quantiles.at(i))),
-                       value.quantile(i));
+void append_histogram(std::string& out, std::string_view name, const labels& with, const histogram& value) {
+  const auto counts = value.cumulative();
+  for (std::size_t i = 0; i < k_bounds.size(); ++i) {
+    out += fmt::format("{}_bucket{} {}\n", name, format_labels(with, fmt::format("{}", k_bounds.at(i))),
+                       counts.at(i));
   }
+  out += fmt::format("{}_bucket{} {}\n", name, format_labels(with, "+Inf"), counts.back());
   out += fmt::format("{}_sum{} {}\n", name, format_labels(with), value.sum());
-  out += fmt::format("{}_count{} {}\n", name, format_labels(with), value.count());
+  out += fmt::format("{}_count{} {}\n", name, format_labels(with), counts.back());
 }
 
 }  // namespace
@@ -107,7 +97,7 @@
 public:
   families<double> counters;
   families<double> gauges;
-  families<summary> summaries;
+  families<histogram> histograms;
 };
 
 metrics::metrics() : m_impl(std::make_unique<impl>()) {}
@@ -121,9 +111,9 @@
   find_or_add(m_impl->gauges, gauge, with) = value;
 }
 
-void metrics::observe(std::string_view name, double value, const labels& with) {
-  if (std::isfinite(value)) {
-    find_or_add(m_impl->summaries, name, with).add(value);
+void metrics::observe(std::string_view name, double seconds, const labels& with) {
+  if (std::isfinite(seconds)) {
+    find_or_add(m_impl->histograms, name, with).add(seconds);
   }
 }
 
@@ -131,10 +121,10 @@
   std::string out;
   append_values(out, m_impl->counters, "counter");
   append_values(out, m_impl->gauges, "gauge");
-  for (const auto& [name, series] : m_impl->summaries) {
-    out += fmt::format("# TYPE {} summary\n", name);
+  for (const auto& [name, series] : m_impl->histograms) {
+    out += fmt::format("# TYPE {} histogram\n", name);
     for (const auto& [with, value] : series) {
-      append_summary(out, name, with, value);
+      append_histogram(out, name, with, value);
     }
   }
   return out;
--- a/source/core/telemetry/metrics.h
+++ b/source/core/telemetry/metrics.h
@@ -12,8 +12,9 @@
 
 using labels = std::vector<std::pair<std::string, std::string>>;
 
-// Counters only grow; gauges are set; summaries give count, sum and the quantiles 0.5, 0.9, 0.95 and 0.99
-// (Boost.Accumulators). Names follow the Prometheus conventions: cuminpath_requests_total, ..._seconds.
+// Counters only grow; gauges are set; histograms of times in seconds have fixed buckets, so that those of
+// several processes can be added up. Names follow the Prometheus conventions: cuminpath_requests_total,
+// ..._seconds.
 class metrics {
 public:
   metrics();
@@ -23,7 +24,7 @@
 
   void add(std::string_view counter, const labels& with = {}, double amount = 1);
   void set(std::string_view gauge, double value, const labels& with = {});
-  void observe(std::string_view summary, double value, const labels& with = {});
+  void observe(std::string_view name, double seconds, const labels& with = {});
 
   [[nodiscard]] std::string prometheus_text() const;
 
--- a/source/unit_tests/telemetry/telemetry_test.cpp
+++ b/source/unit_tests/telemetry/telemetry_test.cpp
@@ -2,9 +2,11 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
-#include <array>
 
+#include <algorithm>
+#include <array>
 #include <random>
+#include <regex>
 
 #include "core/common/json.h"
 #include "core/telemetry/log.h"
@@ -84,25 +86,44 @@
   EXPECT_THAT(text, HasSubstr("kept"));
 }
 
-// Guards against a quantile estimate that is far off, and against one from too few samples for its markers.
-TEST(metrics, quantiles_are_exact_for_few_samples_and_close_for_many) {
+// Guards against a value in the wrong bucket, and against buckets that do not add up over processes: each
+// must hold exactly the values up to its bound.
+TEST(metrics, histograms_count_the_values_up_to_each_bound) {
   metrics few;
-  for (const double value : {5.0, 1.0, 3.0}) {
-    few.observe("t_seconds", value);
+  for (const double value : {0.4, 0.1, 0.35, 9.0, -1.0}) {
+    few.observe("t_seconds", value, {{"kind", "stream"}});
   }
-  EXPECT_THAT(few.prometheus_text(), HasSubstr("t_seconds{quantile=\"0.5\"} 3\n"));
-  EXPECT_THAT(few.prometheus_text(), HasSubstr("t_seconds{quantile=\"0.99\"} 5\n"));
+  const std::string text = few.prometheus_text();
+  EXPECT_THAT(text, HasSubstr("# TYPE t_seconds histogram\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_bucket{kind=\"stream\",le=\"0.1\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_bucket{kind=\"stream\",le=\"0.3\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_bucket{kind=\"stream\",le=\"0.4\"} 4\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_bucket{kind=\"stream\",le=\"8\"} 4\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_bucket{kind=\"stream\",le=\"+Inf\"} 5\n"));
+  EXPECT_THAT(text, HasSubstr("t_seconds_count{kind=\"stream\"} 5\n"));
 
   metrics many;
   std::mt19937_64 random(7);
-  std::uniform_real_distribution<double> uniform(0, 1000);
+  std::uniform_real_distribution<double> uniform(0, 10);
+  std::vector<double> values;
+  double sum = 0;
   for (int i = 0; i < 20000; ++i) {
-    many.observe("t_seconds", uniform(random));
+    values.push_back(uniform(random));
+    sum += values.back();
+    many.observe("t_seconds", values.back());
+  }
+  const std::string all = many.prometheus_text();
+  std::size_t bounds = 0;
+  const std::regex bucket("t_seconds_bucket\\{le=\"([0-9.]+)\"\\} ([0-9]+)");
+  for (std::sregex_iterator found(all.begin(), all.end(), bucket), end; found != end; ++found) {
+    ++bounds;
+    const double bound = std::stod((*found)[1]);
+    const auto within = std::count_if(values.begin(), values.end(), [bound](double v) { return v <= bound; });
+    EXPECT_EQ(std::stol((*found)[2]), within) << bound;
   }
-  const std::string text = many.prometheus_text();
-  const std::string prefix = "t_seconds{quantile=\"0.99\"} ";
-  EXPECT_NEAR(std::stod(text.substr(text.find(prefix) + prefix.size())), 990, 10);
-  EXPECT_THAT(text, HasSubstr("t_seconds_count 20000\n"));
+  EXPECT_EQ(bounds, 15U);
+  const std::string prefix = "t_seconds_sum ";
+  EXPECT_NEAR(std::stod(all.substr(all.find(prefix) + prefix.size())), sum, sum * 1e-5);
 }
 
 // Guards against label values that break the exposition format, and against a counter that falls.
