proxy: reset the connection of a request that is given up

The gateway had closed the connections in good order, and a link that loses packets delivered the requests it still held back seconds later. Ruled out: a late send; the gateway had moved the request at 10.2 s and the caller left at 12.1 s. Change: a connection with a request under way is closed with a reset, so that undelivered bytes are lost. Before: the new test fails (no reset at a caller that leaves, none at a time-out).

--- a/source/core/net/socket_options.cpp
+++ b/source/core/net/socket_options.cpp
@@ -57,6 +57,11 @@
   set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, k_probes);
 }
 
+void reset_on_close(asio::ip::tcp::socket& socket) {
+  std::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 std::span<char> read_buffer() {
   thread_local std::array<char, k_read_buffer_bytes> s_buffer;
   return s_buffer;
--- a/source/core/net/socket_options.h
+++ b/source/core/net/socket_options.h
@@ -17,6 +17,10 @@
 // The same for a socket that another library owns.
 void set_connection_options(int handle);
 
+// Closing the socket drops what has not been delivered and resets the connection. An error is ignored: the
+// connection then ends in good order.
+void reset_on_close(asio::ip::tcp::socket& socket);
+
 // Scratch space for reads of the calling thread. One buffer for all connections keeps idle ones
 // small.
 std::span<char> read_buffer();
--- a/source/core/proxy/upstream_link.cpp
+++ b/source/core/proxy/upstream_link.cpp
@@ -224,7 +224,6 @@
 }
 
 void upstream_link::fail(std::string_view reason) {
-  m_busy = false;
   const auto broken = std::exchange(m_events, {}).broken;
   close();
   if (broken) {
@@ -233,6 +232,10 @@
 }
 
 void upstream_link::close() {
+  if (m_busy && m_open) {
+    // A request that is given up while the network holds it back must not reach the upstream later.
+    net::reset_on_close(m_socket);
+  }
   m_open = false;
   m_busy = false;
   m_reusable = false;
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -223,6 +223,18 @@
   EXPECT_TRUE(run_until([&] { return upstream.closed() == 1; }));
 }
 
+// A link that loses packets may hold a request back for seconds. An orderly end would deliver it after its
+// caller has left.
+TEST_F(proxy_fixture, resets_the_connection_of_a_request_that_is_given_up) {
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) { return reaction{}; });
+  call(request("GET", "/safe/x", "a"), [&](const std::string&) { return !upstream.requests().empty(); });
+  EXPECT_TRUE(run_until([&] { return upstream.closed() == 1; }));
+  EXPECT_EQ(upstream.resets(), 1U) << "the caller has left";
+  call(request("POST", "/short/x", "b", "Content-Length: 0\r\n"), whole);
+  EXPECT_TRUE(run_until([&] { return upstream.closed() == 2; }));
+  EXPECT_EQ(upstream.resets(), 2U) << "the time-out of the route has passed";
+}
+
 TEST_F(proxy_fixture, refuses_at_once_when_no_upstream_has_a_place) {
   const time_point start = clock::now();
   const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -51,6 +51,7 @@
                                                                         std::size_t size) {
     if (error) {
       ++m_closed;
+      m_resets += error == asio::error::connection_reset ? 1 : 0;
       return;
     }
     from->received.append(from->buffer.data(), size);
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -33,6 +33,8 @@
   [[nodiscard]] const std::vector<std::string>& requests() const { return m_requests; }
   // Connections whose caller has closed them.
   [[nodiscard]] std::size_t closed() const { return m_closed; }
+  // Those that were reset, so that bytes which the network still held back are lost.
+  [[nodiscard]] std::size_t resets() const { return m_resets; }
   [[nodiscard]] std::size_t accepted() const { return m_accepted; }
 
 private:
@@ -44,6 +46,7 @@
   script m_script;
   std::vector<std::string> m_requests;
   std::size_t m_closed = 0;
+  std::size_t m_resets = 0;
   std::size_t m_accepted = 0;
 };
 
