balancer: encode a map once for the ranks it is sent to

Change: send_to_ranks() encodes once and hands all addresses to the channel; heard_lately() is the one question. No change of behaviour.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -162,7 +162,7 @@
         message.value->version > m_passed_on_version) {
       m_passed_on_version = message.value->version;
       if (const auto next = next_in_chain(balancer_ranks(now), own_status().rank)) {
-        send_to_rank(message, *next);
+        send_to_ranks(message, std::span(&*next, 1));
       }
     }
   }
@@ -171,7 +171,7 @@
   [[nodiscard]] std::vector<std::uint32_t> balancer_ranks(time_point now) const {
     std::vector<std::uint32_t> ranks;
     for (const auto& [host, known] : m_peers) {
-      if (in_group(known) && now - known.heard_at <= k_silent_after) {
+      if (in_group(known) && heard_lately(known, now)) {
         ranks.push_back(known.report.view.status.rank);
       }
     }
@@ -179,12 +179,15 @@
     return ranks;
   }
 
-  void send_to_rank(const group_directive& message, std::uint32_t rank) {
+  void send_to_ranks(const group_directive& message, std::span<const std::uint32_t> ranks) {
+    std::vector<std::string> receivers;
     for (const auto& [host, known] : m_peers) {
-      if (in_group(known) && known.report.view.status.rank == rank) {
-        m_channel->send(encode(message), std::span(&known.report.report_address, 1));
+      const std::uint32_t rank = known.report.view.status.rank;
+      if (in_group(known) && std::find(ranks.begin(), ranks.end(), rank) != ranks.end()) {
+        receivers.push_back(known.report.report_address);
       }
     }
+    m_channel->send(encode(message), receivers);
   }
 
   // Says to the group, and to hosts that have not been heard of, how this rank stands.
@@ -254,12 +257,17 @@
     return known.report.view.status.group == own_status().group;
   }
 
+  // False once the balancer counts as gone.
+  [[nodiscard]] static bool heard_lately(const peer& known, time_point now) {
+    return now - known.heard_at <= k_silent_after;
+  }
+
   // The peer that leads the own group; null if this process does.
   [[nodiscard]] const peer* leading_peer(time_point now) const {
     const peer* lowest = nullptr;
     for (const auto& [host, known] : m_peers) {
       const auto& status = known.report.view.status;
-      if (in_group(known) && now - known.heard_at <= k_silent_after && status.rank < own_status().rank &&
+      if (in_group(known) && heard_lately(known, now) && status.rank < own_status().rank &&
           (lowest == nullptr || status.rank < lowest->report.view.status.rank)) {
         lowest = &known;
       }
@@ -420,9 +428,7 @@
     }
     if (order != nullptr && order->kind == phase::preparing) {
       m_passed_on_version = order->version;
-      for (const std::uint32_t rank : chain_heads(balancer_ranks(now), own_status().rank)) {
-        send_to_rank(message, rank);
-      }
+      send_to_ranks(message, chain_heads(balancer_ranks(now), own_status().rank));
       for (const auto& [host, known] : m_peers) {
         m_prepared_hosts[host] = now;
       }
@@ -458,7 +464,7 @@
       if (!in_group(known) || rank == own_status().rank) {
         continue;
       }
-      if (now - known.heard_at <= k_silent_after) {
+      if (heard_lately(known, now)) {
         m_remote.erase(rank);
         continue;
       }
