scenario: parse the target of a forwarder with net::parse_endpoint

Cause: the forwarder kept a parser of IP:PORT of its own beside the one of core/net. Change: it calls that one.

--- a/source/scenario/forwarder.cpp
+++ b/source/scenario/forwarder.cpp
@@ -1,12 +1,12 @@
 #include "scenario/forwarder.h"
 
 #include <asio.hpp>
-#include <charconv>
 #include <functional>
 #include <list>
-#include <optional>
 #include <vector>
 
+#include "core/net/socket_options.h"
+
 namespace cuminpath::scenario {
 namespace {
 
@@ -15,21 +15,6 @@
 constexpr std::size_t k_buffer_bytes = 65536;
 constexpr milliseconds k_cut_check{5};
 
-std::optional<tcp::endpoint> to_endpoint(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::error_code failure;
-  const auto ip = asio::ip::make_address(text.substr(0, colon), failure);
-  std::uint16_t port = 0;
-  const auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-  if (failure || parsed.ec != std::errc{}) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(ip, port);
-}
-
 struct connection_pair {
   explicit connection_pair(tcp::socket accepted) : near(std::move(accepted)), far(near.get_executor()) {}
   void close() {
@@ -193,7 +178,7 @@
 
 result<std::unique_ptr<forwarder>> forwarder::start(asio::io_context& context, const std::string& target,
                                                     const std::string& listen_ip) {
-  const auto endpoint = to_endpoint(target);
+  const auto endpoint = net::parse_endpoint(target);
   std::error_code failure;
   const auto ip = asio::ip::make_address(listen_ip, failure);
   if (!endpoint || failure) {
