telemetry: ignore SIGPIPE in every process that logs

Cause: entries and agents ignored SIGPIPE, gateways and balancers did not, so one of these ended when whatever read its standard output ended. Change: start_logging() ignores the signal, once for all programs. Test: log.a_reader_that_has_ended_does_not_end_the_process was terminated by signal 13 before, and passes now.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -537,7 +537,6 @@
 }  // namespace
 
 int run(const config::daemon_settings& settings) {
-  std::signal(SIGPIPE, SIG_IGN);
   agent_process process(settings);
   return process.run();
 }
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -604,7 +604,6 @@
 }  // namespace
 
 int run(const config::daemon_settings& settings) {
-  std::signal(SIGPIPE, SIG_IGN);
   entry_process process(settings);
   return process.run();
 }
--- a/source/core/telemetry/log.cpp
+++ b/source/core/telemetry/log.cpp
@@ -12,6 +12,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
+#include <csignal>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -107,6 +108,8 @@
 }  // namespace
 
 void start_logging(std::string_view process, log_level level, log_output output) {
+  // Whatever reads the output may end before this process does.
+  std::signal(SIGPIPE, SIG_IGN);
   log_state& shared = state();
   const std::lock_guard lock(shared.mutex);
   shared.process = process;
--- a/source/core/telemetry/log.h
+++ b/source/core/telemetry/log.h
@@ -20,7 +20,7 @@
 enum class log_output : std::uint8_t { standard_output, standard_error };
 
 // Sets the process name of every line, the level below which lines are dropped, and the output. Before this
-// call, lines go to standard error.
+// call, lines go to standard error. The process ignores SIGPIPE from then on.
 void start_logging(std::string_view process, log_level level,
                    log_output output = log_output::standard_output);
 void set_log_level(std::string_view subsystem, log_level level);
--- a/source/unit_tests/telemetry/telemetry_test.cpp
+++ b/source/unit_tests/telemetry/telemetry_test.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
+#include <cstdlib>
 #include <random>
 #include <regex>
 
@@ -61,6 +63,23 @@
   EXPECT_GT(line["lost"].get<int>(), 0);
 }
 
+// Guards against a process that ends by SIGPIPE because whatever read its log has ended.
+TEST(log, a_reader_that_has_ended_does_not_end_the_process) {
+  const auto log_without_reader = [] {
+    std::signal(SIGPIPE, SIG_DFL);
+    std::array<int, 2> ends{};
+    if (::pipe(ends.data()) != 0 || ::dup2(ends[1], STDOUT_FILENO) < 0) {
+      std::_Exit(1);
+    }
+    ::close(ends[1]);
+    ::close(ends[0]);
+    start_logging("entry-1", log_level::info);
+    log(log_level::info, "test", "nobody reads this");
+    std::_Exit(0);
+  };
+  EXPECT_EXIT(log_without_reader(), testing::ExitedWithCode(0), "");
+}
+
 TEST(log_limiter, bounds_each_kind_and_counts_what_it_leaves_out) {
   log_limiter limiter({.lines_per_s = 10, .burst = 5});
   const time_point start{seconds{100}};
