gateway: let two gateways of each zone read the store, and pass changes on

Cause: every gateway followed two tables of the store and read a third. At 1,200 nodes no store's rates would hold that. Change: gateway::store_watch. A gateway reads the store unless it hears two others of its zone that do and that a hash prefers to itself; there is no election, and a wrong view costs calls, not changes. Reports say who reads. Whoever could not take a change within 0.5 s, or stood still, reads the store itself for 5 s. Ruled out: taking changes from any gateway of the fleet (bytes between zones); fewer, longer calls only (the calls are answered by changes, not by their wait); one reader a zone (its loss leaves a gap of 0.8 s). Mirrors: deltas, forgotten removals, and two that date a removal differently, which used to ask each other for ever.

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -28,6 +28,10 @@
     read_address("directory_address", value.directory_address);
     read_address("mirror_address", value.mirror_address);
     read_address("report_address", value.report_address);
+    value.public_mirror_address = value.mirror_address;
+    read_optional_address("public_mirror_address", value.public_mirror_address);
+    value.public_report_address = value.report_address;
+    read_optional_address("public_report_address", value.public_report_address);
     read_optional_address("metrics_address", value.metrics_address);
     read_url(m_root, "store_url", value.store_url, true);
     m_root.optional().read("seeds", value.seeds);
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -17,11 +17,15 @@
   std::string name;  // Unique name of the host.
   std::string availability_zone;
   std::string region;
-  std::string address;             // IP:PORT for callers.
-  std::string ready_address;       // IP:PORT for readiness checks.
-  std::string directory_address;   // IP:PORT for callers that ask which gateways to use.
-  std::string mirror_address;      // IP:PORT where other gateways read this one's mirror of the store.
-  std::string report_address;      // IP:PORT (UDP) for reports of other gateways.
+  std::string address;            // IP:PORT for callers.
+  std::string ready_address;      // IP:PORT for readiness checks.
+  std::string directory_address;  // IP:PORT for callers that ask which gateways to use.
+  std::string mirror_address;     // IP:PORT where other gateways read this one's mirror of the store.
+  std::string report_address;     // IP:PORT (UDP) for reports of other gateways.
+  // Where other gateways reach the two addresses above, if there is a link with an address of its own
+  // between.
+  std::string public_mirror_address;
+  std::string public_report_address;
   std::string metrics_address;     // IP:PORT for /metrics; empty for none.
   std::string store_url;           // http://IP:PORT of the platform's store.
   std::vector<std::string> seeds;  // Mirror addresses of gateways to ask when the store is away at the start.
--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -8,7 +8,7 @@
 namespace cuminpath::gateway {
 namespace {
 
-constexpr int k_format = 1;
+constexpr int k_format = 2;
 constexpr std::size_t k_max_loads = 512;
 
 }  // namespace
@@ -19,10 +19,10 @@
     loads.push_back(report.loads[i].upstream_hash);
     loads.push_back(report.loads[i].outstanding);
   }
-  const json document =
-      json::array({k_format, report.name, report.incarnation, report.sequence, report.caller_address,
-                   report.report_address, report.mirror_address, report.availability_zone,
-                   static_cast<int>(report.state), report.mirror_version, std::move(loads)});
+  const json document = json::array(
+      {k_format, report.name, report.incarnation, report.sequence, report.caller_address,
+       report.report_address, report.mirror_address, report.availability_zone, static_cast<int>(report.state),
+       report.mirror_version, report.reads_store, report.store_disturbed, std::move(loads)});
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -31,7 +31,7 @@
 result<member_report> decode_report(std::string_view bytes) {
   const json document = json::from_msgpack(bytes, true, false);
   try {
-    if (!document.is_array() || document.size() != 11 || document[0] != k_format) {
+    if (!document.is_array() || document.size() != 13 || document[0] != k_format) {
       return make_error(error_code::invalid_input, "not a report of a gateway");
     }
     member_report report;
@@ -48,7 +48,9 @@
     }
     report.state = static_cast<member_state>(state);
     report.mirror_version = document[9].get<std::uint64_t>();
-    const json& loads = document[10];
+    report.reads_store = document[10].get<bool>();
+    report.store_disturbed = document[11].get<bool>();
+    const json& loads = document[12];
     for (std::size_t i = 0; i + 1 < loads.size() && i < 2 * k_max_loads; i += 2) {
       report.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
     }
@@ -133,17 +135,28 @@
   return found;
 }
 
-std::size_t member_list::reporting(time_point now) const {
-  return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
-                                                [&](const member& known) { return alive(known, now); }));
+std::size_t member_list::store_readers(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const member& known) {
+    return known.report.reads_store && alive(known, now);
+  }));
 }
 
-const member_list::member* member_list::newer_mirror(std::uint64_t version, time_point now,
+const member_list::member* member_list::newer_mirror(std::uint64_t version,
+                                                     std::string_view availability_zone, time_point now,
                                                      random_source& random) const {
   const member* chosen = nullptr;
-  std::size_t seen = 0;
+  std::size_t equals = 0;
+  bool chosen_near = false;
   for (const member& known : m_members) {
-    if (alive(known, now) && known.report.mirror_version > version && random_index(random, ++seen) == 0) {
+    if (!alive(known, now) || known.report.mirror_version <= version) {
+      continue;
+    }
+    const bool near = known.report.reads_store && known.report.availability_zone == availability_zone;
+    if (near && !chosen_near) {
+      chosen_near = true;
+      equals = 0;
+    }
+    if (near == chosen_near && random_index(random, ++equals) == 0) {
       chosen = &known;
     }
   }
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -26,7 +26,9 @@
   std::string mirror_address;     // IP:PORT where other gateways read its mirror.
   std::string availability_zone;
   member_state state = member_state::starting;
-  std::uint64_t mirror_version = 0;  // Version of the store up to which its mirror is complete.
+  std::uint64_t mirror_version = 0;  // Newest change that its mirror holds.
+  bool reads_store = false;          // It reads changes from the store, and the store answers it.
+  bool store_disturbed = false;      // Calls of its own to the store failed lately.
   std::vector<upstream_load> loads;
 };
 
@@ -66,18 +68,20 @@
   // caller's view so that long lists are spread.
   [[nodiscard]] std::vector<const member*> usable(std::string_view availability_zone, std::size_t limit,
                                                   time_point now) const;
-  // Members in any state that report.
-  [[nodiscard]] std::size_t reporting(time_point now) const;
+  // Members that report and read the store.
+  [[nodiscard]] std::size_t store_readers(time_point now) const;
   [[nodiscard]] std::span<const member> all() const { return m_members; }
-  // A member with a newer mirror than `version`, chosen at random; null if there is none.
-  [[nodiscard]] const member* newer_mirror(std::uint64_t version, time_point now,
-                                           random_source& random) const;
+  // A member with a newer mirror than `version`: one of `availability_zone` that reads the store if there is
+  // one, else any; at random among equals. Null if there is none.
+  [[nodiscard]] const member* newer_mirror(std::uint64_t version, std::string_view availability_zone,
+                                           time_point now, random_source& random) const;
 
-private:
+  // It has reported lately.
   [[nodiscard]] bool alive(const member& value, time_point now) const {
     return value.heard_at != time_point{} && now - value.heard_at <= m_options.silent_after;
   }
 
+private:
   member_options m_options;
   std::vector<member> m_members;
   std::vector<std::string> m_reported_silent;
--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -5,6 +5,51 @@
 #include "core/common/json.h"
 
 namespace cuminpath::gateway {
+namespace {
+
+// Removals that a collection remembers for gateways that lag behind; those that lag further get all of it.
+constexpr std::size_t k_max_removals = 200;
+
+}  // namespace
+
+std::string encode_versions(const collection_versions& versions) {
+  std::string bytes;
+  json::to_msgpack(json(versions), bytes);
+  return bytes;
+}
+
+result<collection_versions> decode_versions(std::string_view bytes) {
+  collection_versions versions;
+  if (bytes.empty()) {
+    return versions;
+  }
+  const json document = json::from_msgpack(bytes, true, false);
+  if (!document.is_object()) {
+    return make_error(error_code::invalid_input, "not versions of collections");
+  }
+  for (const auto& [name, version] : document.items()) {
+    if (!version.is_number_unsigned()) {
+      return make_error(error_code::invalid_input, "version of a collection is no number");
+    }
+    versions.emplace(name, version.get<std::uint64_t>());
+  }
+  return versions;
+}
+
+void mirror::collection_state::forget_removals(std::uint64_t up_to) {
+  removals.clear();
+  removals_from = up_to;
+}
+
+void mirror::collection_state::remember_removal(std::string_view key, std::uint64_t at) {
+  removals.insert_or_assign(std::string(key), at);
+  if (removals.size() > k_max_removals) {
+    const auto oldest = std::min_element(removals.begin(), removals.end(),
+                                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    removals_from = std::max(removals_from, oldest->second);
+    removals.erase(oldest);
+  }
+}
 
 mirror::collection_state& mirror::state(std::string_view name) {
   const auto found = m_collections.find(name);
@@ -32,6 +77,7 @@
     return;
   }
   target.content.erase(known);
+  target.remember_removal(key, version);
   target.changed_at = std::max(target.changed_at, version);
   m_content_version = std::max(m_content_version, version);
 }
@@ -51,6 +97,10 @@
     target.changed_at = newest == target.changed_at ? version : newest;
     m_content_version = std::max(m_content_version, target.changed_at);
   }
+  if (version > target.version) {
+    // Rows that came and went between the two reads are not known.
+    target.forget_removals(version);
+  }
   target.version = version;
 }
 
@@ -70,20 +120,83 @@
   return found == m_collections.end() ? 0 : found->second.version;
 }
 
-std::string mirror::snapshot() const {
+collection_versions mirror::known_versions() const {
+  collection_versions known;
+  for (const auto& [name, held] : m_collections) {
+    known.emplace(name, held.version);
+  }
+  return known;
+}
+
+mirror::change_set mirror::changes_of(const collection_state& held, std::uint64_t known) {
+  change_set changes{.version = held.version, .changed_at = held.changed_at};
+  if (known == 0 || known < held.removals_from) {
+    changes.content = held.content;
+    return changes;
+  }
+  changes.base = known;
+  for (const auto& [key, value] : held.content) {
+    if (value.version > known) {
+      changes.content.emplace(key, value);
+    }
+  }
+  for (const auto& [key, version] : held.removals) {
+    if (version > known) {
+      changes.removals.emplace(key, version);
+    }
+  }
+  return changes;
+}
+
+std::string mirror::changes_since(const collection_versions& known) const {
   json all = json::object();
   for (const auto& [name, held] : m_collections) {
+    const auto theirs = known.find(name);
+    const auto changes = changes_of(held, theirs == known.end() ? 0 : theirs->second);
     json rows = json::array();
-    for (const auto& [key, value] : held.content) {
+    for (const auto& [key, value] : changes.content) {
       rows.push_back({key, value.version, value.bytes});
     }
-    all[name] = {held.version, held.changed_at, std::move(rows)};
+    json removals = json::array();
+    for (const auto& [key, version] : changes.removals) {
+      removals.push_back({key, version});
+    }
+    all[name] = {changes.version, changes.changed_at, changes.base, std::move(rows), std::move(removals)};
   }
   std::string bytes;
   json::to_msgpack(all, bytes);
   return bytes;
 }
 
+bool mirror::merge_into(collection_state& target, change_set newer) {
+  // Whoever is complete up to that version has the change already, whatever it took for its own newest one.
+  target.changed_at = std::max(target.changed_at, newer.changed_at);
+  if (newer.version <= target.version || newer.base > target.version) {
+    return false;
+  }
+  bool changed = false;
+  if (newer.base == 0) {
+    changed = newer.content != target.content;
+    target.content = std::move(newer.content);
+    target.forget_removals(newer.version);
+  } else {
+    for (auto& [key, value] : newer.content) {
+      changed = changed || value.version > target.version;
+      target.content.insert_or_assign(key, std::move(value));
+    }
+    for (const auto& [key, version] : newer.removals) {
+      const auto known = target.content.find(key);
+      if (known != target.content.end() && known->second.version < version) {
+        target.content.erase(known);
+        target.remember_removal(key, version);
+        changed = true;
+      }
+    }
+  }
+  target.version = newer.version;
+  return changed;
+}
+
 result<bool> mirror::merge(std::string_view bytes) {
   const json all = json::from_msgpack(bytes, true, false);
   if (!all.is_object()) {
@@ -92,22 +205,19 @@
   bool changed = false;
   try {
     for (const auto& [name, held] : all.items()) {
-      const auto version = held.at(0).get<std::uint64_t>();
-      const auto changed_at = held.at(1).get<std::uint64_t>();
-      collection_state& target = state(name);
-      if (version <= target.version) {
-        continue;
+      change_set newer{.version = held.at(0).get<std::uint64_t>(),
+                       .changed_at = held.at(1).get<std::uint64_t>(),
+                       .base = held.at(2).get<std::uint64_t>()};
+      for (const json& row : held.at(3)) {
+        newer.content.insert_or_assign(row.at(0).get<std::string>(), document{row.at(1).get<std::uint64_t>(),
+                                                                              row.at(2).get<std::string>()});
       }
-      documents content;
-      for (const json& row : held.at(2)) {
-        content.insert_or_assign(row.at(0).get<std::string>(),
-                                 document{row.at(1).get<std::uint64_t>(), row.at(2).get<std::string>()});
+      for (const json& row : held.at(4)) {
+        newer.removals.insert_or_assign(row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>());
       }
-      changed = changed || content != target.content;
-      target.content = std::move(content);
-      target.version = version;
-      target.changed_at = std::max(target.changed_at, changed_at);
-      m_content_version = std::max(m_content_version, changed_at);
+      collection_state& target = state(name);
+      changed = merge_into(target, std::move(newer)) || changed;
+      m_content_version = std::max(m_content_version, target.changed_at);
     }
   } catch (const json::exception& failure) {
     return make_error(error_code::invalid_input, failure.what());
--- a/source/core/net/datagram_channel.cpp
+++ b/source/core/net/datagram_channel.cpp
@@ -29,6 +29,12 @@
   return channel;
 }
 
+std::string datagram_channel::address() const {
+  std::error_code ignored;
+  const auto local = m_socket.local_endpoint(ignored);
+  return local.address().to_string() + ":" + std::to_string(local.port());
+}
+
 void datagram_channel::send(std::string_view bytes, std::span<const std::string> addresses) {
   for (const std::string& address : addresses) {
     if (const auto peer = parse_endpoint(address)) {
--- a/source/core/net/datagram_channel.h
+++ b/source/core/net/datagram_channel.h
@@ -20,6 +20,8 @@
   static result<std::unique_ptr<datagram_channel>> open(asio::io_context& context, const std::string& address,
                                                         std::function<void(std::string_view)> receive);
 
+  // IP:PORT that it is bound to.
+  [[nodiscard]] std::string address() const;
   // Sends to each address (IP:PORT); losses are not noticed, and malformed addresses are left out.
   void send(std::string_view bytes, std::span<const std::string> addresses);
 
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include "core/common/hash.h"
+#include "core/gateway/store_watch.h"
 #include "core/http/server.h"
 #include "core/net/datagram_channel.h"
 #include "core/net/socket_options.h"
@@ -33,10 +34,13 @@
 constexpr std::size_t k_max_report_receivers = 64;
 // The store counts as disturbed for this long after a call to it failed.
 constexpr milliseconds k_store_disturbance{4000};
-// Another gateway's mirror that has been newer for this long is read: the store has not told this one. Calls
-// that wait for changes are answered within a fraction of it.
+// A gateway that reads the store takes changes from another whose mirror has been newer for this long: the
+// store has not told this one. Calls that wait for changes are answered within a fraction of it. One that
+// does not read the store takes them at once, and no longer relies on others if it lags for this long.
 constexpr milliseconds k_mirror_after{500};
-constexpr milliseconds k_mirror_interval{400};
+constexpr milliseconds k_mirror_interval{
+    100};  // Between calls for changes; those in quick succession share one.
+constexpr milliseconds k_mirror_interval_starting{400};
 constexpr milliseconds k_mirror_timeout{600};
 // A planned stop: callers hold addresses for a while and some hold them three times as long.
 constexpr int k_address_lifetimes_after_stop = 3;
@@ -89,8 +93,8 @@
     m_self = {.name = settings.name,
               .incarnation = m_state.random() >> 1U,
               .caller_address = settings.address,
-              .report_address = settings.report_address,
-              .mirror_address = settings.mirror_address,
+              .report_address = settings.public_report_address,
+              .mirror_address = settings.public_mirror_address,
               .availability_zone = settings.availability_zone};
     update_retry_limits();
   }
@@ -102,7 +106,7 @@
     }
     telemetry::log(log_level::info, "process", "started",
                    {{"address", m_settings.address}, {"availability_zone", m_settings.availability_zone}});
-    m_platform->start(m_mirror, {.changed = [this] { on_mirror_changed(clock::now()); },
+    m_platform->start(m_mirror, {.changed = [this] { on_store_changed(clock::now()); },
                                  .contact =
                                      [this](bool answered, std::string_view reason) {
                                        on_store_contact(answered, reason, clock::now());
@@ -140,9 +144,8 @@
               }) &&
         serve(m_settings.directory_address, m_platform->directory_path(),
               [this](const http::request&) { return directory_answer(clock::now()); }) &&
-        serve(m_settings.mirror_address, k_mirror_path, [this](const http::request&) {
-          return http::response{.status = 200, .body = m_mirror.snapshot()};
-        });
+        serve(m_settings.mirror_address, k_mirror_path,
+              [this](const http::request& asked) { return mirror_answer(asked.body); });
     if (!bound) {
       return false;
     }
@@ -181,6 +184,14 @@
             .body = m_platform->directory_answer(addresses, m_settings.directory_ttl)};
   }
 
+  http::response mirror_answer(std::string_view their_versions) const {
+    const auto known = gateway::decode_versions(their_versions);
+    if (!known) {
+      return {.status = 400};
+    }
+    return {.status = 200, .body = m_mirror.changes_since(known.value())};
+  }
+
   std::string metrics_text() {
     auto& metrics = m_state.metrics;
     metrics.set("cuminpath_caller_connections", static_cast<double>(m_callers.connections()));
@@ -188,6 +199,7 @@
     metrics.set("cuminpath_idle_upstream_connections", static_cast<double>(m_state.links.idle()));
     metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
+    metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -198,6 +210,7 @@
     if (!answered) {
       m_store_failed = now;
     }
+    m_store_answered = answered;
     if (answered != m_store_reachable) {
       m_store_reachable = answered;
       telemetry::log(
@@ -207,9 +220,38 @@
     }
   }
 
-  void on_mirror_changed(time_point now) {
+  // Calls of this gateway to the store failed shortly before `now`.
+  [[nodiscard]] bool store_disturbed(time_point now) const {
+    return m_reads_store && (!m_store_reachable || now - m_store_failed < k_store_disturbance);
+  }
+
+  void on_store_changed(time_point now) {
+    on_mirror_changed(store_disturbed(now), now);
+    if (m_self.mirror_version < m_mirror.content_version()) {
+      send_report(now);  // Those that do not read the store wait for it.
+    }
+  }
+
+  // Starts or stops reading the store, as those who read it come and go.
+  void update_store_watch(time_point now) {
+    const bool reads = m_store_watch.update(m_self, m_members, now);
+    if (reads != m_reads_store) {
+      m_reads_store = reads;
+      m_store_answered = false;
+      m_store_reachable = true;
+      m_platform->set_reading(reads);
+      telemetry::log(log_level::info, "store",
+                     reads ? "reads the store" : "takes changes from other gateways",
+                     {{"readers", static_cast<std::int64_t>(m_members.store_readers(now))},
+                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
+    }
+    m_self.reads_store = reads && m_store_answered;
+    m_self.store_disturbed = store_disturbed(now);
+  }
+
+  void on_mirror_changed(bool disturbed, time_point now) {
     apply_configuration();
-    apply_upstreams(now);
+    apply_upstreams(disturbed, now);
     for (auto& row : m_platform->read_members(m_mirror)) {
       if (row.name != m_self.name) {
         m_members.on_row(std::move(row));
@@ -246,7 +288,7 @@
     m_state.configuration = next;
   }
 
-  void apply_upstreams(time_point now) {
+  void apply_upstreams(bool disturbed, time_point now) {
     std::size_t skipped = 0;
     const auto records = m_platform->read_upstreams(m_mirror, skipped);
     if (skipped != m_skipped_rows) {
@@ -254,7 +296,6 @@
       telemetry::log(log_level::warning, "upstreams", "rows skipped that name no upstream",
                      {{"rows", static_cast<std::int64_t>(skipped)}});
     }
-    const bool disturbed = !m_store_reachable || now - m_store_failed < k_store_disturbance;
     log_changes(m_state.upstreams.apply(records, now, disturbed));
   }
 
@@ -267,55 +308,72 @@
       telemetry::log(log_level::info, "upstreams", change_name(change.what),
                      {{"upstream", change.id},
                       {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())},
+                      {"reads_store", m_reads_store},
                       {"store_answers", m_store_reachable}});
     }
   }
 
-  // A gateway that the store turns away reads the mirror of one that knows more.
-  void read_other_mirror(time_point now) {
-    const auto* newer = m_members.newer_mirror(m_mirror.content_version(), now, m_state.random);
+  // Takes changes from a gateway that has newer ones, if the store does not tell them to this one.
+  void take_changes(time_point now) {
+    const auto* newer =
+        m_members.newer_mirror(m_mirror.content_version(), m_settings.availability_zone, now, m_state.random);
     if (newer == nullptr) {
       m_behind_since.reset();
     } else if (!m_behind_since) {
       m_behind_since = now;
     }
-    if (m_reading_mirror || now - m_mirror_read < k_mirror_interval) {
+    const bool lags = m_behind_since && now - *m_behind_since >= k_mirror_after;
+    if (lags && !m_store_watch.reads_store()) {
+      m_store_watch.distrust_others(now);
+    }
+    const bool starting = m_self.state == gateway::member_state::starting;
+    if (m_taking_changes ||
+        now - m_changes_asked < (starting ? k_mirror_interval_starting : k_mirror_interval)) {
       return;
     }
-    std::string address;
-    if (m_behind_since && now - *m_behind_since >= k_mirror_after) {
-      address = newer->report.mirror_address;
-    } else if (m_self.state == gateway::member_state::starting && !m_settings.seeds.empty()) {
-      address = m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())];
+    if (newer != nullptr && (lags || !m_store_watch.reads_store())) {
+      ask_for_changes(newer->report.mirror_address, newer->report.store_disturbed, now);
+    } else if (starting && !m_settings.seeds.empty()) {
+      ask_for_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, now);
     }
-    if (address.empty() || address == m_settings.mirror_address) {
+  }
+
+  void ask_for_changes(const std::string& address, bool disturbed, time_point now) {
+    if (address.empty() || address == m_self.mirror_address || address == m_settings.mirror_address) {
       return;
     }
-    m_reading_mirror = true;
-    m_mirror_read = now;
+    m_taking_changes = true;
+    m_changes_asked = now;
     m_client.call(
-        "http://" + address, {.target = std::string(k_mirror_path)},
+        "http://" + address,
+        {.method = "POST",
+         .target = std::string(k_mirror_path),
+         .headers = {{"Content-Type", "application/msgpack"}},
+         .body = gateway::encode_versions(m_mirror.known_versions())},
         {.timeout = k_mirror_timeout, .connect_timeout = k_mirror_timeout, .never_reuse_connection = true},
-        [this, address](const http::client::whole_response& answer) {
-          m_reading_mirror = false;
+        [this, address, disturbed](const http::client::whole_response& answer) {
+          m_taking_changes = false;
           if (!answer.failure && answer.value.status == 200) {
-            take_mirror(address, answer.value.body);
+            merge_changes(address, disturbed, answer.value.body);
+          } else {
+            m_state.metrics.add("cuminpath_failed_mirror_calls_total");
           }
         });
   }
 
-  void take_mirror(const std::string& address, std::string_view bytes) {
+  void merge_changes(const std::string& address, bool disturbed, std::string_view bytes) {
     const auto merged = m_mirror.merge(bytes);
     if (!merged) {
-      telemetry::log(log_level::warning, "store", "mirror of another gateway cannot be read",
+      telemetry::log(log_level::warning, "store", "changes of another gateway cannot be read",
                      {{"address", address}, {"reason", merged.error().message}});
       return;
     }
     if (merged.value()) {
-      telemetry::log(
-          log_level::info, "store", "mirror of another gateway taken",
-          {{"address", address}, {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
-      on_mirror_changed(clock::now());
+      telemetry::log(log_level::info, "store", "changes of another gateway taken",
+                     {{"address", address},
+                      {"bytes", static_cast<std::int64_t>(bytes.size())},
+                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
+      on_mirror_changed(disturbed, clock::now());
     }
   }
 
@@ -335,20 +393,25 @@
       return;
     }
     m_state.upstreams.set_peer_loads(report.name, report.loads);
+    const bool newer = report.mirror_version > m_mirror.content_version();
     const std::string name = report.name;
     const auto state = report.state;
     switch (m_members.on_report(std::move(report), now)) {
       case gateway::member_list::outcome::ignored:
-      case gateway::member_list::outcome::known:
         return;
+      case gateway::member_list::outcome::known:
+        break;
       case gateway::member_list::outcome::joined:
         telemetry::log(log_level::info, "members", "gateway joined", {{"name", name}});
         update_retry_limits();
-        return;
+        break;
       case gateway::member_list::outcome::state_changed:
         telemetry::log(log_level::info, "members", "gateway changed state",
                        {{"name", name}, {"state", static_cast<std::int64_t>(state)}});
-        return;
+        break;
+    }
+    if (newer) {
+      take_changes(now);
     }
   }
 
@@ -368,7 +431,7 @@
     }
     m_channel->send(gateway::encode_report(m_self), receivers);
     m_last_report = now;
-    m_platform->set_members(m_members.reporting(now) + 1);
+    m_platform->set_readers(m_members.store_readers(now) + (m_self.reads_store ? 1 : 0));
   }
 
   void update_members(time_point now) {
@@ -407,8 +470,9 @@
 
   void tick(time_point now) {
     notice_pause(now);
+    update_store_watch(now);
     m_platform->tick(now, m_state.random);
-    read_other_mirror(now);
+    take_changes(now);
     log_changes(m_state.upstreams.expire(now));
     update_members(now);
     m_state.links.sweep(now);
@@ -432,6 +496,7 @@
     m_last_boot_ms = boot_ms;
     if (elapsed_ms > k_pause_threshold.count()) {
       telemetry::log(log_level::warning, "process", "process stood still", {{"for_ms", elapsed_ms}});
+      m_store_watch.distrust_others(now);
       m_platform->restart_reading(now);
     }
   }
@@ -505,6 +570,7 @@
   std::unique_ptr<platform_port> m_platform;
   gateway::mirror m_mirror;
   gateway::member_list m_members;
+  gateway::store_watch m_store_watch;
   gateway::member_report m_self;
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
@@ -513,10 +579,12 @@
   asio::signal_set m_signals;
   std::size_t m_skipped_rows = 0;
   bool m_store_reachable = true;
-  bool m_reading_mirror = false;
+  bool m_reads_store = true;
+  bool m_store_answered = false;  // The last call to the store since this gateway began to read it.
+  bool m_taking_changes = false;
   std::optional<time_point> m_behind_since;  // Since when another gateway's mirror has been newer.
   time_point m_store_failed{};
-  time_point m_mirror_read{};
+  time_point m_changes_asked{};
   time_point m_last_report{};
   time_point m_last_tick{};
   time_point m_leaving_since{};
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -35,9 +35,11 @@
   // Reads everything again, because calls under way may be out of date.
   virtual void restart_reading(time_point now) = 0;
 
-  // Number of gateways that report, this one included. Changes that one of them sees reach the others, so the
-  // calls to the store can be spread over them.
-  virtual void set_members(std::size_t count) = 0;
+  // Whether the store is read at all; a gateway that does not read it takes changes from others.
+  virtual void set_reading(bool reading) = 0;
+  // Number of gateways that read the store, this one included. Changes that one of them sees reach the others,
+  // so the calls to the store can be spread over them.
+  virtual void set_readers(std::size_t count) = 0;
 
   // Keeps this gateway's row in the store until withdraw().
   virtual void announce(const gateway::member_report& self) = 0;
@@ -51,8 +53,7 @@
   // Rows that cannot be read are skipped; their number is added to `skipped`.
   [[nodiscard]] virtual std::vector<gateway::upstream_record> read_upstreams(const gateway::mirror& source,
                                                                              std::size_t& skipped) const = 0;
-  [[nodiscard]] virtual std::vector<gateway::member_report> read_members(
-      const gateway::mirror& source) const = 0;
+  [[nodiscard]] virtual std::vector<gateway::member_report> read_members(const gateway::mirror& source) = 0;
 
   [[nodiscard]] virtual gateway::header_names header_names() const = 0;
   // Paths of the calls that the platform and callers make.
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -41,12 +41,98 @@
   mirror ahead;
   ahead.replace("a", {{"k", {20, "new"}}}, 21);
   ahead.replace("b", {{"k", {7, "older"}}}, 8);
-  const auto merged = behind.merge(ahead.snapshot());
+  const auto merged = behind.merge(ahead.changes_since({}));
   ASSERT_TRUE(merged);
   EXPECT_TRUE(merged.value());
   EXPECT_EQ(behind.collection("a").at("k").bytes, "new");
   EXPECT_EQ(behind.collection("b").at("k").bytes, "own");
-  EXPECT_FALSE(behind.merge(ahead.snapshot()).value());
+  EXPECT_FALSE(behind.merge(ahead.changes_since({})).value());
+}
+
+TEST(mirror, gives_only_what_has_changed) {
+  mirror ahead;
+  ahead.replace("a", {{"large", {1, std::string(10000, 'x')}}, {"gone", {2, "value"}}}, 5);
+  mirror behind;
+  ASSERT_TRUE(behind.merge(ahead.changes_since(behind.known_versions())));
+  ahead.put("a", "new", {6, "value"});
+  ahead.remove("a", "gone", 7);
+  ahead.advance("a", 7);
+  const std::string changes = ahead.changes_since(behind.known_versions());
+  EXPECT_LT(changes.size(), 200U);
+  ASSERT_TRUE(behind.merge(changes));
+  EXPECT_EQ(behind.collection("a"), ahead.collection("a"));
+  EXPECT_EQ(behind.version("a"), 7U);
+  EXPECT_EQ(behind.content_version(), ahead.content_version());
+}
+
+// A gateway that has read the table twice does not know of rows that came and went in between.
+TEST(mirror, gives_everything_to_one_that_may_know_removed_rows) {
+  mirror behind;
+  behind.replace("a", {{"came and went", {6, "value"}}}, 6);
+  mirror ahead;
+  ahead.replace("a", {{"k", {1, "value"}}}, 5);
+  ahead.replace("a", {{"k", {1, "value"}}}, 9);
+  ASSERT_TRUE(behind.merge(ahead.changes_since(behind.known_versions())));
+  EXPECT_EQ(behind.collection("a"), ahead.collection("a"));
+}
+
+// Guards against a removal that is not passed on because only so many are remembered.
+TEST(mirror, gives_everything_to_one_that_lags_behind_the_remembered_removals) {
+  constexpr std::uint64_t k_rows = 1000;
+  mirror ahead;
+  mirror::documents rows;
+  for (std::uint64_t i = 0; i < k_rows; ++i) {
+    rows.emplace(std::to_string(i), document{1, "value"});
+  }
+  ahead.replace("a", rows, 5);
+  mirror behind;
+  ASSERT_TRUE(behind.merge(ahead.changes_since({})));
+  for (std::uint64_t i = 0; i < k_rows; ++i) {
+    ahead.remove("a", std::to_string(i), 6 + i);
+    ahead.advance("a", 6 + i);
+  }
+  ASSERT_TRUE(behind.merge(ahead.changes_since(behind.known_versions())));
+  EXPECT_TRUE(behind.collection("a").empty());
+}
+
+TEST(mirror, changes_of_changes_are_passed_on) {
+  mirror first;
+  first.replace("a", {{"gone", {1, "value"}}}, 2);
+  mirror second;
+  mirror third;
+  ASSERT_TRUE(second.merge(first.changes_since({})));
+  ASSERT_TRUE(third.merge(second.changes_since({})));
+  first.remove("a", "gone", 3);
+  first.advance("a", 3);
+  ASSERT_TRUE(second.merge(first.changes_since(second.known_versions())));
+  ASSERT_TRUE(third.merge(second.changes_since(third.known_versions())));
+  EXPECT_TRUE(third.collection("a").empty());
+}
+
+// Two gateways date a removal differently: one by the change, one by the read that did not show the row.
+TEST(mirror, agrees_on_the_newest_change_with_one_that_has_read_the_table_whole) {
+  mirror by_changes;
+  by_changes.replace("a", {{"gone", {1, "value"}}}, 2);
+  by_changes.remove("a", "gone", 3);
+  by_changes.advance("a", 9);
+  mirror by_read;
+  by_read.replace("a", {{"gone", {1, "value"}}}, 2);
+  by_read.replace("a", {}, 8);
+  ASSERT_GT(by_read.content_version(), by_changes.content_version());
+  const auto merged = by_changes.merge(by_read.changes_since(by_changes.known_versions()));
+  ASSERT_TRUE(merged);
+  EXPECT_FALSE(merged.value());
+  EXPECT_EQ(by_changes.content_version(), by_read.content_version());
+}
+
+TEST(mirror, versions_survive_the_wire) {
+  const collection_versions sent{{"a", 3}, {"b", 1U << 20U}};
+  const auto received = decode_versions(encode_versions(sent));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received.value(), sent);
+  EXPECT_TRUE(decode_versions("").value().empty());
+  EXPECT_FALSE(decode_versions("\x93\x01\x02\x03"));
+  EXPECT_FALSE(decode_versions("\x81\xa1\x61\xa1\x62"));
 }
 
 TEST(mirror, refuses_bytes_that_are_no_mirror) {
