gateway: one that takes changes again and again does not lag

Cause: a gateway that takes changes from others read the store itself for 5 s once another had been ahead for 0.5 s. While upstreams register, another is ahead all the time although each change is taken within 0.1 s. Change: the time counts from the last changes taken (store_watch::on_changes_taken); the rule moved from the process into store_watch. Test: store_watch.one_that_takes_changes_again_and_again_does_not_lag, which needs the new call to compile.

--- a/source/core/gateway/store_watch.cpp
+++ b/source/core/gateway/store_watch.cpp
@@ -30,6 +30,9 @@
   if (m_distrust_until && now >= *m_distrust_until) {
     m_distrust_until.reset();
   }
+  if (!m_reads && lags(now)) {
+    distrust_others(now);
+  }
   if (m_distrust_until || !covered(self, members, now)) {
     m_covered_since.reset();
     m_reads = true;
@@ -41,6 +44,20 @@
   return m_reads;
 }
 
+void store_watch::on_compared(bool behind, time_point now) {
+  if (!behind) {
+    m_behind_since.reset();
+  } else if (!m_behind_since) {
+    m_behind_since = now;
+  }
+}
+
+void store_watch::on_changes_taken(time_point now) {
+  if (m_behind_since) {
+    m_behind_since = now;
+  }
+}
+
 void store_watch::distrust_others(time_point now) {
   m_reads = true;
   m_covered_since.reset();
--- a/source/core/gateway/store_watch.h
+++ b/source/core/gateway/store_watch.h
@@ -18,6 +18,9 @@
   milliseconds settle_time{1000};
   // The store is read for this long once others cannot be relied on.
   milliseconds distrust_time{5000};
+  // A gateway lags if others have newer changes and it has taken none for this long. Those who read the store
+  // are told of a change within a fraction of it.
+  milliseconds lag_time{500};
 };
 
 class store_watch {
@@ -26,8 +29,14 @@
 
   // Whether the gateway `self` has to read the store. It does at its start, until it hears of readers.
   bool update(const member_report& self, const member_list& members, time_point now);
-  // Others cannot be relied on for a while: changes could not be taken from one that has them, or this
-  // process stood still and does not know what it has missed.
+  // Whether another gateway has newer changes.
+  void on_compared(bool behind, time_point now);
+  // Changes were taken from another gateway; while there are many, a newer one is often known by then.
+  void on_changes_taken(time_point now);
+  [[nodiscard]] bool lags(time_point now) const {
+    return m_behind_since && now - *m_behind_since >= m_options.lag_time;
+  }
+  // Others cannot be relied on for a while: this process stood still and does not know what it has missed.
   void distrust_others(time_point now);
   [[nodiscard]] bool reads_store() const { return m_reads; }
 
@@ -38,6 +47,7 @@
   bool m_reads = true;
   std::optional<time_point> m_covered_since;
   std::optional<time_point> m_distrust_until;
+  std::optional<time_point> m_behind_since;
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -34,13 +34,10 @@
 constexpr std::size_t k_max_report_receivers = 64;
 // The store counts as disturbed for this long after a call to it failed.
 constexpr milliseconds k_store_disturbance{4000};
-// A gateway that reads the store takes changes from another whose mirror has been newer for this long: the
-// store has not told this one. Calls that wait for changes are answered within a fraction of it. One that
-// does not read the store takes them at once, and no longer relies on others if it lags for this long.
-constexpr milliseconds k_mirror_after{500};
-constexpr milliseconds k_mirror_interval{
-    100};  // Between calls for changes; those in quick succession share one.
-constexpr milliseconds k_mirror_interval_starting{400};
+// Between calls for the changes of another gateway; those in quick succession share one.
+constexpr milliseconds k_mirror_interval{100};
+// Between calls to the seeds of a gateway that has not heard of others.
+constexpr milliseconds k_seed_interval{400};
 constexpr milliseconds k_mirror_timeout{600};
 // A planned stop: callers hold addresses for a while and some hold them three times as long.
 constexpr int k_address_lifetimes_after_stop = 3;
@@ -317,23 +314,14 @@
   void take_changes(time_point now) {
     const auto* newer =
         m_members.newer_mirror(m_mirror.content_version(), m_settings.availability_zone, now, m_state.random);
-    if (newer == nullptr) {
-      m_behind_since.reset();
-    } else if (!m_behind_since) {
-      m_behind_since = now;
-    }
-    const bool lags = m_behind_since && now - *m_behind_since >= k_mirror_after;
-    if (lags && !m_store_watch.reads_store()) {
-      m_store_watch.distrust_others(now);
-    }
-    const bool starting = m_self.state == gateway::member_state::starting;
-    if (m_taking_changes ||
-        now - m_changes_asked < (starting ? k_mirror_interval_starting : k_mirror_interval)) {
+    m_store_watch.on_compared(newer != nullptr, now);
+    if (m_taking_changes || now - m_changes_asked < k_mirror_interval) {
       return;
     }
-    if (newer != nullptr && (lags || !m_store_watch.reads_store())) {
+    const bool starting = m_self.state == gateway::member_state::starting;
+    if (newer != nullptr && (m_store_watch.lags(now) || !m_store_watch.reads_store())) {
       ask_for_changes(newer->report.mirror_address, newer->report.store_disturbed, now);
-    } else if (starting && !m_settings.seeds.empty()) {
+    } else if (starting && !m_settings.seeds.empty() && now - m_changes_asked >= k_seed_interval) {
       ask_for_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, now);
     }
   }
@@ -582,7 +570,6 @@
   bool m_reads_store = true;
   bool m_store_answered = false;  // The last call to the store since this gateway began to read it.
   bool m_taking_changes = false;
-  std::optional<time_point> m_behind_since;  // Since when another gateway's mirror has been newer.
   time_point m_store_failed{};
   time_point m_changes_asked{};
   time_point m_last_report{};
