--- a/source/unit_tests/gateway/store_watch_test.cpp
+++ b/source/unit_tests/gateway/store_watch_test.cpp
@@ -310,6 +310,21 @@
   EXPECT_EQ(relieved, 3U);
 }
 
+TEST(store_watch, gateways_that_the_store_does_not_answer_are_no_readers) {
+  member_list members({.silent_after = k_silent_after});
+  const time_point now{seconds{100}};
+  for (const auto* name : {"a", "b", "c", "d"}) {
+    member_report turned_away = reader(name);
+    turned_away.reads_store = false;
+    members.on_report(turned_away, now);
+  }
+  for (const auto* own : {"e", "f", "g"}) {
+    store_watch watch({.settle_time = milliseconds{0}});
+    watch.update(reader(own), members, now);
+    EXPECT_TRUE(watch.update(reader(own), members, now)) << own;
+  }
+}
+
 TEST(store_watch, a_gateway_that_leaves_is_no_reader_for_others) {
   member_list members({.silent_after = k_silent_after});
   const time_point now{seconds{100}};
@@ -318,9 +333,11 @@
     leaving.state = member_state::leaving;
     members.on_report(leaving, now);
   }
-  store_watch watch;
-  watch.update(reader("e"), members, now);
-  EXPECT_TRUE(watch.update(reader("e"), members, now + milliseconds{500}));
+  for (const auto* own : {"e", "f", "g"}) {
+    store_watch watch({.settle_time = milliseconds{0}});
+    watch.update(reader(own), members, now);
+    EXPECT_TRUE(watch.update(reader(own), members, now)) << own;
+  }
 }
 
 }  // namespace
