--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -37,8 +37,8 @@
 
   // Whether the store is read at all; a gateway that does not read it takes changes from others.
   virtual void set_reading(bool reading) = 0;
-  // Number of gateways that read the store, this one included. Changes that one of them sees reach the others,
-  // so the calls to the store can be spread over them.
+  // Number of gateways that read the store, this one included. Changes that one of them sees reach the
+  // others, so the calls to the store can be spread over them.
   virtual void set_readers(std::size_t count) = 0;
 
   // Keeps this gateway's row in the store until withdraw().
--- a/source/unit_tests/gateway/store_watch_test.cpp
+++ b/source/unit_tests/gateway/store_watch_test.cpp
@@ -171,7 +171,7 @@
     }
   }
 
-  const virtual_gateway& source_of(const member_list::member& member) const {
+  [[nodiscard]] const virtual_gateway& source_of(const member_list::member& member) const {
     return *std::find_if(m_gateways.begin(), m_gateways.end(),
                          [&](const virtual_gateway& each) { return each.self.name == member.report.name; });
   }
