proxy: leave upstreams alone that say they leave or turn requests away; end answers without end

An upstream that leaves says so in its answers, before or without the list saying so, and one that answers 503 with Retry-After wants no request for that time; neither header was read. Found by reading on the way: the splitter kept an event without end and copied it at each read (up to 64 MB and a quadratic time), late answers and interim answers could be skipped without end, and ten answers of 16 MB each would have filled the smallest hosts.

Ruled out: telling other gateways of the announcement. Each is bound by the answers that it has passed on itself, and the list reaches the others.

Change: upstream_table::on_leaving keeps an instance out until a later start, also if its row lapses and comes back; on_turned_away counts it as full and not as broken, and callers are told the first time at which an upstream takes requests again if all turn away. Requests whose connection is still being made go elsewhere. Bounds: 1 MB for an event, 1 MB of other answers before the own one, 32 MB for all answers kept in memory.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -17,6 +17,9 @@
 
 // A service counts as away if upstreams have refused within this time and none has served.
 constexpr milliseconds k_away_after{400};
+// Callers that wait for the first upstream to take requests again come back within this share of that time
+// after it.
+constexpr double k_turn_away_spread = 0.5;
 // Upstreams register within about two seconds of their start, and groups form meanwhile.
 constexpr milliseconds k_away_wait{2000};
 
@@ -38,6 +41,12 @@
   const double places = std::max(1.0, max_fill(request) * totals.slots);
   const double excess = std::max(0.0, totals.outstanding - places) + 1;
   const double queue_ms = static_cast<double>(mean_service.count()) * excess / places;
+  if (totals.all_turn_away_for) {
+    // Nobody is served before the first upstream takes requests again.
+    const double spread = 1 + std::uniform_real_distribution<double>(0, k_turn_away_spread)(random);
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(totals.all_turn_away_for->count()) * spread));
+  }
   const double wait_ms = request.service_away ? static_cast<double>(k_away_wait.count()) : queue_ms;
   const double most_ms = k_max_share_of_time_left * static_cast<double>(request.time_left.count());
   // Spread over the second half, so that callers refused together don't come back together.
--- a/source/core/gateway/header_names.h
+++ b/source/core/gateway/header_names.h
@@ -16,6 +16,7 @@
   std::string resume_after;     // Id of the last event that the caller has.
   std::string not_executed;     // In an answer: the upstream has not run the request.
   std::string stamp;            // In an answer: the upstream's own mark.
+  std::string leaving;          // In an answer: "1" if the upstream that gave it is leaving.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <unordered_set>
+#include <utility>
 
 #include "core/common/hash.h"
 
@@ -59,6 +60,9 @@
       added.peers += load.upstream_hash == added.hash ? load.outstanding : 0;
     }
   }
+  const auto announced = m_announcements.find(record.id);
+  added.announced_leaving =
+      announced != m_announcements.end() && record.started_ms <= announced->second.started_ms;
   m_index.insert_or_assign(record.id, m_upstreams.size());
   m_upstreams.push_back(std::move(added));
 }
@@ -108,12 +112,16 @@
     if (record.leaving && !known->record.leaving) {
       changes.push_back({kind::leaving, record.id});
     }
+    if (record.started_ms > known->record.started_ms) {
+      known->announced_leaving = false;
+      known->turned_away_until = {};
+    }
     known->wrong_instance = false;
     known->record = record;
   }
   const auto vanished = static_cast<std::size_t>(
       std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const upstream& known) {
-        return !known.record.leaving && !known.removed_at && !listed.contains(known.record.id);
+        return !known.leaving() && !known.removed_at && !listed.contains(known.record.id);
       }));
   const bool lapsed = store_disturbed || (vanished >= k_min_lapse &&
                                           static_cast<double>(vanished) >=
@@ -123,7 +131,7 @@
     if (listed.contains(known.record.id) || known.removed_at) {
       continue;
     }
-    if (lapsed && !known.record.leaving) {
+    if (lapsed && !known.leaving()) {
       known.removed_at = now;
       changes.push_back({kind::kept_after_lapse, known.record.id});
     } else {
@@ -143,6 +151,8 @@
       erase_index(i);
     }
   }
+  std::erase_if(m_announcements,
+                [now](const auto& entry) { return now - entry.second.at >= k_announcement_kept; });
   return changes;
 }
 
@@ -153,8 +163,8 @@
   std::size_t eligible = 0;
   for (const upstream& known : m_upstreams) {
     const upstream_record& record = known.record;
-    if (record.service != service || record.leaving || known.wrong_instance || known.superseded ||
-        !known.health.usable(now, k_ejection)) {
+    if (record.service != service || known.leaving() || known.wrong_instance || known.superseded ||
+        known.turns_away(now) || !known.health.usable(now, k_ejection)) {
       continue;
     }
     if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
@@ -205,7 +215,7 @@
   std::size_t total = 0;
   std::size_t ejected = 0;
   for (const upstream& known : m_upstreams) {
-    if (known.record.service == service && !known.record.leaving) {
+    if (known.record.service == service && !known.leaving()) {
       ++total;
       ejected += known.health.ejected(now) ? 1 : 0;
     }
@@ -225,6 +235,22 @@
   }
 }
 
+bool upstream_table::on_leaving(std::string_view id, time_point now) {
+  upstream* known = find_mutable(id);
+  if (known == nullptr) {
+    return false;
+  }
+  m_announcements.insert_or_assign(std::string(id), announcement{known->record.started_ms, now});
+  return !std::exchange(known->announced_leaving, true);
+}
+
+void upstream_table::on_turned_away(std::string_view id, milliseconds wait, time_point now) {
+  if (upstream* known = find_mutable(id)) {
+    known->turned_away_until =
+        std::max(known->turned_away_until, now + std::min<milliseconds>(wait, k_longest_turn_away));
+  }
+}
+
 void upstream_table::set_peer_loads(std::string_view peer, std::span<const upstream_load> loads) {
   const auto adjust = [this](std::span<const upstream_load> list, bool add) {
     for (const upstream_load& load : list) {
@@ -258,13 +284,21 @@
 
 upstream_table::service_totals upstream_table::totals(std::string_view service, time_point now) const {
   service_totals sum;
+  std::optional<time_point> first_return;
   for (const upstream& known : m_upstreams) {
-    if (known.record.service == service && !known.record.leaving && !known.superseded &&
-        !known.health.ejected(now)) {
-      ++sum.upstreams;
-      sum.slots += known.record.slots;
-      sum.outstanding += known.own + known.peers;
+    if (known.record.service != service || known.leaving() || known.superseded || known.health.ejected(now)) {
+      continue;
     }
+    if (known.turns_away(now)) {
+      first_return = std::min(first_return.value_or(known.turned_away_until), known.turned_away_until);
+      continue;
+    }
+    ++sum.upstreams;
+    sum.slots += known.record.slots;
+    sum.outstanding += known.own + known.peers;
+  }
+  if (sum.upstreams == 0 && first_return) {
+    sum.all_turn_away_for = std::chrono::ceil<milliseconds>(*first_return - now);
   }
   return sum;
 }
--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -1,6 +1,9 @@
 #include "core/http/message.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
 
 namespace cuminpath::http {
 namespace {
@@ -70,6 +73,20 @@
   return std::nullopt;
 }
 
+std::optional<std::chrono::milliseconds> parse_retry_after(std::string_view value) {
+  constexpr double k_most_seconds = 86'400;
+  constexpr double k_ms_per_second = 1000;
+  double seconds = 0;
+  const char* end = value.data() + value.size();
+  const auto parsed = std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
+  const bool starts_with_digit = !value.empty() && value.front() >= '0' && value.front() <= '9';
+  if (!starts_with_digit || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(std::ceil(std::min(seconds, k_most_seconds) * k_ms_per_second)));
+}
+
 std::string_view request::path() const {
   return std::string_view(target).substr(0, target.find('?'));
 }
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -1,6 +1,7 @@
 // HTTP messages as plain data.
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,10 @@
 // Value of the first header of that name, compared without regard to case.
 std::optional<std::string_view> find_header(const header_list& headers, std::string_view name);
 
+// Value of a Retry-After header in seconds, fractions included. Absent for a date, a negative number or
+// anything else; figures beyond a day count as one.
+std::optional<std::chrono::milliseconds> parse_retry_after(std::string_view value);
+
 struct request {
   std::string method = "GET";
   std::string target = "/";  // Path and query.
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -29,6 +29,10 @@
 // punctual.
 constexpr int k_silence_gaps = 9;
 constexpr std::size_t k_max_answer_bytes = 16U << 20U;
+// Of all answers together; the smallest hosts have 112 MB for a gateway.
+constexpr std::size_t k_max_buffered_answer_bytes = 32U << 20U;
+// Events of a stream hold a few tokens each; more than this without the end of one is no stream of events.
+constexpr std::size_t k_max_event_bytes = 1U << 20U;
 // A caller that is further behind is waited for before more is read from the upstream.
 constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
 constexpr milliseconds k_default_service_time{500};
@@ -37,6 +41,8 @@
 // Weight of the newest sample in the mean time of a request at an upstream.
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_most_urgency = 9;
+constexpr int k_wrong_instance = 421;
+constexpr int k_service_unavailable = 503;
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
   std::int64_t value = 0;
@@ -291,10 +297,14 @@
 
 void exchange::send_request(time_point now) {
   const auto* target = m_state.upstreams.find(m_attempt->upstream_id);
-  if (target == nullptr || target->record.leaving) {
+  if (target == nullptr || target->leaving()) {
     end_attempt(attempt_end::not_sent, "upstream left while the connection was being made");
     return;
   }
+  if (target->turns_away(now)) {
+    end_attempt(attempt_end::not_sent, "upstream asked for no requests while the connection was being made");
+    return;
+  }
   m_attempt->sent = true;
   ++m_sent;
   m_splitter.reset();
@@ -331,18 +341,46 @@
 void exchange::on_head(message_head&& head) {
   m_attempt->head = std::move(head);
   const message_head& kept = *m_attempt->head;
+  note_upstream_state(kept, clock::now());
   m_attempt->streamed = m_route->kind == call_kind::stream && kept.status == 200 && is_upstreams_own(kept);
 }
 
+void exchange::note_upstream_state(const message_head& head, time_point now) {
+  const std::string& id = m_attempt->upstream_id;
+  // The instance that answers 421 is not the one that was asked.
+  if (head.status != k_wrong_instance && http::find_header(head.headers, m_state.names.leaving) == "1" &&
+      m_state.upstreams.on_leaving(id, now)) {
+    m_state.links.drop(id);
+    telemetry::log(log_level::info, "upstreams", "says that it leaves",
+                   {{"upstream", id}, {"request", m_request_id}});
+  }
+  if (head.status == k_service_unavailable) {
+    const auto header = http::find_header(head.headers, "Retry-After");
+    const auto wait = header ? http::parse_retry_after(*header) : std::nullopt;
+    if (wait && wait->count() > 0) {
+      m_state.upstreams.on_turned_away(id, *wait, now);
+      telemetry::log(log_level::info, "upstreams", "turns requests away",
+                     {{"upstream", id}, {"request", m_request_id}, {"for_ms", wait->count()}});
+    }
+  }
+}
+
 void exchange::on_body(std::string_view bytes) {
   if (!m_attempt->streamed) {
     m_attempt->body.append(bytes);
-    if (m_attempt->body.size() > k_max_answer_bytes) {
+    m_attempt->buffered_bytes += bytes.size();
+    m_state.buffered_answer_bytes += bytes.size();
+    if (m_attempt->body.size() > k_max_answer_bytes ||
+        m_state.buffered_answer_bytes > k_max_buffered_answer_bytes) {
       end_attempt(attempt_end::broken, "answer is too large");
     }
     return;
   }
   m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
+  if (m_attempt && m_splitter.pending() > k_max_event_bytes) {
+    end_attempt(attempt_end::broken, "event is too large");
+    return;
+  }
   if (m_attempt && m_caller->unsent_bytes() > k_max_unsent_bytes) {
     m_attempt->link->pause_reading();
   }
@@ -367,7 +405,7 @@
 
 void exchange::on_answer_end() {
   message_head& head = *m_attempt->head;
-  if (head.status == 421) {
+  if (head.status == k_wrong_instance) {
     m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
     --m_sent;
     end_attempt(attempt_end::wrong_instance, "another instance has the address");
@@ -431,6 +469,7 @@
   m_silence_timer.cancel();
   const time_point now = clock::now();
   m_state.upstreams.on_ended(m_attempt->upstream_id);
+  m_state.buffered_answer_bytes -= m_attempt->buffered_bytes;
   if (m_attempt->link) {
     if (keep_link) {
       m_state.links.give_back(m_attempt->link, now);
@@ -452,7 +491,10 @@
   const bool sent = m_attempt->sent;
   const bool refused = end == attempt_end::not_executed || end == attempt_end::wrong_instance;
   const bool link_sound = refused || end == attempt_end::failed;
-  m_state.upstreams.on_failure(upstream_id, now);
+  const auto* failed = m_state.upstreams.find(upstream_id);
+  if (failed != nullptr && !failed->turns_away(now)) {
+    m_state.upstreams.on_failure(upstream_id, now);
+  }
   release_attempt(link_sound);
   m_may_have_run = m_may_have_run || (sent && end != attempt_end::not_sent && !refused);
   const auto* target = next_upstream(now);
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -26,7 +26,8 @@
   time_point started;
   bool sent = false;
   std::optional<message_head> head;
-  std::string body;  // Of an answer that is not streamed.
+  std::string body;                // Of an answer that is not streamed.
+  std::size_t buffered_bytes = 0;  // Of the body, as counted in proxy_state.
   bool streamed = false;
   std::uint32_t events = 0;
 };
@@ -60,6 +61,8 @@
                                          time_point now) const;
 
   void on_head(message_head&& head);
+  // What any answer says of the upstream itself: that it leaves, or wants no requests for a while.
+  void note_upstream_state(const message_head& head, time_point now);
   void on_body(std::string_view bytes);
   void on_answer_end();
   void forward_event(const gateway::event_splitter::event& event);
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -34,6 +34,8 @@
   std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
 
+  std::size_t buffered_answer_bytes = 0;  // Of answers that are not passed on before their end.
+
   std::unordered_map<std::string, gateway::service_outlook> outlooks;  // By service.
 
   gateway::service_outlook& outlook(const std::string& service) { return outlooks[service]; }
--- a/source/core/proxy/upstream_link.cpp
+++ b/source/core/proxy/upstream_link.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int k_informational = 1;  // Status class of interim answers.
+// Interim answers and late answers to earlier requests are skipped, but not without end.
+constexpr std::size_t k_max_bytes_before_head = 1U << 20U;
 
 // Value of `timeout` in a Keep-Alive header.
 std::optional<seconds> keep_alive_timeout(const http::header_list& headers) {
@@ -92,7 +94,8 @@
   m_request_id = std::move(request_id);
   m_events = std::move(events);
   m_busy = true;
-  m_written = m_skipping = m_reusable = m_paused = false;
+  m_written = m_skipping = m_reusable = m_paused = m_head_taken = false;
+  m_bytes_before_head = 0;
   m_no_body = no_body;
   m_parser.start({}, no_body);
   asio::async_write(m_socket, asio::buffer(m_outgoing),
@@ -150,6 +153,11 @@
   }
   while (m_open && m_busy && !bytes.empty()) {
     const auto outcome = m_parser.feed(bytes);
+    m_bytes_before_head += m_head_taken ? 0 : outcome.consumed;
+    if (m_open && m_busy && m_bytes_before_head > k_max_bytes_before_head) {
+      fail("other answers came instead of the one to this request");
+      return;
+    }
     bytes.remove_prefix(std::min(outcome.consumed, bytes.size()));
     if (!m_open || !m_busy) {
       return;
@@ -180,6 +188,7 @@
     m_keep_alive = head.keep_alive;
     return;
   }
+  m_head_taken = true;
   m_keep_alive = head.keep_alive && head.self_delimited;
   m_self_delimited = head.self_delimited;
   m_keep_alive_limit = keep_alive_timeout(head.headers);
--- a/source/core/proxy/upstream_link.h
+++ b/source/core/proxy/upstream_link.h
@@ -78,6 +78,8 @@
   bool m_keep_alive = false;
   bool m_reusable = false;
   bool m_self_delimited = true;
+  std::size_t m_bytes_before_head = 0;  // Of other answers, since the request was sent.
+  bool m_head_taken = false;            // The head of the answer to the request has arrived.
   bool m_paused = false;
   bool m_waiting = false;
 };
--- a/source/unit_tests/gateway/admission_test.cpp
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -50,5 +50,15 @@
   EXPECT_LE(wait, milliseconds{2400});
 }
 
+TEST(admission, callers_come_back_once_an_upstream_takes_requests_again) {
+  random_source random(1);
+  const upstream_table::service_totals totals{.all_turn_away_for = milliseconds{4000}};
+  for (int i = 0; i < 100; ++i) {
+    const auto wait = retry_after(totals, milliseconds{100}, {.time_left = milliseconds{3000}}, random);
+    EXPECT_GE(wait, milliseconds{4000});
+    EXPECT_LE(wait, milliseconds{6000});
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
--- a/source/unit_tests/gateway/upstream_table_test.cpp
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -176,6 +176,47 @@
   EXPECT_EQ(chosen(table, k_start), "earlier");
 }
 
+TEST(upstream_table, an_instance_that_says_that_it_leaves_stays_out_until_it_starts_anew) {
+  upstream_table table;
+  auto rows = records({"a"});
+  rows[0].started_ms = 7;
+  table.apply(rows, k_start, false);
+  EXPECT_TRUE(table.on_leaving("a", k_start));
+  EXPECT_FALSE(table.on_leaving("a", k_start));
+  EXPECT_EQ(chosen(table, k_start), "");
+  EXPECT_EQ(table.totals("s", k_start).upstreams, 0U);
+  // Neither a change of its row nor its removal and return makes it usable.
+  rows[0].slots = 5;
+  table.apply(rows, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "");
+  table.apply({}, k_start, true);
+  EXPECT_EQ(table.size(), 0U);  // A lapsed row of an instance that leaves has no grace.
+  table.apply(rows, k_start, false);
+  EXPECT_EQ(chosen(table, k_start + minutes{9}), "");
+  rows[0].started_ms = 8;
+  table.apply(rows, k_start, false);
+  EXPECT_EQ(chosen(table, k_start), "a");
+}
+
+TEST(upstream_table, an_upstream_that_turns_requests_away_is_full_and_not_broken) {
+  upstream_table table;
+  table.apply(records({"a", "b"}), k_start, false);
+  table.on_turned_away("a", milliseconds{1500}, k_start);
+  table.on_turned_away("a", milliseconds{200}, k_start);  // A shorter time does not end the longer one.
+  EXPECT_EQ(chosen(table, k_start + milliseconds{1499}), "b");
+  EXPECT_EQ(table.totals("s", k_start).upstreams, 1U);
+  EXPECT_FALSE(table.totals("s", k_start).all_turn_away_for);
+  table.on_turned_away("b", milliseconds{900}, k_start);
+  EXPECT_EQ(chosen(table, k_start), "");
+  EXPECT_EQ(table.totals("s", k_start).all_turn_away_for, milliseconds{900});
+  EXPECT_EQ(chosen(table, k_start + milliseconds{900}), "b");
+  EXPECT_NE(chosen(table, k_start + milliseconds{1500}), "");
+  // A figure that cannot be meant does not take an upstream out for good.
+  table.on_turned_away("a", hours{24}, k_start);
+  table.on_turned_away("b", hours{24}, k_start);
+  EXPECT_NE(chosen(table, k_start + hours{1}), "");
+}
+
 TEST(upstream_table, does_not_choose_what_a_request_has_tried) {
   upstream_table table;
   table.apply(records({"a", "b"}), k_start, false);
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -102,5 +102,17 @@
   EXPECT_FALSE(answer.failure->sent);
 }
 
+TEST(retry_after, reads_seconds_and_nothing_else) {
+  using std::chrono::milliseconds;
+  EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
+  EXPECT_EQ(parse_retry_after("0.25"), milliseconds{250});
+  EXPECT_EQ(parse_retry_after("0"), milliseconds{0});
+  EXPECT_EQ(parse_retry_after("1e300"), std::nullopt);
+  EXPECT_EQ(parse_retry_after("99999999999999999999"), milliseconds{86'400'000});
+  for (const char* text : {"", "-1", "nan", "inf", "2s", " 2", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    EXPECT_EQ(parse_retry_after(text), std::nullopt) << text;
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::http
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -18,6 +18,9 @@
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
     "chunked\r\n\r\n";
 
+// What a gateway may read of an answer without end: the largest answer, and what buffers of sockets hold.
+constexpr std::size_t k_most_flood_bytes = 32U << 20U;
+
 std::string chunk(std::string_view text) {
   return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
 }
@@ -243,6 +246,78 @@
   EXPECT_LT(clock::now() - start, seconds{1});
 }
 
+TEST_F(proxy_fixture, sends_nothing_more_to_an_upstream_that_says_that_it_leaves) {
+  for (const auto& [status, more] :
+       {std::pair(200, ""), std::pair(500, ""), std::pair(503, "X-Not-Executed: 1\r\n")}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    const auto& leaver =
+        add_upstream(fmt::format("leaver-{}", status), [status = status, more = more](auto, const auto&) {
+          return reaction{answer("a", "last", fmt::format("X-Leaving: 1\r\n{}", more), status)};
+        });
+    call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+    const auto& other = add_upstream(fmt::format("other-{}", status),
+                                     [](auto, const auto&) { return reaction{answer("b", "own")}; });
+    for (int i = 0; i < 8; ++i) {
+      EXPECT_TRUE(call(request("GET", "/safe/x", "b"), whole).bytes.ends_with("own")) << status;
+    }
+    EXPECT_EQ(leaver.requests().size(), 1U) << status;
+    EXPECT_EQ(other.requests().size(), 8U) << status;
+  }
+}
+
+TEST_F(proxy_fixture, an_upstream_that_turns_requests_away_is_left_alone_for_as_long_as_it_asks) {
+  const auto& full = add_upstream("i-1", [](auto, const auto&) {
+    return reaction{answer("a", "", "X-Not-Executed: 1\r\nRetry-After: 30.5\r\n", 503)};
+  });
+  for (int i = 0; i < 5; ++i) {
+    const auto got = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), whole);
+    EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 503"));
+    // Nobody is served earlier, so callers are told the whole time.
+    const auto at = got.bytes.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_GE(std::stod(got.bytes.substr(at + 13)), 29);
+  }
+  EXPECT_EQ(full.requests().size(), 1U);
+  const auto& free = add_upstream("i-2", [](auto, const auto&) { return reaction{answer("b", "own")}; });
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(call(request("GET", "/safe/x", "b"), whole).bytes.ends_with("own"));
+  }
+  EXPECT_EQ(free.requests().size(), 4U);
+  EXPECT_EQ(full.requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, ends_answers_that_have_no_end) {
+  const std::string own_head = "X-Id: a\r\nX-Stamp: s\r\n";
+  const std::string late = answer("z", std::string(8192, 'z'));
+  struct flood {
+    std::string path;
+    std::string begin;
+    std::string again;
+  };
+  for (const auto& [path, begin, again] : {
+           flood{"/once/x", "HTTP/1.1 200 OK\r\n" + own_head, "X-More: " + std::string(8000, 'm') + "\r\n"},
+           flood{"/once/x", "HTTP/1.1 200 OK\r\n" + own_head + "X-Long: ", std::string(8192, 'm')},
+           flood{"/once/x", "", std::string(8192, 'g')},
+           flood{"/once/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+           flood{"/once/x", "", late},
+           flood{"/once/x", "HTTP/1.1 200 OK\r\n" + own_head + "\r\n", std::string(8192, 'b')},
+           flood{"/fragile/x", "HTTP/1.1 200 OK\r\n" + own_head + "\r\ndata: ", std::string(8192, 'e')},
+       }) {
+    m_records.clear();
+    m_state.upstreams = {};
+    flooding_upstream upstream(m_context, begin, again);
+    m_records.push_back(
+        {.id = "i-1", .service = "s", .address = upstream.address(), .availability_zone = "z"});
+    m_state.upstreams.apply(m_records, clock::now(), false);
+    const auto got = call(request("POST", path, "a", "Content-Length: 0\r\n"), whole);
+    EXPECT_THAT(got.bytes, StartsWith("HTTP/1.1 502")) << again.substr(0, 20);
+    EXPECT_TRUE(run_until([&] { return upstream.ended(); })) << again.substr(0, 20);
+    EXPECT_LE(upstream.sent(), k_most_flood_bytes) << again.substr(0, 20);
+    EXPECT_EQ(m_state.buffered_answer_bytes, 0U);
+  }
+}
+
 TEST_F(proxy_fixture, serves_pipelined_requests_in_order) {
   add_upstream("i-1", [](std::size_t number, const auto&) {
     return reaction{answer(number == 1 ? "a" : "b", number == 1 ? "one" : "two")};
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -80,6 +80,51 @@
   });
 }
 
+struct flooding_upstream::state {
+  explicit state(asio::io_context& context) : socket(context) {}
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> buffer{};
+  std::string bytes;
+  std::string again;
+  std::size_t sent = 0;
+  bool ended = false;
+};
+
+flooding_upstream::flooding_upstream(asio::io_context& context, std::string begin, std::string again)
+    : m_acceptor(context, {asio::ip::address_v4::loopback(), 0}), m_state(std::make_shared<state>(context)) {
+  m_state->bytes = begin + again;
+  m_state->again = std::move(again);
+  m_acceptor.async_accept(m_state->socket, [to = m_state](std::error_code error) {
+    if (error) {
+      return;
+    }
+    to->socket.async_read_some(asio::buffer(to->buffer),
+                               [to](std::error_code /*error*/, std::size_t /*size*/) { write(to); });
+  });
+}
+
+void flooding_upstream::write(const std::shared_ptr<state>& to) {
+  asio::async_write(to->socket, asio::buffer(to->bytes), [to](std::error_code error, std::size_t size) {
+    if (error) {
+      to->ended = true;
+      return;
+    }
+    to->sent += size;
+    to->bytes = to->again;
+    write(to);
+  });
+}
+
+std::string flooding_upstream::address() const {
+  return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+}
+std::size_t flooding_upstream::sent() const {
+  return m_state->sent;
+}
+bool flooding_upstream::ended() const {
+  return m_state->ended;
+}
+
 proxy_fixture::proxy_fixture() {
   m_state.names = {.request_id = "X-Id",
                    .time_left_ms = "X-Left",
@@ -89,7 +134,8 @@
                    .urgency = "X-Urgency",
                    .resume_after = "Last-Event-Id",
                    .not_executed = "X-Not-Executed",
-                   .stamp = "X-Stamp"};
+                   .stamp = "X-Stamp",
+                   .leaving = "X-Leaving"};
   m_state.availability_zone = "z";
   auto configuration = std::make_shared<gateway::configuration>();
   configuration->version = 1;
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -50,6 +50,23 @@
   std::size_t m_accepted = 0;
 };
 
+// Accepts one connection and, from the first bytes of the request on, sends bytes until the connection ends.
+class flooding_upstream {
+public:
+  flooding_upstream(asio::io_context& context, std::string begin, std::string again);
+
+  [[nodiscard]] std::string address() const;
+  [[nodiscard]] std::size_t sent() const;
+  [[nodiscard]] bool ended() const;  // The caller has closed the connection.
+
+private:
+  struct state;
+  static void write(const std::shared_ptr<state>& to);
+
+  asio::ip::tcp::acceptor m_acceptor;
+  std::shared_ptr<state> m_state;
+};
+
 class proxy_fixture : public ::testing::Test {
 protected:
   proxy_fixture();
