balancer: report to seats, sum loads in blocks, spread maps in a tree

Processor time was not what bound (0.012 of 0.15 cores on average); the leader's link of 6 Mbit/s was. 95 ranks sent it 50 reports a second each during a switch (1.2 MB/s of 0.75), loads of 20 to 95 senders took another 350 KB/s, and four maps of 10.7 KB went out in each tick of 20 ms. What was lost behind that made live balancers look gone; the leader then sent 18 KB orders to their engines and lost the rest (412 reads of a status timed out in one second), and rank 1 took the lead at the same time.

Change: group_roster says who leads and who is told what (the three lowest ranks that live are seats; others hear each other every two seconds and say so in the report); progress is reported when it changes; loads are summed in blocks of the square root of the group, within 200 KB/s for each receiver; a map is 5 KB of bytes and not nested arrays, spreads in a tree of three, and is sent again to one rank in a tick; directives go to those who have to act; the leader steps at most every 10 ms. A hello from another group is answered once, or it would be said again every second.

Ruled out: differences of maps; the tree takes 100 of the 280 ms of preparing and the copies (eight of 210 MB at 92 Gbit/s) 150.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <span>
 
+#include "core/balancer/group_roster.h"
 #include "core/balancer/load_window.h"
 #include "core/balancer/map_relay.h"
 #include "core/balancer/messages.h"
@@ -32,17 +33,22 @@
 // Between reads of the status of a rank whose balancer is silent; these are charged like health checks.
 constexpr milliseconds k_remote_status_interval{500};
 constexpr milliseconds k_remote_status_interval_working{60};
-// Without a report for this long a balancer counts as gone; the lowest rank that reports leads.
-constexpr milliseconds k_silent_after{700};
+// Least time between two steps of the leader. Reports of a group arrive far more often during a switch.
+constexpr milliseconds k_lead_interval{10};
 constexpr milliseconds k_directive_interval{60};
-// Ranks that the chains have not reached get the map from the leader, a few at a time: all at once would
-// overflow the link of its host.
-constexpr std::size_t k_prepares_per_tick = 4;
-constexpr milliseconds k_prepare_interval{200};  // Between two for the same rank.
+// Ranks that the relay has not reached get the map from the leader, one in each tick: 6 KB for 96 ranks, so
+// that it takes less than half of a 6 Mbit/s link and reports are not lost behind it.
+constexpr std::size_t k_prepares_per_tick = 1;
+constexpr milliseconds k_prepare_interval{300};  // Between two for the same rank.
 constexpr std::size_t k_report_bytes = 300;      // Of a report beside its loads.
-// Bytes a second that the ranks of a group may send their loads to the leader with: a third of an 8 Mbit/s
-// link.
-constexpr std::size_t k_load_bytes_per_s = 350'000;
+// The experts that a rank holds go with each of so many reports, and with the first two after a change.
+constexpr std::uint64_t k_reports_between_experts = 5;
+constexpr std::uint64_t k_reports_of_changed_experts = 2;
+// A directive that the leader has not renewed for this long is given up; its ranks hear no more of a switch.
+constexpr milliseconds k_directive_lifetime{2000};
+// Bytes a second that a rank may get of the loads of others: a quarter of a 6 Mbit/s link. Reports of 96
+// ranks take a sixth, and what is over the link's rate is lost.
+constexpr std::size_t k_load_bytes_per_s = 200'000;
 constexpr milliseconds k_token_retry{1000};
 // Others that run already are heard by then.
 constexpr milliseconds k_listen_before_leading{1000};
@@ -65,7 +71,8 @@
               [this](time_point read_at) { on_own_status(read_at); }),
         m_window(settings.load_half_life),
         m_tick(m_context),
-        m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+        m_roster({.seat_interval = settings.report_interval}) {
     m_random.seed(std::random_device{}());
     m_incarnation = m_random() >> 1U;
   }
@@ -93,9 +100,24 @@
   }
 
 private:
-  struct peer {
-    rank_report report;
-    time_point heard_at{};
+  // The parts of a rank's state that the steps of a switch depend on.
+  struct progress {
+    std::uint64_t epoch = 0;
+    bool open = false;
+    bool busy = false;
+    std::uint64_t map_version = 0;
+    std::optional<std::uint64_t> prepared;
+    std::optional<armed_switch> armed;
+    std::optional<std::uint64_t> held;
+    std::uint64_t disarmed_token = 0;
+    std::uint64_t refused_token = 0;
+
+    bool operator==(const progress&) const = default;
+  };
+  struct known_map {
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    rank_map map;
   };
 
   bool serve_metrics() {
@@ -135,56 +157,71 @@
     if (report.host == m_settings.name) {
       return;
     }
-    peer& known = m_peers[report.host];
-    if (known.report.incarnation == report.incarnation && report.sequence <= known.report.sequence) {
-      return;
+    const bool same_group = report.view.status.group == own_status().group;
+    if (!same_group && !m_roster.peers().contains(report.host)) {
+      // It would say hello again and again until it has heard of this process.
+      m_channel->send(encode(own_report()), std::span(&report.report_address, 1));
     }
-    if (!report.loads.empty() && report.view.status.group == own_status().group) {
-      m_window.add(report.loads, now);
+    const std::vector<std::uint64_t> loads = std::exchange(report.loads, {});
+    if (!m_roster.on_report(std::move(report), now)) {
+      return;
     }
-    if (!report.experts) {
-      report.experts = std::move(known.report.experts);
+    if (!loads.empty() && same_group) {
+      take_loads(loads, now);
     }
-    report.view.at = now;
-    known = {std::move(report), now};
-    if (m_leader.current() != phase::idle) {
+    if (m_leader.current() != phase::idle && now - m_led_at >= k_lead_interval) {
       lead(now);
     }
   }
 
+  // Loads go to the window of the leader, and up to it by way of other ranks.
+  void take_loads(std::span<const std::uint64_t> loads, time_point now) {
+    if (leads(now)) {
+      m_window.add(loads, now);
+      return;
+    }
+    if (m_gathered.size() != loads.size()) {
+      m_gathered.assign(loads.size(), 0);
+    }
+    std::transform(loads.begin(), loads.end(), m_gathered.begin(), m_gathered.begin(), std::plus<>());
+  }
+
   void on_directive(const group_directive& message, time_point now) {
     if (!m_own.known() || message.group != own_status().group || message.token < m_followed_token) {
       return;
     }
     m_followed_token = message.token;
-    m_own.follow(message.value ? &*message.value : nullptr, now);
-    if (message.value && message.value->kind == phase::preparing &&
-        message.value->version > m_passed_on_version) {
-      m_passed_on_version = message.value->version;
-      if (const auto next = next_in_chain(balancer_ranks(now), own_status().rank)) {
-        send_to_ranks(message, std::span(&*next, 1));
-      }
+    const directive* order = message.value ? &*message.value : nullptr;
+    if (order != nullptr && order->kind == phase::preparing && order->version > m_passed_on_version) {
+      m_passed_on_version = order->version;
+      // Before the own order, so that the ranks behind this one do not wait for it.
+      send_to_ranks(message, relay_targets(message.relay, own_status().rank));
+      remember_map(*order);
     }
+    m_directed_by_leader_at = now;
+    m_own.follow(order, now);
+  }
+
+  void remember_map(const directive& order) {
+    m_newest_map = {.epoch = order.epoch, .version = order.version, .map = order.map};
   }
 
   // Ranks of the group whose balancer has been heard lately, in ascending order.
   [[nodiscard]] std::vector<std::uint32_t> balancer_ranks(time_point now) const {
     std::vector<std::uint32_t> ranks;
-    for (const auto& [host, known] : m_peers) {
-      if (in_group(known) && heard_lately(known, now)) {
-        ranks.push_back(known.report.view.status.rank);
+    for (const auto* member : m_roster.members(position())) {
+      if (m_roster.lives(*member, now)) {
+        ranks.push_back(member->report.view.status.rank);
       }
     }
-    std::sort(ranks.begin(), ranks.end());
     return ranks;
   }
 
   void send_to_ranks(const group_directive& message, std::span<const std::uint32_t> ranks) {
     std::vector<std::string> receivers;
-    for (const auto& [host, known] : m_peers) {
-      const std::uint32_t rank = known.report.view.status.rank;
-      if (in_group(known) && std::find(ranks.begin(), ranks.end(), rank) != ranks.end()) {
-        receivers.push_back(known.report.report_address);
+    for (const auto* member : m_roster.members(position())) {
+      if (std::find(ranks.begin(), ranks.end(), member->report.view.status.rank) != ranks.end()) {
+        receivers.push_back(member->report.report_address);
       }
     }
     m_channel->send(encode(message), receivers);
@@ -194,30 +231,67 @@
   void report_to_group(time_point now) {
     m_reported = now;
     m_platform->set_group_complete(group_known());
-    std::vector<std::string> receivers = group_addresses();
-    if (now - m_said_hello >= k_hello_interval) {
-      m_said_hello = now;
-      const auto unknown = unknown_hosts();
-      receivers.insert(receivers.end(), unknown.begin(), unknown.end());
+    const auto often = m_roster.frequent_receivers(position(), now);
+    send_report(often.addresses, often.interval);
+    if (now - m_said_hello < k_hello_interval) {
+      return;
+    }
+    m_said_hello = now;
+    auto others = m_roster.other_receivers(position(), now);
+    if (now - m_reported_to_others < others.interval) {
+      others.addresses.clear();
+    } else {
+      m_reported_to_others = now;
     }
-    m_channel->send(encode(own_report()), receivers);
+    const auto unknown = unknown_hosts();
+    others.addresses.insert(others.addresses.end(), unknown.begin(), unknown.end());
+    send_report(others.addresses, others.interval);
   }
 
-  // The leader needs loads, and each step of a switch at once; the others hear of steps with the next report.
-  void report_to_leader(const rank_report& report, time_point now) {
-    if (const auto* leader = leading_peer(now)) {
-      m_channel->send(encode(report), std::span(&leader->report.report_address, 1));
+  void send_report(std::span<const std::string> receivers, milliseconds interval) {
+    if (receivers.empty()) {
+      return;
+    }
+    rank_report report = own_report();
+    report.interval = interval;
+    if (experts_due()) {
+      report.experts = m_experts;
     }
+    m_channel->send(encode(report), receivers);
   }
 
-  [[nodiscard]] std::vector<std::string> group_addresses() const {
-    std::vector<std::string> addresses;
-    for (const auto& [host, known] : m_peers) {
-      if (in_group(known)) {
-        addresses.push_back(known.report.report_address);
-      }
+  [[nodiscard]] bool experts_due() {
+    ++m_reports_since_experts;
+    if (m_reports_with_experts < k_reports_of_changed_experts ||
+        m_reports_since_experts >= k_reports_between_experts) {
+      ++m_reports_with_experts;
+      m_reports_since_experts = 0;
+      return true;
     }
-    return addresses;
+    return false;
+  }
+
+  // During a switch the leader hears of each step of this rank at once; a report that is lost is made up for
+  // by the next periodic one.
+  void report_progress(time_point now) {
+    const engine_status& status = own_status();
+    const progress current{.epoch = status.epoch,
+                           .open = status.open,
+                           .busy = status.busy,
+                           .map_version = status.map_version,
+                           .prepared = status.prepared,
+                           .armed = status.armed,
+                           .held = status.held,
+                           .disarmed_token = m_own.view().disarmed_token,
+                           .refused_token = m_own.view().refused_token};
+    const auto* leader = m_roster.leader(position(), now);
+    if (leader == nullptr || current == m_progress) {
+      return;
+    }
+    m_progress = current;
+    rank_report report = own_report();
+    report.interval = m_settings.report_interval;
+    m_channel->send(encode(report), std::span(&leader->report.report_address, 1));
   }
 
   rank_report own_report() {
@@ -229,11 +303,13 @@
             .view = m_own.view()};
   }
 
+  [[nodiscard]] group_position position() const {
+    return {.group = own_status().group, .rank = own_status().rank, .ranks = own_status().ranks};
+  }
+
   // True once every rank of the own group has been heard of.
   [[nodiscard]] bool group_known() const {
-    const auto heard = std::count_if(m_peers.begin(), m_peers.end(),
-                                     [&](const auto& entry) { return in_group(entry.second); });
-    return m_own.known() && static_cast<std::uint32_t>(heard) + 1 >= own_status().ranks;
+    return m_own.known() && m_roster.members(position()).size() + 1 >= own_status().ranks;
   }
 
   // Balancers on hosts with engines of the service that have not reported yet.
@@ -241,7 +317,8 @@
     std::vector<std::string> addresses;
     for (const std::string& ip : m_platform->engine_hosts()) {
       const std::string address = ip + port_of(m_settings.report_address);
-      const bool heard = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+      const auto& peers = m_roster.peers();
+      const bool heard = std::any_of(peers.begin(), peers.end(), [&](const auto& entry) {
         return entry.second.report.report_address == address;
       });
       if (!heard && address != m_settings.report_address) {
@@ -253,32 +330,14 @@
 
   [[nodiscard]] const engine_status& own_status() const { return m_own.view().status; }
 
-  [[nodiscard]] bool in_group(const peer& known) const {
-    return known.report.view.status.group == own_status().group;
-  }
-
-  // False once the balancer counts as gone.
-  [[nodiscard]] static bool heard_lately(const peer& known, time_point now) {
-    return now - known.heard_at <= k_silent_after;
-  }
-
-  // The peer that leads the own group; null if this process does.
-  [[nodiscard]] const peer* leading_peer(time_point now) const {
-    const peer* lowest = nullptr;
-    for (const auto& [host, known] : m_peers) {
-      const auto& status = known.report.view.status;
-      if (in_group(known) && heard_lately(known, now) && status.rank < own_status().rank &&
-          (lowest == nullptr || status.rank < lowest->report.view.status.rank)) {
-        lowest = &known;
-      }
-    }
-    return lowest;
-  }
+  // No lower rank of the group lives.
+  [[nodiscard]] bool leads(time_point now) const { return m_roster.leader(position(), now) == nullptr; }
 
   // Reading the engine.
 
   [[nodiscard]] milliseconds counts_interval() const {
-    const std::size_t bytes = own_status().ranks * (m_last_counts.size() + k_report_bytes);
+    const std::size_t bytes =
+        m_roster.load_senders(own_status().ranks) * (m_last_counts.size() + k_report_bytes);
     return std::max(k_counts_interval,
                     milliseconds(static_cast<std::int64_t>(1000 * bytes / k_load_bytes_per_s)));
   }
@@ -303,6 +362,7 @@
       m_own.engine().read_experts([this](result<engine_experts> read) {
         if (read) {
           m_experts = std::move(read.value());
+          m_reports_with_experts = 0;
         } else {
           log_unread("experts", read.error());
         }
@@ -323,16 +383,24 @@
     if (continued) {
       std::vector<std::uint64_t> fresh(counts.size());
       std::transform(counts.begin(), counts.end(), m_last_counts.begin(), fresh.begin(), std::minus<>());
-      m_window.add(fresh, now);
-      rank_report report = own_report();
-      report.loads = std::move(fresh);
-      report.experts = m_experts;
-      report_to_leader(report, now);
+      take_loads(fresh, now);
+      send_loads(now);
     }
     m_last_counts = counts;
     m_last_epoch = read.epoch;
   }
 
+  void send_loads(time_point now) {
+    const auto* receiver = m_roster.load_receiver(position(), now);
+    if (receiver == nullptr) {
+      return;
+    }
+    rank_report report = own_report();
+    report.interval = m_settings.report_interval;
+    report.loads = std::exchange(m_gathered, {});
+    m_channel->send(encode(report), std::span(&receiver->report.report_address, 1));
+  }
+
   // Leading.
 
   [[nodiscard]] std::vector<std::optional<rank_view>> views() const {
@@ -346,8 +414,8 @@
       }
     };
     place(m_own.view());
-    for (const auto& [host, known] : m_peers) {
-      place(known.report.view);
+    for (const auto* member : m_roster.members(position())) {
+      place(member->report.view);
     }
     for (const auto& [rank, driver] : m_remote) {
       if (driver->known()) {
@@ -358,11 +426,11 @@
   }
 
   void lead(time_point now) {
+    m_led_at = now;
     if (!m_own.known() || own_status().ranks == 0) {
       return;
     }
-    const bool leads = leading_peer(now) == nullptr && now - m_started >= k_listen_before_leading;
-    if (!leads) {
+    if (!leads(now) || now - m_started < k_listen_before_leading) {
       stop_leading(now);
       return;
     }
@@ -413,6 +481,16 @@
     send_directive(now);
   }
 
+  // The leader's own order, and those of the ranks that it orders itself.
+  void follow_own(const directive* order, time_point now) {
+    m_directed_by_leader_at = now;
+    m_own.follow(order, now);
+    for (const auto& [rank, driver] : m_remote) {
+      driver->follow(order, now);
+    }
+  }
+
+  // Sends the directive to every rank that has still to act on it.
   void send_directive(time_point now) {
     m_directed_at = now;
     const directive* order = m_leader.order();
@@ -422,32 +500,36 @@
       message.token = order->token;
     }
     m_followed_token = std::max(m_followed_token, message.token);
-    m_own.follow(order, now);
-    for (const auto& [rank, driver] : m_remote) {
-      driver->follow(order, now);
-    }
     if (order != nullptr && order->kind == phase::preparing) {
       m_passed_on_version = order->version;
-      send_to_ranks(message, chain_heads(balancer_ranks(now), own_status().rank));
-      for (const auto& [host, known] : m_peers) {
+      message.relay = relay_order(balancer_ranks(now), own_status().rank);
+      send_to_ranks(message, relay_targets(message.relay, own_status().rank));
+      for (const auto& [host, known] : m_roster.peers()) {
         m_prepared_hosts[host] = now;
       }
-      return;
+    } else {
+      std::vector<std::string> receivers;
+      for (const auto* member : m_roster.members(position())) {
+        if (order == nullptr || has_to_act(member->report.view, *order)) {
+          receivers.push_back(member->report.report_address);
+        }
+      }
+      m_channel->send(encode(message), receivers);
     }
-    m_channel->send(encode(message), group_addresses());
+    follow_own(order, now);
   }
 
   // Sends the map to ranks that have not begun to copy although it was sent on its way, a few in each tick.
   void send_prepares(time_point now) {
     const directive* order = m_leader.order();
     std::vector<std::string> receivers;
-    for (const auto& [host, known] : m_peers) {
-      const engine_status& status = known.report.view.status;
-      auto& sent_at = m_prepared_hosts[host];
-      if (receivers.size() < k_prepares_per_tick && in_group(known) && status.prepared != order->version &&
-          !status.busy && now - sent_at >= k_prepare_interval) {
+    for (const auto* member : m_roster.members(position())) {
+      const rank_report& report = member->report;
+      auto& sent_at = m_prepared_hosts[report.host];
+      if (receivers.size() < k_prepares_per_tick && report.view.status.prepared != order->version &&
+          !report.view.status.busy && now - sent_at >= k_prepare_interval) {
         sent_at = now;
-        receivers.push_back(known.report.report_address);
+        receivers.push_back(report.report_address);
       }
     }
     if (!receivers.empty()) {
@@ -459,19 +541,19 @@
 
   // Ranks whose balancer is gone are read, and given orders, from here.
   void drive_silent_ranks(time_point now) {
-    for (const auto& [host, known] : m_peers) {
-      const std::uint32_t rank = known.report.view.status.rank;
-      if (!in_group(known) || rank == own_status().rank) {
-        continue;
-      }
-      if (heard_lately(known, now)) {
-        m_remote.erase(rank);
+    for (const auto* member : m_roster.members(position())) {
+      const std::uint32_t rank = member->report.view.status.rank;
+      if (m_roster.lives(*member, now)) {
+        if (m_remote.erase(rank) > 0) {
+          log_silence("balancer reports again", *member, now);
+        }
         continue;
       }
       auto& driver = m_remote[rank];
       if (!driver) {
-        driver = std::make_unique<rank_driver>(m_platform->engine(known.report.engine_address),
-                                               known.report.engine_address, [](time_point) {});
+        log_silence("balancer is silent, its rank is read from here", *member, now);
+        driver = std::make_unique<rank_driver>(m_platform->engine(member->report.engine_address),
+                                               member->report.engine_address, [](time_point) {});
         driver->follow(m_leader.order(), now);
       }
       const bool working = m_leader.current() != phase::idle;
@@ -479,6 +561,14 @@
     }
   }
 
+  void log_silence(std::string_view what, const group_roster::peer& member, time_point now) const {
+    telemetry::log(log_level::warning, "leader", what,
+                   {{"host", member.report.host},
+                    {"rank", static_cast<std::int64_t>(member.report.view.status.rank)},
+                    {"heard_ms_ago", std::chrono::duration_cast<milliseconds>(now - member.heard_at).count()},
+                    {"interval_ms", member.report.interval.count()}});
+  }
+
   void take_token(time_point now) {
     if (m_taking_token || now - m_token_tried_at < k_token_retry) {
       return;
@@ -502,8 +592,8 @@
   [[nodiscard]] rank_map current_map() const {
     const auto shape = m_platform->shape();
     const std::uint64_t version = own_status().map_version;
-    if (m_installed_version == version && m_installed_epoch == own_status().epoch) {
-      return m_installed_map;
+    if (m_newest_map.version == version && m_newest_map.epoch == own_status().epoch) {
+      return m_newest_map.map;
     }
     rank_map map(shape->layers, std::vector<std::vector<std::uint32_t>>(own_status().ranks));
     std::size_t filled = 0;
@@ -518,10 +608,8 @@
       }
     };
     place(own_status().rank, m_experts);
-    for (const auto& [host, known] : m_peers) {
-      if (in_group(known) && known.report.view.status.rank != own_status().rank) {
-        place(known.report.view.status.rank, known.report.experts);
-      }
+    for (const auto* member : m_roster.members(position())) {
+      place(member->report.view.status.rank, member->report.experts);
     }
     return filled == own_status().ranks ? map : rank_map();
   }
@@ -556,9 +644,7 @@
     }
     const std::uint64_t version = m_token * k_versions_per_token + ++m_versions;
     if (m_leader.start(all, m_token, version, planned.map, now)) {
-      m_installed_map = std::move(planned.map);
-      m_installed_version = version;
-      m_installed_epoch = own_status().epoch;
+      remember_map(*m_leader.order());
       telemetry::log(log_level::info, "leader", "plan",
                      {{"group", own_status().group},
                       {"version", static_cast<std::int64_t>(version)},
@@ -586,7 +672,7 @@
     }
     m_pass_clock.observe(status.epoch, status.step, now);
     if (m_own.working()) {
-      report_to_leader(own_report(), now);
+      report_progress(now);
     }
     lead(now);
   }
@@ -602,6 +688,10 @@
 
   void tick(time_point now) {
     m_platform->tick(now, m_random);
+    if (m_own.working() && m_leader.current() == phase::idle &&
+        now - m_directed_by_leader_at >= k_directive_lifetime) {
+      m_own.follow(nullptr, now);
+    }
     m_own.tick(now, k_status_interval);
     read_counts(now);
     if (m_own.known() && now - m_reported >= m_settings.report_interval) {
@@ -637,13 +727,16 @@
   random_source m_random;
   std::unique_ptr<net::datagram_channel> m_channel;
   std::unique_ptr<http::server> m_server;
-  std::map<std::string, peer> m_peers;                             // By host.
+  group_roster m_roster;
   std::map<std::uint32_t, std::unique_ptr<rank_driver>> m_remote;  // By rank.
   switch_leader m_leader;
   pass_clock m_pass_clock;
   std::uint64_t m_passed_on_version = 0;               // Newest map that was sent to the next of the chain.
   std::map<std::string, time_point> m_prepared_hosts;  // When the map of the switch was sent, by host.
   std::optional<engine_experts> m_experts;             // Of the own rank.
+  std::uint64_t m_reports_with_experts = 0;            // Since they have changed.
+  std::uint64_t m_reports_since_experts = 0;
+  std::vector<std::uint64_t> m_gathered;  // Loads that wait for the next report to the leader.
   std::vector<std::uint64_t> m_last_counts;
   std::string m_known_group;
   std::uint64_t m_known_epoch = 0;
@@ -652,16 +745,18 @@
   std::uint64_t m_sequence = 0;
   std::uint64_t m_token = 0;           // 0 while another leads.
   std::uint64_t m_followed_token = 0;  // Highest token of a directive so far.
-  rank_map m_installed_map;            // Of the last switch that this process has led.
-  std::uint64_t m_installed_version = 0;
-  std::uint64_t m_installed_epoch = 0;
-  std::uint64_t m_versions = 0;  // Of maps, with the token in use.
+  known_map m_newest_map;              // The last one that the group was told to prepare.
+  std::uint64_t m_versions = 0;        // Of maps, with the token in use.
   bool m_taking_token = false;
   bool m_reading_counts = false;
   time_point m_started{};
   time_point m_reported{};
   time_point m_said_hello{};
-  time_point m_directed_at{};
+  time_point m_reported_to_others{};
+  time_point m_directed_at{};            // When the leader last sent its directive.
+  time_point m_directed_by_leader_at{};  // When the own rank last got one.
+  progress m_progress;                   // As last reported to the leader.
+  time_point m_led_at{};
   time_point m_planned_at{};
   time_point m_token_tried_at{};
   time_point m_counts_read_at{};
--- /dev/null
+++ b/source/core/balancer/group_roster.cpp
@@ -0,0 +1,120 @@
+#include "core/balancer/group_roster.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminpath::balancer {
+
+bool group_roster::on_report(rank_report report, time_point now) {
+  peer& known = m_peers[report.host];
+  if (known.report.incarnation == report.incarnation && report.sequence <= known.report.sequence) {
+    return false;
+  }
+  if (!report.experts) {
+    report.experts = std::move(known.report.experts);
+  }
+  report.view.at = now;
+  known = {std::move(report), now};
+  return true;
+}
+
+bool group_roster::lives(const peer& known, time_point now) const {
+  const auto silence = std::chrono::duration<double, std::milli>(now - known.heard_at).count();
+  return silence <= m_options.silent_intervals * static_cast<double>(known.report.interval.count());
+}
+
+std::vector<const group_roster::peer*> group_roster::members(const group_position& own) const {
+  std::vector<const peer*> by_rank(own.ranks, nullptr);
+  for (const auto& [host, known] : m_peers) {
+    const engine_status& status = known.report.view.status;
+    if (status.group != own.group || status.rank >= own.ranks || status.rank == own.rank) {
+      continue;
+    }
+    const peer*& slot = by_rank[status.rank];
+    slot = slot == nullptr || known.heard_at > slot->heard_at ? &known : slot;
+  }
+  std::erase(by_rank, nullptr);
+  return by_rank;
+}
+
+std::vector<std::uint32_t> group_roster::seats(const group_position& own, time_point now) const {
+  std::vector<std::uint32_t> ranks{own.rank};
+  for (const peer* member : members(own)) {
+    if (lives(*member, now)) {
+      ranks.push_back(member->report.view.status.rank);
+    }
+  }
+  std::sort(ranks.begin(), ranks.end());
+  ranks.resize(std::min<std::size_t>(ranks.size(), m_options.seats));
+  return ranks;
+}
+
+const group_roster::peer* group_roster::leader(const group_position& own, time_point now) const {
+  for (const peer* member : members(own)) {
+    if (member->report.view.status.rank > own.rank) {
+      return nullptr;
+    }
+    if (lives(*member, now)) {
+      return member;
+    }
+  }
+  return nullptr;
+}
+
+bool group_roster::is_seat(const group_position& own, time_point now) const {
+  const auto lowest = seats(own, now);
+  return std::find(lowest.begin(), lowest.end(), own.rank) != lowest.end();
+}
+
+group_roster::receivers group_roster::frequent_receivers(const group_position& own, time_point now) const {
+  const auto lowest = seats(own, now);
+  const bool seat = std::find(lowest.begin(), lowest.end(), own.rank) != lowest.end();
+  receivers found{.interval = m_options.seat_interval};
+  for (const peer* member : members(own)) {
+    if (seat || std::find(lowest.begin(), lowest.end(), member->report.view.status.rank) != lowest.end()) {
+      found.addresses.push_back(member->report.report_address);
+    }
+  }
+  return found;
+}
+
+group_roster::receivers group_roster::other_receivers(const group_position& own, time_point now) const {
+  const auto lowest = seats(own, now);
+  receivers found{.interval = m_options.other_interval};
+  if (std::find(lowest.begin(), lowest.end(), own.rank) != lowest.end()) {
+    return found;
+  }
+  for (const peer* member : members(own)) {
+    if (std::find(lowest.begin(), lowest.end(), member->report.view.status.rank) == lowest.end()) {
+      found.addresses.push_back(member->report.report_address);
+    }
+  }
+  return found;
+}
+
+std::uint32_t group_roster::block_size(std::uint32_t ranks) const {
+  return ranks <= m_options.most_direct_loads
+             ? 1
+             : static_cast<std::uint32_t>(std::ceil(std::sqrt(static_cast<double>(ranks))));
+}
+
+const group_roster::peer* group_roster::load_receiver(const group_position& own, time_point now) const {
+  const std::uint32_t size = block_size(own.ranks);
+  const std::uint32_t first = own.rank / size * size;
+  const peer* leading = leader(own, now);
+  for (const peer* member : members(own)) {
+    const std::uint32_t rank = member->report.view.status.rank;
+    // The leader sums the blocks and none of its own.
+    if (member != leading && rank >= first && rank < own.rank && lives(*member, now)) {
+      return member;
+    }
+  }
+  return leading;
+}
+
+std::uint32_t group_roster::load_senders(std::uint32_t ranks) const {
+  const std::uint32_t size = block_size(ranks);
+  return size == 1 ? ranks : std::max(size, (ranks + size - 1) / size + 1);
+}
+
+}  // namespace cuminpath::balancer
--- a/source/core/balancer/map_relay.cpp
+++ b/source/core/balancer/map_relay.cpp
@@ -4,24 +4,23 @@
 
 namespace cuminpath::balancer {
 
-std::vector<std::uint32_t> chain_heads(std::span<const std::uint32_t> ranks, std::uint32_t leader) {
-  std::vector<std::uint32_t> heads;
-  for (std::uint32_t chain = 0; chain < k_map_chains; ++chain) {
-    const auto head = std::find_if(ranks.begin(), ranks.end(), [chain, leader](std::uint32_t rank) {
-      return rank % k_map_chains == chain && rank != leader;
-    });
-    if (head != ranks.end()) {
-      heads.push_back(*head);
-    }
-  }
-  return heads;
+std::vector<std::uint32_t> relay_order(std::span<const std::uint32_t> ranks, std::uint32_t leader) {
+  std::vector<std::uint32_t> order{leader};
+  std::copy_if(ranks.begin(), ranks.end(), std::back_inserter(order),
+               [leader](std::uint32_t rank) { return rank != leader; });
+  return order;
 }
 
-std::optional<std::uint32_t> next_in_chain(std::span<const std::uint32_t> ranks, std::uint32_t rank) {
-  const auto next = std::find_if(ranks.begin(), ranks.end(), [rank](std::uint32_t other) {
-    return other > rank && other % k_map_chains == rank % k_map_chains;
-  });
-  return next == ranks.end() ? std::nullopt : std::optional(*next);
+std::vector<std::uint32_t> relay_targets(std::span<const std::uint32_t> order, std::uint32_t rank) {
+  const auto found = std::find(order.begin(), order.end(), rank);
+  if (found == order.end()) {
+    return {};
+  }
+  const auto first = k_map_copies * static_cast<std::size_t>(found - order.begin()) + 1;
+  const auto begin = std::min(first, order.size());
+  const auto end = std::min(first + k_map_copies, order.size());
+  return {order.begin() + static_cast<std::ptrdiff_t>(begin),
+          order.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
 }  // namespace cuminpath::balancer
--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -1,13 +1,14 @@
 #include "core/balancer/messages.h"
 
 #include <algorithm>
+#include <span>
 
 #include "core/common/json.h"
 
 namespace cuminpath::balancer {
 namespace {
 
-constexpr int k_format = 1;
+constexpr int k_format = 2;
 constexpr int k_report = 1;
 constexpr int k_directive = 2;
 
@@ -44,34 +45,114 @@
   return status;
 }
 
-// Loads are sent in 128 steps of the largest one, a byte each; the planner needs no more.
-constexpr std::uint64_t k_load_steps = 127;
+// Loads are sent in steps of a 255th of the largest one, a byte each; the planner needs no more.
+constexpr std::uint64_t k_load_steps = 255;
 
 json encode_loads(const std::vector<std::uint64_t>& loads) {
   const std::uint64_t largest = loads.empty() ? 0 : *std::max_element(loads.begin(), loads.end());
-  const std::uint64_t step = largest / k_load_steps + 1;
-  json steps = json::array();
+  const std::uint64_t step = std::max<std::uint64_t>(1, (largest + k_load_steps - 1) / k_load_steps);
+  std::vector<std::uint8_t> steps;
+  steps.reserve(loads.size());
   for (const std::uint64_t load : loads) {
-    steps.push_back((load + step / 2) / step);
+    steps.push_back(static_cast<std::uint8_t>(std::min(k_load_steps, (load + step / 2) / step)));
   }
-  return json::array({step, std::move(steps)});
+  return json::array({step, json::binary(std::move(steps))});
 }
 
 std::vector<std::uint64_t> decode_loads(const json& from) {
   const auto step = from.at(0).get<std::uint64_t>();
-  auto loads = from.at(1).get<std::vector<std::uint64_t>>();
-  for (std::uint64_t& load : loads) {
-    load *= step;
-  }
+  const auto& steps = from.at(1).get_binary();
+  std::vector<std::uint64_t> loads(steps.size());
+  std::transform(steps.begin(), steps.end(), loads.begin(),
+                 [step](std::uint8_t load) { return load * step; });
   return loads;
 }
 
+// A map is sent as bytes: layers, ranks, then the experts of each rank after their number. Ids below 128 take
+// one byte, others two. As nested arrays, the map of 96 ranks takes each of them longer to decode than to
+// receive.
+constexpr unsigned k_small_numbers = 128;
+
+void append_number(std::vector<std::uint8_t>& bytes, std::size_t value) {
+  if (value < k_small_numbers) {
+    bytes.push_back(static_cast<std::uint8_t>(value));
+    return;
+  }
+  constexpr std::size_t k_byte = 256;
+  bytes.push_back(static_cast<std::uint8_t>(k_small_numbers + value / k_byte % k_small_numbers));
+  bytes.push_back(static_cast<std::uint8_t>(value % k_byte));
+}
+
+json encode_map(const rank_map& map) {
+  std::vector<std::uint8_t> bytes;
+  append_number(bytes, map.size());
+  append_number(bytes, map.empty() ? 0 : map.front().size());
+  for (const auto& layer : map) {
+    for (const auto& experts : layer) {
+      append_number(bytes, experts.size());
+      for (const std::uint32_t expert : experts) {
+        append_number(bytes, expert);
+      }
+    }
+  }
+  return json::binary(std::move(bytes));
+}
+
+class number_reader {
+public:
+  explicit number_reader(std::span<const std::uint8_t> bytes) : m_bytes(bytes) {}
+
+  // Absent at the end.
+  std::optional<std::uint16_t> next() {
+    const std::size_t size = m_bytes.empty() || m_bytes[0] < k_small_numbers ? 1 : 2;
+    if (m_bytes.size() < size) {
+      return std::nullopt;
+    }
+    constexpr unsigned k_byte = 256;
+    const auto value = static_cast<std::uint16_t>(
+        size == 1 ? m_bytes[0] : (m_bytes[0] - k_small_numbers) * k_byte + m_bytes[1]);
+    m_bytes = m_bytes.subspan(size);
+    return value;
+  }
+  [[nodiscard]] bool at_end() const { return m_bytes.empty(); }
+
+private:
+  std::span<const std::uint8_t> m_bytes;
+};
+
+std::optional<rank_map> decode_map(std::span<const std::uint8_t> bytes) {
+  number_reader in(bytes);
+  const auto layers = in.next();
+  const auto ranks = in.next();
+  // Each rank takes a number in each layer, so a size that the bytes cannot hold is not allocated.
+  if (!layers || !ranks || std::size_t{*layers} * *ranks > bytes.size()) {
+    return std::nullopt;
+  }
+  rank_map map(*layers, std::vector<std::vector<std::uint32_t>>(*ranks));
+  for (auto& layer : map) {
+    for (auto& experts : layer) {
+      const auto count = in.next();
+      for (std::uint16_t i = 0; count && i < *count; ++i) {
+        const auto expert = in.next();
+        if (!expert) {
+          return std::nullopt;
+        }
+        experts.push_back(*expert);
+      }
+      if (!count) {
+        return std::nullopt;
+      }
+    }
+  }
+  return in.at_end() ? std::optional(std::move(map)) : std::nullopt;
+}
+
 struct encoder {
   json operator()(const rank_report& value) const {
     return json::array({k_format, k_report, value.host, value.incarnation, value.sequence,
-                        value.report_address, value.engine_address, to_json(value.view.status),
-                        value.view.disarmed_token, value.view.disarmed_epoch, value.view.refused_token,
-                        value.view.followed_token, encode_loads(value.loads),
+                        value.report_address, value.engine_address, value.interval.count(),
+                        to_json(value.view.status), value.view.disarmed_token, value.view.disarmed_epoch,
+                        value.view.refused_token, value.view.followed_token, encode_loads(value.loads),
                         value.experts ? json::array({value.experts->epoch, value.experts->map_version,
                                                      value.experts->experts})
                                       : json()});
@@ -80,10 +161,10 @@
     json body;
     if (value.value) {
       const directive& order = *value.value;
-      body = json::array(
-          {static_cast<int>(order.kind), order.epoch, order.version, order.step, order.holder, order.map});
+      body = json::array({static_cast<int>(order.kind), order.epoch, order.version, order.step, order.holder,
+                          encode_map(order.map)});
     }
-    return json::array({k_format, k_directive, value.group, value.token, std::move(body)});
+    return json::array({k_format, k_directive, value.group, value.token, std::move(body), value.relay});
   }
 };
 
@@ -94,13 +175,14 @@
   report.sequence = from.at(4).get<std::uint64_t>();
   report.report_address = from.at(5).get<std::string>();
   report.engine_address = from.at(6).get<std::string>();
-  report.view.status = read_status(from.at(7));
-  report.view.disarmed_token = from.at(8).get<std::uint64_t>();
-  report.view.disarmed_epoch = from.at(9).get<std::uint64_t>();
-  report.view.refused_token = from.at(10).get<std::uint64_t>();
-  report.view.followed_token = from.at(11).get<std::uint64_t>();
-  report.loads = decode_loads(from.at(12));
-  if (const json& held = from.at(13); !held.is_null()) {
+  report.interval = milliseconds(from.at(7).get<std::int64_t>());
+  report.view.status = read_status(from.at(8));
+  report.view.disarmed_token = from.at(9).get<std::uint64_t>();
+  report.view.disarmed_epoch = from.at(10).get<std::uint64_t>();
+  report.view.refused_token = from.at(11).get<std::uint64_t>();
+  report.view.followed_token = from.at(12).get<std::uint64_t>();
+  report.loads = decode_loads(from.at(13));
+  if (const json& held = from.at(14); !held.is_null()) {
     report.experts = engine_experts{.epoch = held.at(0).get<std::uint64_t>(),
                                     .map_version = held.at(1).get<std::uint64_t>(),
                                     .experts = held.at(2).get<std::vector<std::vector<std::uint32_t>>>()};
@@ -109,20 +191,26 @@
 }
 
 result<message> read_directive(const json& from) {
-  group_directive read{.group = from.at(2).get<std::string>(), .token = from.at(3).get<std::uint64_t>()};
+  group_directive read{.group = from.at(2).get<std::string>(),
+                       .token = from.at(3).get<std::uint64_t>(),
+                       .relay = from.at(5).get<std::vector<std::uint32_t>>()};
   const json& body = from.at(4);
   if (!body.is_null()) {
     const int kind = body.at(0).get<int>();
     if (kind <= static_cast<int>(phase::idle) || kind > static_cast<int>(phase::releasing)) {
       return make_error(error_code::invalid_input, "directive of an unknown phase");
     }
+    auto map = decode_map(body.at(5).get_binary());
+    if (!map) {
+      return make_error(error_code::invalid_input, "directive with a map that cannot be read");
+    }
     read.value = directive{.kind = static_cast<phase>(kind),
                            .token = read.token,
                            .epoch = body.at(1).get<std::uint64_t>(),
                            .version = body.at(2).get<std::uint64_t>(),
                            .step = body.at(3).get<std::uint64_t>(),
                            .holder = body.at(4).get<std::uint32_t>(),
-                           .map = body.at(5).get<rank_map>()};
+                           .map = std::move(*map)};
   }
   return message(std::move(read));
 }
--- a/source/core/balancer/messages.h
+++ b/source/core/balancer/messages.h
@@ -20,11 +20,12 @@
   std::uint64_t sequence = 0;     // Grows with each report of an incarnation.
   std::string report_address;     // IP:PORT of the balancer (UDP).
   std::string engine_address;     // IP:PORT of the engine, for a leader whose peer is gone.
+  milliseconds interval{200};     // Until the receiver gets the next report at the latest.
   rank_view view;                 // Without its time.
-  // Only in reports to the leader: tokens for each expert since the last one, and the experts that the rank
-  // holds.
+  // Tokens for each expert since the last report with loads, of this rank and of those that sent theirs to
+  // it. Empty in reports to others than the receiver of loads.
   std::vector<std::uint64_t> loads;
-  std::optional<engine_experts> experts;
+  std::optional<engine_experts> experts;  // That the rank holds; left out of most reports.
 };
 
 // A leader's directive to the group.
@@ -32,6 +33,9 @@
   std::string group;
   std::optional<directive> value;  // Absent when a switch has ended.
   std::uint64_t token = 0;
+  // Ranks by which a map spreads, in order (see map_relay.h). Phase `preparing` only; empty if the receiver
+  // shall not pass it on.
+  std::vector<std::uint32_t> relay;
 };
 
 using message = std::variant<rank_report, group_directive>;
--- a/source/core/balancer/switch_leader.cpp
+++ b/source/core/balancer/switch_leader.cpp
@@ -43,6 +43,25 @@
   return "";
 }
 
+bool has_to_act(const rank_view& rank, const directive& order) {
+  const engine_status& status = rank.status;
+  switch (order.kind) {
+    case phase::idle:
+    case phase::preparing:
+      return false;
+    case phase::holding:
+    case phase::going:
+    case phase::releasing:
+      return status.rank == order.holder;
+    case phase::arming:
+      return status.epoch != order.epoch ||
+             (status.armed != armed_switch{order.version, order.step} && status.map_version != order.version);
+    case phase::disarming:
+      return status.armed || rank.disarmed_token != order.token || rank.disarmed_epoch != order.epoch;
+  }
+  return true;
+}
+
 void switch_leader::enter(phase next, time_point now) {
   m_directive.kind = next;
   m_entered = now;
--- a/source/core/balancer/switch_leader.h
+++ b/source/core/balancer/switch_leader.h
@@ -48,6 +48,9 @@
   std::uint64_t followed_token = 0;  // Highest token of a directive that the rank's balancer has followed.
 };
 
+// Whether the rank has still to be told of a directive; in phase `preparing` the map is sent on its own way.
+bool has_to_act(const rank_view& rank, const directive& order);
+
 struct leader_options {
   milliseconds fresh{500};             // Older views count as absent.
   milliseconds prepare_timeout{8000};  // Copies take under a second; after this the plan is out of date.
--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -11,7 +11,8 @@
                    .sequence = 4,
                    .report_address = "10.0.0.1:7340",
                    .engine_address = "10.0.0.1:80",
-                   .loads = {1, 2, 3}};
+                   .interval = milliseconds{2000},
+                   .loads = {1, 2, 255}};
   sent.view.status = {.group = "g",
                       .epoch = 2,
                       .rank = 1,
@@ -37,25 +38,52 @@
   EXPECT_EQ(received.view.refused_token, 6U);
   EXPECT_EQ(received.view.followed_token, 7U);
   EXPECT_EQ(received.loads, sent.loads);
+  EXPECT_EQ(received.interval, milliseconds{2000});
   ASSERT_TRUE(received.experts);
   EXPECT_EQ(received.experts->experts, sent.experts->experts);
 }
 
 TEST(messages, a_directive_survives_the_wire) {
-  group_directive sent{.group = "g", .token = 4};
-  sent.value =
-      directive{.kind = phase::preparing, .token = 4, .epoch = 2, .version = 9, .map = {{{1, 2}, {0}}}};
+  group_directive sent{.group = "g", .token = 4, .relay = {0, 3, 1}};
+  sent.value = directive{
+      .kind = phase::preparing, .token = 4, .epoch = 2, .version = 9, .map = {{{1, 2}, {0}}, {{300}, {}}}};
   const auto read = decode(encode(sent));
   ASSERT_TRUE(read);
   const auto& received = std::get<group_directive>(read.value());
   ASSERT_TRUE(received.value);
   EXPECT_EQ(received.value->map, sent.value->map);
   EXPECT_EQ(received.value->token, 4U);
+  EXPECT_EQ(received.relay, sent.relay);
   const auto end = decode(encode(group_directive{.group = "g", .token = 4}));
   ASSERT_TRUE(end);
   EXPECT_FALSE(std::get<group_directive>(end.value()).value);
 }
 
+TEST(messages, loads_are_exact_to_a_255th_of_the_largest) {
+  rank_report sent{.host = "h", .loads = {0, 1, 1000, 255'000, 999'999}};
+  const auto read = decode(encode(sent));
+  ASSERT_TRUE(read);
+  const auto& loads = std::get<rank_report>(read.value()).loads;
+  ASSERT_EQ(loads.size(), sent.loads.size());
+  for (std::size_t i = 0; i < loads.size(); ++i) {
+    EXPECT_NEAR(static_cast<double>(loads[i]), static_cast<double>(sent.loads[i]), 1'000'000.0 / 255) << i;
+  }
+}
+
+TEST(messages, a_map_that_claims_more_than_its_bytes_hold_is_refused) {
+  group_directive sent{.group = "g", .token = 4};
+  sent.value = directive{.kind = phase::preparing, .version = 9, .map = {{{1, 2}, {0}}}};
+  const std::string whole = encode(sent);
+  const std::string map("\x01\x02\x02\x01\x02\x01\x00", 7);
+  const auto at = whole.find(map);
+  ASSERT_NE(at, std::string::npos);
+  for (const std::size_t i : {0U, 1U, 2U, 5U, 6U}) {  // Layers, ranks and the numbers of experts.
+    std::string wrong = whole;
+    wrong[at + i] = '\xff';
+    EXPECT_FALSE(decode(wrong)) << i;
+  }
+}
+
 TEST(messages, refuses_anything_else) {
   EXPECT_FALSE(decode(""));
   EXPECT_FALSE(decode("\x92\x01\x09"));
