gateway: report to other zones in turn, start from seeds, read the store one after the other

A gateway that is no seed asks the seeds for 1.2 s before it reads the store, and where readers are missing gateways begin one after the other (store_watch::read_in_turn).

--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -20,6 +20,9 @@
       report_address;  // IP:PORT (UDP) for messages of other balancers; the port is the same on all hosts.
   std::string metrics_address;        // IP:PORT for /metrics; empty for none.
   std::string store_url;              // http://IP:PORT of the platform's store.
+  // Mirror addresses of gateways that are asked for the lists of the store, so that it is not read by each
+  // balancer. Empty: the store is read.
+  std::vector<std::string> seeds;
   milliseconds report_interval{200};  // Between reports to the group. Key report_interval_ms.
   milliseconds plan_interval{60};     // Between looks at the loads. Key plan_interval_ms.
   milliseconds load_half_life{250};  // Of the window of loads that plans are made for. Key load_half_life_ms.
--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -12,6 +12,12 @@
 constexpr std::int64_t k_minute_ms = 60'000;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
 
+// Seeds may be stale; one that cannot be read is left out and the others hold.
+void read_seeds(table_reader& from, std::vector<std::string>& seeds) {
+  from.optional().read("seeds", seeds);
+  std::erase_if(seeds, [](const std::string& seed) { return !is_address(seed); });
+}
+
 class gateway_reader : private settings_reader {
 public:
   gateway_reader(const toml::table& table, diagnostics& faults) : settings_reader(table, faults) {}
@@ -34,9 +40,7 @@
     read_optional_address("public_report_address", value.public_report_address);
     read_optional_address("metrics_address", value.metrics_address);
     read_url(m_root, "store_url", value.store_url, true);
-    m_root.optional().read("seeds", value.seeds);
-    // Seeds may be stale; one that cannot be read is left out and the others hold.
-    std::erase_if(value.seeds, [](const std::string& seed) { return !is_address(seed); });
+    read_seeds(m_root, value.seeds);
     m_root.optional().read("directory_ttl_ms", value.directory_ttl, {100, k_minute_ms});
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
     m_root.optional().read("grace_ms", value.grace, {500, 60 * k_minute_ms});
@@ -64,6 +68,7 @@
     read_address("report_address", value.report_address);
     read_optional_address("metrics_address", value.metrics_address);
     read_url(m_root, "store_url", value.store_url, true);
+    read_seeds(m_root, value.seeds);
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
     m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
     m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -8,8 +8,11 @@
 namespace cuminpath::gateway {
 namespace {
 
-constexpr int k_format = 2;
+constexpr int k_format = 3;
 constexpr std::size_t k_max_loads = 512;
+// Bounds of the interval that a report may state.
+constexpr milliseconds k_least_interval{50};
+constexpr milliseconds k_most_interval{20000};
 
 }  // namespace
 
@@ -19,10 +22,11 @@
     loads.push_back(report.loads[i].upstream_hash);
     loads.push_back(report.loads[i].outstanding);
   }
-  const json document = json::array(
-      {k_format, report.name, report.incarnation, report.sequence, report.caller_address,
-       report.report_address, report.mirror_address, report.availability_zone, static_cast<int>(report.state),
-       report.mirror_version, report.reads_store, report.store_disturbed, std::move(loads)});
+  const json document =
+      json::array({k_format, report.name, report.incarnation, report.sequence, report.caller_address,
+                   report.report_address, report.mirror_address, report.availability_zone,
+                   static_cast<int>(report.state), report.mirror_version, report.reads_store,
+                   report.store_disturbed, report.interval.count(), std::move(loads)});
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -31,7 +35,7 @@
 result<member_report> decode_report(std::string_view bytes) {
   const json document = json::from_msgpack(bytes, true, false);
   try {
-    if (!document.is_array() || document.size() != 13 || document[0] != k_format) {
+    if (!document.is_array() || document.size() != 14 || document[0] != k_format) {
       return make_error(error_code::invalid_input, "not a report of a gateway");
     }
     member_report report;
@@ -50,7 +54,9 @@
     report.mirror_version = document[9].get<std::uint64_t>();
     report.reads_store = document[10].get<bool>();
     report.store_disturbed = document[11].get<bool>();
-    const json& loads = document[12];
+    report.interval =
+        std::clamp(milliseconds(document[12].get<std::int64_t>()), k_least_interval, k_most_interval);
+    const json& loads = document[13];
     for (std::size_t i = 0; i + 1 < loads.size() && i < 2 * k_max_loads; i += 2) {
       report.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
     }
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -1,6 +1,7 @@
 // The gateways that callers can be sent to, from their periodic messages.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -29,6 +30,7 @@
   std::uint64_t mirror_version = 0;  // Newest change that its mirror holds.
   bool reads_store = false;          // It reads changes from the store, and the store answers it.
   bool store_disturbed = false;      // Calls of its own to the store failed lately.
+  milliseconds interval{200};        // Until the receiver gets the next report at the latest.
   std::vector<upstream_load> loads;
 };
 
@@ -40,6 +42,8 @@
 struct member_options {
   // Without a report for this long, a member is not named to callers. Three reports may be lost.
   milliseconds silent_after{800};
+  // The same for members that report less often, in intervals of their reports.
+  int silent_intervals = 4;
   // Silent members are forgotten after this time; their rows in the store are removed as well.
   milliseconds forgotten_after{60000};
 };
@@ -78,7 +82,9 @@
 
   // It has reported lately.
   [[nodiscard]] bool alive(const member& value, time_point now) const {
-    return value.heard_at != time_point{} && now - value.heard_at <= m_options.silent_after;
+    const milliseconds most =
+        std::max(m_options.silent_after, m_options.silent_intervals * value.report.interval);
+    return value.heard_at != time_point{} && now - value.heard_at <= most;
   }
 
 private:
--- a/source/core/gateway/store_watch.h
+++ b/source/core/gateway/store_watch.h
@@ -21,12 +21,17 @@
   // A gateway lags if others have newer changes and it has taken none for this long. Those who read the store
   // are told of a change within a fraction of it.
   milliseconds lag_time{500};
+  // When readers are missing, gateways begin to read one after the other, this far apart, in the order of
+  // preference: those whose turn comes before hear meanwhile that there are enough.
+  milliseconds turn_time{150};
 };
 
 class store_watch {
 public:
   explicit store_watch(store_watch_options options = {}) : m_options(options) {}
 
+  // Waits until `until` for others to bring what the store holds, before it is read at the start.
+  void ask_others_first(time_point until);
   // Whether the gateway `self` has to read the store. It does at its start, until it hears of readers.
   bool update(const member_report& self, const member_list& members, time_point now);
   // Whether another gateway has newer changes.
@@ -41,11 +46,20 @@
   [[nodiscard]] bool reads_store() const { return m_reads; }
 
 private:
-  [[nodiscard]] bool covered(const member_report& self, const member_list& members, time_point now) const;
+  // Gateways of the zone that come before `self` in the order of preference.
+  struct preferred {
+    std::size_t living = 0;
+    std::size_t readers = 0;  // Of those.
+  };
+  [[nodiscard]] static preferred preferred_to(const member_report& self, const member_list& members,
+                                              time_point now);
+  void read_in_turn(const preferred& others, time_point now);
 
   store_watch_options m_options;
   bool m_reads = true;
+  std::optional<time_point> m_ask_others_until;
   std::optional<time_point> m_covered_since;
+  std::optional<time_point> m_uncovered_since;
   std::optional<time_point> m_distrust_until;
   std::optional<time_point> m_behind_since;
 };
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -12,6 +12,8 @@
 #include <fmt/format.h>
 
 #include "core/common/hash.h"
+#include "core/gateway/mirror_client.h"
+#include "core/gateway/report_schedule.h"
 #include "core/gateway/store_watch.h"
 #include "core/http/server.h"
 #include "core/net/datagram_channel.h"
@@ -30,19 +32,18 @@
 constexpr milliseconds k_pause_threshold{1000};
 // The longest list of addresses that a caller uses.
 constexpr std::size_t k_max_directory_addresses = 64;
-// Gateways that get reports; bounds the messages of a gateway in a large fleet.
-constexpr std::size_t k_max_report_receivers = 64;
 // The store counts as disturbed for this long after a call to it failed.
 constexpr milliseconds k_store_disturbance{4000};
 // Between calls for the changes of another gateway; those in quick succession share one.
 constexpr milliseconds k_mirror_interval{100};
 // Between calls to the seeds of a gateway that has not heard of others.
-constexpr milliseconds k_seed_interval{400};
-constexpr milliseconds k_mirror_timeout{600};
+constexpr milliseconds k_seed_interval{250};
+// A gateway that starts asks the seeds for what the store holds before it reads the store itself. Seeds read
+// it within a fraction of this when all start together.
+constexpr milliseconds k_seed_time{1200};
 // A planned stop: callers hold addresses for a while and some hold them three times as long.
 constexpr int k_address_lifetimes_after_stop = 3;
 constexpr milliseconds k_stop_margin{400};  // Before the platform kills the process.
-constexpr std::string_view k_mirror_path = "/mirror";
 // Share of the retries allowed to all gateways that they use; the rest covers gateways that have just
 // restarted.
 constexpr double k_retry_share = 0.5;
@@ -109,6 +110,9 @@
                                        on_store_contact(answered, reason, clock::now());
                                      }});
     m_platform->announce(m_self);
+    if (!m_settings.seeds.empty() && !is_seed()) {
+      m_store_watch.ask_others_first(now + k_seed_time);
+    }
     m_last_tick = now;
     m_last_boot_ms = boot_time_ms();
     wait_signal();
@@ -141,7 +145,7 @@
               }) &&
         serve(m_settings.directory_address, m_platform->directory_path(),
               [this](const http::request&) { return directory_answer(clock::now()); }) &&
-        serve(m_settings.mirror_address, k_mirror_path,
+        serve(m_settings.mirror_address, gateway::k_mirror_path,
               [this](const http::request& asked) { return mirror_answer(asked.body); });
     if (!bound) {
       return false;
@@ -229,6 +233,12 @@
     }
   }
 
+  // Others ask this gateway first when they start.
+  [[nodiscard]] bool is_seed() const {
+    const auto& seeds = m_settings.seeds;
+    return std::find(seeds.begin(), seeds.end(), m_self.mirror_address) != seeds.end();
+  }
+
   // Starts or stops reading the store, as those who read it come and go.
   void update_store_watch(time_point now) {
     const bool reads = m_store_watch.update(m_self, m_members, now);
@@ -315,7 +325,7 @@
     const auto* newer =
         m_members.newer_mirror(m_mirror.content_version(), m_settings.availability_zone, now, m_state.random);
     m_store_watch.on_compared(newer != nullptr, now);
-    if (m_taking_changes || now - m_changes_asked < k_mirror_interval) {
+    if (m_mirror_client.asking() || now - m_changes_asked < k_mirror_interval) {
       return;
     }
     const bool starting = m_self.state == gateway::member_state::starting;
@@ -330,39 +340,21 @@
     if (address.empty() || address == m_self.mirror_address || address == m_settings.mirror_address) {
       return;
     }
-    m_taking_changes = true;
     m_changes_asked = now;
-    m_client.call(
-        "http://" + address,
-        {.method = "POST",
-         .target = std::string(k_mirror_path),
-         .headers = {{"Content-Type", "application/msgpack"}},
-         .body = gateway::encode_versions(m_mirror.known_versions())},
-        {.timeout = k_mirror_timeout, .connect_timeout = k_mirror_timeout, .never_reuse_connection = true},
-        [this, address, disturbed](const http::client::whole_response& answer) {
-          m_taking_changes = false;
-          if (!answer.failure && answer.value.status == 200) {
-            merge_changes(address, disturbed, answer.value.body);
-          } else {
-            m_state.metrics.add("cuminpath_failed_mirror_calls_total");
-          }
-        });
-  }
-
-  void merge_changes(const std::string& address, bool disturbed, std::string_view bytes) {
-    const auto merged = m_mirror.merge(bytes);
-    if (!merged) {
-      telemetry::log(log_level::warning, "store", "changes of another gateway cannot be read",
-                     {{"address", address}, {"reason", merged.error().message}});
-      return;
-    }
-    if (merged.value()) {
-      telemetry::log(log_level::info, "store", "changes of another gateway taken",
-                     {{"address", address},
-                      {"bytes", static_cast<std::int64_t>(bytes.size())},
-                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
-      on_mirror_changed(disturbed, clock::now());
-    }
+    m_mirror_client.ask(address, [this, address, disturbed](const result<bool>& merged) {
+      if (!merged) {
+        m_state.metrics.add("cuminpath_failed_mirror_calls_total");
+        telemetry::log(
+            merged.error().code == error_code::invalid_input ? log_level::warning : log_level::debug, "store",
+            "changes of another gateway not taken",
+            {{"address", address}, {"reason", merged.error().message}});
+      } else if (merged.value()) {
+        telemetry::log(log_level::info, "store", "changes of another gateway taken",
+                       {{"address", address},
+                        {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
+        on_mirror_changed(disturbed, clock::now());
+      }
+    });
   }
 
   // Members.
@@ -407,21 +399,31 @@
     ++m_self.sequence;
     m_self.mirror_version = m_mirror.content_version();
     m_self.loads = m_state.upstreams.own_loads();
-    std::vector<std::string> receivers;
-    for (const auto& member : m_members.all()) {
-      receivers.push_back(member.report.report_address);
-    }
-    if (receivers.size() > k_max_report_receivers) {
-      std::sort(receivers.begin(), receivers.end(), [this](const std::string& a, const std::string& b) {
-        return rendezvous_weight(m_self.name, a) > rendezvous_weight(m_self.name, b);
-      });
-      receivers.resize(k_max_report_receivers);
-    }
-    m_channel->send(gateway::encode_report(m_self), receivers);
+    const auto round = m_report_schedule.next(m_self.availability_zone, m_members.all());
+    send_report_to(round.near.addresses, round.near.rounds);
+    send_report_to(round.far.addresses, round.far.rounds);
     m_last_report = now;
     m_platform->set_readers(m_members.store_readers(now) + (m_self.reads_store ? 1 : 0));
   }
 
+  void send_report_to(std::span<const std::string> addresses, std::size_t rounds) {
+    if (!addresses.empty()) {
+      m_self.interval = static_cast<std::int64_t>(rounds) * m_settings.report_interval;
+      m_channel->send(gateway::encode_report(m_self), addresses);
+    }
+  }
+
+  // Everybody has to know at once that this gateway takes no more callers.
+  void report_to_all(time_point now) {
+    send_report(now);
+    ++m_self.sequence;
+    std::vector<std::string> addresses;
+    for (const auto& member : m_members.all()) {
+      addresses.push_back(member.report.report_address);
+    }
+    send_report_to(addresses, 1);
+  }
+
   void update_members(time_point now) {
     for (const std::string& name : m_members.take_silent(now)) {
       telemetry::log(log_level::warning, "members", "gateway is silent", {{"name", name}});
@@ -532,7 +534,7 @@
     m_self.state = gateway::member_state::leaving;
     m_leaving_since = now;
     m_platform->withdraw();
-    send_report(now);
+    report_to_all(now);
     m_callers.close_after_answers();
   }
 
@@ -557,8 +559,10 @@
   http::client m_client;
   std::unique_ptr<platform_port> m_platform;
   gateway::mirror m_mirror;
+  gateway::mirror_client m_mirror_client{m_client, m_mirror};
   gateway::member_list m_members;
   gateway::store_watch m_store_watch;
+  gateway::report_schedule m_report_schedule;
   gateway::member_report m_self;
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
@@ -567,9 +571,8 @@
   asio::signal_set m_signals;
   std::size_t m_skipped_rows = 0;
   bool m_store_reachable = true;
-  bool m_reads_store = true;
+  bool m_reads_store = true;      // As the platform's port was told.
   bool m_store_answered = false;  // The last call to the store since this gateway began to read it.
-  bool m_taking_changes = false;
   time_point m_store_failed{};
   time_point m_changes_asked{};
   time_point m_last_report{};
--- a/source/unit_tests/gateway/store_watch_test.cpp
+++ b/source/unit_tests/gateway/store_watch_test.cpp
@@ -242,6 +242,62 @@
   return members;
 }
 
+// A fleet that starts: everybody hears of the others, and of who reads, with its reports only.
+TEST(store_watch, gateways_that_start_together_leave_the_store_to_few) {
+  for (const std::size_t size : {30U, 148U, 300U}) {
+    constexpr milliseconds k_ask_others{1200};
+    constexpr std::size_t k_all_zones = 5;
+    const time_point start{seconds{100}};
+    std::vector<virtual_gateway> gateways(size);
+    for (std::size_t i = 0; i < size; ++i) {
+      gateways[i].self = {.name = "gateway" + std::to_string(i),
+                          .incarnation = 1,
+                          .availability_zone = "zone" + std::to_string(i % k_all_zones)};
+      if (i >= 3) {  // The first three are seeds.
+        gateways[i].watch.ask_others_first(start + k_ask_others);
+      }
+    }
+    std::vector<bool> has_read(size, false);
+    for (time_point now = start; now < start + seconds{8}; now += k_step) {
+      for (std::size_t i = 0; i < size; ++i) {
+        virtual_gateway& each = gateways[i];
+        // What a call to the store takes passes before it counts as a reader.
+        const bool reads = each.watch.update(each.self, each.members, now);
+        each.self.reads_store = reads && has_read[i];
+        has_read[i] = has_read[i] || reads;
+        if (now - each.reported >= k_report_interval) {
+          each.reported = now;
+          ++each.self.sequence;
+          for (virtual_gateway& other : gateways) {
+            if (&other != &each) {
+              other.members.on_report(each.self, now);
+            }
+          }
+        }
+      }
+    }
+    const auto readers = std::count(has_read.begin(), has_read.end(), true);
+    // Three seeds, two of each zone, and those whose turn came before the first report of a reader.
+    EXPECT_LE(readers, 3 + 5 * (2 + 2)) << size;
+    for (std::size_t zone = 0; zone < k_all_zones; ++zone) {
+      const auto left = std::count_if(gateways.begin(), gateways.end(), [&](const virtual_gateway& each) {
+        return each.self.availability_zone == "zone" + std::to_string(zone) && each.watch.reads_store();
+      });
+      EXPECT_EQ(left, 2) << size;
+    }
+  }
+}
+
+TEST(store_watch, gateways_whose_seeds_are_gone_read_by_themselves) {
+  store_watch watch;
+  const member_list members({.silent_after = k_silent_after});
+  const time_point now{seconds{100}};
+  watch.ask_others_first(now + milliseconds{1200});
+  EXPECT_FALSE(watch.update(reader("a"), members, now));
+  EXPECT_FALSE(watch.update(reader("a"), members, now + milliseconds{1199}));
+  EXPECT_TRUE(watch.update(reader("a"), members, now + milliseconds{1200}));
+}
+
 TEST(store_watch, reads_again_at_once_when_the_readers_fall_silent) {
   const std::vector<std::string> names{"a", "b", "c"};
   std::size_t relieved = 0;
