balancer: follow one that starts only once it knows its group; gateway: count changes that were taken

Cause: a balancer of the lowest rank that restarts is followed at once (everybody hears its reports) but knows nothing of the ranks that do not report to it often, so nobody leads for up to two seconds, perhaps while a group is held. Gateways that take changes from others while upstreams register (two seconds of changes) took themselves to lag and read the store for five seconds: store_watch::on_changes_taken existed, with a test, but nothing called it.

Change: reports say whether their sender may lead: it has heard of every rank, or listened for 4 s. The call is made.

Tests: group_roster.one_that_starts_is_not_followed_before_it_knows_the_group. Sizes of reports and maps that docs/CAPACITY.md counts with are bounded by tests.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -50,8 +50,10 @@
 // ranks take a sixth, and what is over the link's rate is lost.
 constexpr std::size_t k_load_bytes_per_s = 200'000;
 constexpr milliseconds k_token_retry{1000};
-// Others that run already are heard by then.
+// A balancer that starts leads once it has heard from all ranks, or after the longer of these times. It is
+// not followed before: the one that leads so far knows more.
 constexpr milliseconds k_listen_before_leading{1000};
+constexpr milliseconds k_longest_listening{4000};
 constexpr milliseconds k_hello_interval{1000};  // To hosts whose rank is not known yet.
 // Fewer tokens say little about the popularity of experts.
 constexpr double k_min_tokens = 3000;
@@ -231,6 +233,7 @@
   void report_to_group(time_point now) {
     m_reported = now;
     m_platform->set_group_complete(group_known());
+    update_may_lead(now);
     const auto often = m_roster.frequent_receivers(position(), now);
     send_report(often.addresses, often.interval);
     if (now - m_said_hello < k_hello_interval) {
@@ -248,6 +251,12 @@
     send_report(others.addresses, others.interval);
   }
 
+  void update_may_lead(time_point now) {
+    const auto running = now - m_started;
+    m_may_lead = m_may_lead || running >= k_longest_listening ||
+                 (running >= k_listen_before_leading && m_roster.all_live(position(), now));
+  }
+
   void send_report(std::span<const std::string> receivers, milliseconds interval) {
     if (receivers.empty()) {
       return;
@@ -300,6 +309,7 @@
             .sequence = ++m_sequence,
             .report_address = m_settings.report_address,
             .engine_address = m_settings.engine_address,
+            .may_lead = m_may_lead,
             .view = m_own.view()};
   }
 
@@ -430,7 +440,7 @@
     if (!m_own.known() || own_status().ranks == 0) {
       return;
     }
-    if (!leads(now) || now - m_started < k_listen_before_leading) {
+    if (!m_may_lead || !leads(now)) {
       stop_leading(now);
       return;
     }
@@ -747,6 +757,7 @@
   std::uint64_t m_followed_token = 0;  // Highest token of a directive so far.
   known_map m_newest_map;              // The last one that the group was told to prepare.
   std::uint64_t m_versions = 0;        // Of maps, with the token in use.
+  bool m_may_lead = false;
   bool m_taking_token = false;
   bool m_reading_counts = false;
   time_point m_started{};
--- a/source/core/balancer/group_roster.cpp
+++ b/source/core/balancer/group_roster.cpp
@@ -54,13 +54,19 @@
     if (member->report.view.status.rank > own.rank) {
       return nullptr;
     }
-    if (lives(*member, now)) {
+    if (member->report.may_lead && lives(*member, now)) {
       return member;
     }
   }
   return nullptr;
 }
 
+bool group_roster::all_live(const group_position& own, time_point now) const {
+  const auto known = members(own);
+  return known.size() + 1 == own.ranks &&
+         std::all_of(known.begin(), known.end(), [&](const peer* member) { return lives(*member, now); });
+}
+
 bool group_roster::is_seat(const group_position& own, time_point now) const {
   const auto lowest = seats(own, now);
   return std::find(lowest.begin(), lowest.end(), own.rank) != lowest.end();
--- a/source/core/balancer/group_roster.h
+++ b/source/core/balancer/group_roster.h
@@ -51,7 +51,10 @@
   // Peers of the group, one for each rank: the one heard last.
   [[nodiscard]] std::vector<const peer*> members(const group_position& own) const;
 
-  // The peer that leads; null if the rank `own` does.
+  // Every rank of the group is known, and its balancer lives.
+  [[nodiscard]] bool all_live(const group_position& own, time_point now) const;
+
+  // The peer that leads; null if the rank `own` does, provided that it may.
   [[nodiscard]] const peer* leader(const group_position& own, time_point now) const;
   [[nodiscard]] bool is_seat(const group_position& own, time_point now) const;
 
--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -8,7 +8,7 @@
 namespace cuminpath::balancer {
 namespace {
 
-constexpr int k_format = 2;
+constexpr int k_format = 3;
 constexpr int k_report = 1;
 constexpr int k_directive = 2;
 
@@ -150,7 +150,7 @@
 struct encoder {
   json operator()(const rank_report& value) const {
     return json::array({k_format, k_report, value.host, value.incarnation, value.sequence,
-                        value.report_address, value.engine_address, value.interval.count(),
+                        value.report_address, value.engine_address, value.interval.count(), value.may_lead,
                         to_json(value.view.status), value.view.disarmed_token, value.view.disarmed_epoch,
                         value.view.refused_token, value.view.followed_token, encode_loads(value.loads),
                         value.experts ? json::array({value.experts->epoch, value.experts->map_version,
@@ -176,13 +176,14 @@
   report.report_address = from.at(5).get<std::string>();
   report.engine_address = from.at(6).get<std::string>();
   report.interval = milliseconds(from.at(7).get<std::int64_t>());
-  report.view.status = read_status(from.at(8));
-  report.view.disarmed_token = from.at(9).get<std::uint64_t>();
-  report.view.disarmed_epoch = from.at(10).get<std::uint64_t>();
-  report.view.refused_token = from.at(11).get<std::uint64_t>();
-  report.view.followed_token = from.at(12).get<std::uint64_t>();
-  report.loads = decode_loads(from.at(13));
-  if (const json& held = from.at(14); !held.is_null()) {
+  report.may_lead = from.at(8).get<bool>();
+  report.view.status = read_status(from.at(9));
+  report.view.disarmed_token = from.at(10).get<std::uint64_t>();
+  report.view.disarmed_epoch = from.at(11).get<std::uint64_t>();
+  report.view.refused_token = from.at(12).get<std::uint64_t>();
+  report.view.followed_token = from.at(13).get<std::uint64_t>();
+  report.loads = decode_loads(from.at(14));
+  if (const json& held = from.at(15); !held.is_null()) {
     report.experts = engine_experts{.epoch = held.at(0).get<std::uint64_t>(),
                                     .map_version = held.at(1).get<std::uint64_t>(),
                                     .experts = held.at(2).get<std::vector<std::vector<std::uint32_t>>>()};
--- a/source/core/balancer/messages.h
+++ b/source/core/balancer/messages.h
@@ -21,6 +21,7 @@
   std::string report_address;     // IP:PORT of the balancer (UDP).
   std::string engine_address;     // IP:PORT of the engine, for a leader whose peer is gone.
   milliseconds interval{200};     // Until the receiver gets the next report at the latest.
+  bool may_lead = true;           // False until the sender knows the group well enough to lead it.
   rank_view view;                 // Without its time.
   // Tokens for each expert since the last report with loads, of this rank and of those that sent theirs to
   // it. Empty in reports to others than the receiver of loads.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -349,6 +349,7 @@
             "changes of another gateway not taken",
             {{"address", address}, {"reason", merged.error().message}});
       } else if (merged.value()) {
+        m_store_watch.on_changes_taken(clock::now());
         telemetry::log(log_level::info, "store", "changes of another gateway taken",
                        {{"address", address},
                         {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
--- a/source/unit_tests/balancer/group_roster_test.cpp
+++ b/source/unit_tests/balancer/group_roster_test.cpp
@@ -159,6 +159,27 @@
   }
 }
 
+TEST(group_roster, one_that_starts_is_not_followed_before_it_knows_the_group) {
+  group_roster roster;
+  const group_position own{.group = "g", .rank = 5, .ranks = 8};
+  auto starting = report_of(0, 8, 1, milliseconds{200});
+  starting.may_lead = false;
+  roster.on_report(starting, k_start);
+  roster.on_report(report_of(1, 8, 1, milliseconds{200}), k_start);
+  EXPECT_EQ(roster.leader(own, k_start)->report.view.status.rank, 1U);
+  // It gets everybody's reports meanwhile.
+  const auto often = roster.frequent_receivers(own, k_start).addresses;
+  EXPECT_NE(std::find(often.begin(), often.end(), host_of(0)), often.end());
+  EXPECT_FALSE(roster.all_live(own, k_start));
+  roster.on_report(report_of(0, 8, 2, milliseconds{200}), k_start);
+  EXPECT_EQ(roster.leader(own, k_start)->report.view.status.rank, 0U);
+  for (const std::uint32_t rank : {2U, 3U, 4U, 6U, 7U}) {
+    roster.on_report(report_of(rank, 8, 1, milliseconds{200}), k_start);
+  }
+  EXPECT_TRUE(roster.all_live(own, k_start + milliseconds{700}));
+  EXPECT_FALSE(roster.all_live(own, k_start + milliseconds{701}));
+}
+
 TEST(group_roster, a_rank_that_is_no_seat_sends_as_much_in_a_large_group_as_in_a_small_one) {
   constexpr int k_seconds = 10;
   for (const std::uint32_t ranks : {32U, 96U, 300U}) {
--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -12,6 +12,7 @@
                    .report_address = "10.0.0.1:7340",
                    .engine_address = "10.0.0.1:80",
                    .interval = milliseconds{2000},
+                   .may_lead = false,
                    .loads = {1, 2, 255}};
   sent.view.status = {.group = "g",
                       .epoch = 2,
@@ -39,6 +40,7 @@
   EXPECT_EQ(received.view.followed_token, 7U);
   EXPECT_EQ(received.loads, sent.loads);
   EXPECT_EQ(received.interval, milliseconds{2000});
+  EXPECT_FALSE(received.may_lead);
   ASSERT_TRUE(received.experts);
   EXPECT_EQ(received.experts->experts, sent.experts->experts);
 }
@@ -59,6 +61,38 @@
   EXPECT_FALSE(std::get<group_directive>(end.value()).value);
 }
 
+// docs/CAPACITY.md counts with these sizes.
+TEST(messages, reports_and_maps_are_small) {
+  rank_report sent{.host = "side-ankleshwar-125",
+                   .incarnation = ~std::uint64_t{0} >> 1U,
+                   .sequence = 1'000'000,
+                   .report_address = "10.113.127.129:17340",
+                   .engine_address = "10.113.127.129:18200"};
+  sent.view.status = {.group = "group-1",
+                      .epoch = 20,
+                      .rank = 95,
+                      .ranks = 96,
+                      .step = 1'000'000,
+                      .map_version = 10'000'000,
+                      .prepared = 10'000'001,
+                      .armed = armed_switch{10'000'001, 1'000'001}};
+  EXPECT_LE(encode(sent).size(), 300U);
+  sent.loads.assign(16 * 192, 500);
+  EXPECT_LE(encode(sent).size(), 3400U);
+  // 16 layers, 96 ranks with three of 192 experts each, and the order in which the map spreads.
+  group_directive switched{.group = "group-1", .token = 10'000};
+  switched.value = directive{.kind = phase::preparing,
+                             .version = 10'000'001,
+                             .map = rank_map(16, std::vector<std::vector<std::uint32_t>>(96))};
+  for (std::uint32_t rank = 0; rank < 96; ++rank) {
+    switched.relay.push_back(rank);
+    for (auto& layer : switched.value->map) {
+      layer[rank] = {rank, rank + 96, (rank + 1) % 192};
+    }
+  }
+  EXPECT_LE(encode(switched).size(), 8500U);
+}
+
 TEST(messages, loads_are_exact_to_a_255th_of_the_largest) {
   rank_report sent{.host = "h", .loads = {0, 1, 1000, 255'000, 999'999}};
   const auto read = decode(encode(sent));
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -30,6 +30,19 @@
   EXPECT_EQ(received.value().loads[1].outstanding, 4U);
 }
 
+// Reports are what a gateway sends most of; docs/CAPACITY.md counts with this size.
+TEST(member_list, a_report_is_small) {
+  member_report sent = report("front-ankleshwar-125", 100'000);
+  sent.incarnation = ~std::uint64_t{0};
+  sent.caller_address = sent.report_address = sent.mirror_address = "10.113.127.129:18227";
+  sent.availability_zone = "ankleshwar";
+  sent.mirror_version = 1'000'000;
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    sent.loads.push_back({~i, 2});
+  }
+  EXPECT_LE(encode_report(sent).size(), 200U);
+}
+
 TEST(member_list, refuses_bytes_that_are_no_report) {
   EXPECT_FALSE(decode_report(""));
   EXPECT_FALSE(decode_report("\x91\x01"));
