gateway: refuse at once what would make passes too long for the streams that run

Engines ran five requests each in the bursts; while a map is uneven a pass of five takes 158 ms, over the 150 ms that count as punctual, and each stream meets a shift. The fixed fill never came into play.

Change: pass_limit takes what one request adds to a pass from the pauses between events and the published formula, keeps the worst of the last shifts, and admission::keeps_passes_short admits while the next one would stay under 0.9 of the route's pause. Ranks stop at 1, 0.93 and 0.86 of the room. Callers who come back, known by their time left, go before new ones of their rank (return_watch). Balancers that do not lead read their status every 200 ms.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -27,8 +27,10 @@
 using telemetry::log_level;
 
 constexpr milliseconds k_tick_interval{20};
-// Between reads of the own engine's status, which cost nothing but time of this process.
-constexpr milliseconds k_status_interval{100};
+// Between reads of the own engine's status outside of a switch, which cost nothing but time of this process. The
+// leader goes by the length of passes; others report as often as they read.
+constexpr milliseconds k_status_interval_leading{100};
+constexpr milliseconds k_status_interval{200};
 constexpr milliseconds k_counts_interval{100};
 // Between reads of the status of a rank whose balancer is silent; these are charged like health checks.
 constexpr milliseconds k_remote_status_interval{500};
@@ -702,7 +704,7 @@
         now - m_directed_by_leader_at >= k_directive_lifetime) {
       m_own.follow(nullptr, now);
     }
-    m_own.tick(now, k_status_interval);
+    m_own.tick(now, m_token != 0 ? k_status_interval_leading : k_status_interval);
     read_counts(now);
     if (m_own.known() && now - m_reported >= m_settings.report_interval) {
       report_to_group(now);
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -130,6 +130,10 @@
     }
   });
   m_state.budget(m_service).on_first_attempt();
+  if (!gateway::keeps_passes_short(m_state.upstreams.totals(m_service, now), admission(now))) {
+    refuse(503, "passes would get too long", now);
+    return;
+  }
   const auto* target = next_upstream(now);
   if (target == nullptr) {
     refuse(503, "no upstream has a free place", now);
@@ -155,8 +159,9 @@
   }
   milliseconds left = m_route->timeout;
   if (const auto stated = m_request.header(m_state.names.time_left_ms)) {
-    left = std::min(left,
-                    milliseconds(std::max<std::int64_t>(0, parse_integer(*stated).value_or(left.count()))));
+    const milliseconds callers(std::max<std::int64_t>(0, parse_integer(*stated).value_or(left.count())));
+    m_returned = m_state.returns[m_route->name].observe(callers);
+    left = std::min(left, callers);
   }
   m_deadline = m_arrived + left;
   if (m_deadline <= now) {
@@ -202,8 +207,7 @@
 }
 
 const gateway::upstream_table::upstream* exchange::next_upstream(time_point now) const {
-  const double fill =
-      gateway::max_fill({.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now)});
+  const double fill = gateway::max_fill(admission(now));
   return m_state.upstreams.choose(
       m_service, {.availability_zone = m_state.availability_zone, .excluded = m_tried, .max_fill = fill}, now,
       m_state.random);
@@ -390,7 +394,11 @@
   if (m_done) {
     return;
   }
-  m_last_event = clock::now();
+  const time_point now = clock::now();
+  if (m_attempt->events > 0) {
+    observe_pass(now - m_last_event, now);
+  }
+  m_last_event = now;
   if (!m_answer_begun) {
     m_answer_begun = true;
     m_first_byte = m_last_event;
@@ -403,6 +411,31 @@
   }
 }
 
+void exchange::observe_pass(duration gap, time_point now) {
+  const gateway::service* service = m_configuration->find_service(m_service);
+  const auto totals = m_state.upstreams.totals(m_service, now);
+  if (service != nullptr && service->engine && totals.upstreams > 0) {
+    m_state.pass_limits[m_service].observe(gap, static_cast<double>(totals.outstanding) / totals.upstreams,
+                                           *service->engine, now);
+  }
+}
+
+gateway::admission_request exchange::admission(time_point now) const {
+  gateway::admission_request request{
+      .rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now), .returned = m_returned};
+  const auto passes = m_state.pass_limits.find(m_service);
+  if (request.engine && passes != m_state.pass_limits.end()) {
+    const auto totals = m_state.upstreams.totals(m_service, now);
+    const auto room =
+        passes->second.room(m_route->event_gap, *m_configuration->find_service(m_service)->engine, now);
+    if (room && totals.slots > 0) {
+      request.place = static_cast<double>(totals.upstreams) / totals.slots;
+      request.pass_fill = *room * request.place;
+    }
+  }
+  return request;
+}
+
 void exchange::on_answer_end() {
   message_head& head = *m_attempt->head;
   if (head.status == k_wrong_instance) {
@@ -618,10 +651,9 @@
     const milliseconds mean =
         known == m_state.mean_service_times.end() ? k_default_service_time : known->second;
     const bool away = m_state.outlook(m_service).away(now);
-    wait = gateway::retry_after(
-        totals, mean,
-        {.rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now), .service_away = away},
-        m_state.random);
+    gateway::admission_request asked = admission(now);
+    asked.service_away = away;
+    wait = gateway::retry_after(totals, mean, asked, m_state.random);
     telemetry::log(log_level::info, "request", "refused",
                    {{"request", m_request_id},
                     {"reason", reason},
@@ -630,6 +662,7 @@
                     {"slots", static_cast<std::int64_t>(totals.slots)},
                     {"outstanding", static_cast<std::int64_t>(totals.outstanding)},
                     {"mean_ms", mean.count()},
+                    {"pass_fill", asked.pass_fill.value_or(1)},
                     {"service_away", away},
                     {"retry_after_ms", wait.count()}});
   }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -54,6 +54,7 @@
   bool choose_service(time_point now);
 
   [[nodiscard]] const gateway::upstream_table::upstream* next_upstream(time_point now) const;
+  [[nodiscard]] gateway::admission_request admission(time_point now) const;
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
   void on_connected(std::string_view failure);
   void send_request(time_point now);
@@ -65,6 +66,8 @@
   void note_upstream_state(const message_head& head, time_point now);
   void on_body(std::string_view bytes);
   void on_answer_end();
+  // An event came `gap` after the one before it.
+  void observe_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
 
   // Ends the attempt under way and does what the policy says.
@@ -96,6 +99,7 @@
   std::string m_request_id;
   std::string m_service;
   std::uint32_t m_rank = 0;
+  bool m_returned = false;  // The caller has been refused before.
   time_point m_arrived;
   time_point m_deadline;
   asio::steady_timer m_deadline_timer;
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -11,6 +11,7 @@
 #include "core/gateway/admission.h"
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
+#include "core/gateway/pass_limit.h"
 #include "core/gateway/upstream_table.h"
 #include "core/proxy/link_pool.h"
 #include "core/routing/retry_budget.h"
@@ -37,6 +38,8 @@
   std::size_t buffered_answer_bytes = 0;  // Of answers that are not passed on before their end.
 
   std::unordered_map<std::string, gateway::service_outlook> outlooks;  // By service.
+  std::unordered_map<std::string, gateway::pass_limit> pass_limits;    // By service.
+  std::unordered_map<std::string, gateway::return_watch> returns;      // By route.
 
   gateway::service_outlook& outlook(const std::string& service) { return outlooks[service]; }
   routing::retry_budget& budget(const std::string& service) {
--- a/source/unit_tests/gateway/admission_test.cpp
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -60,5 +63,33 @@
   }
 }
 
+TEST(admission, callers_who_come_back_go_before_new_ones_of_their_rank_only) {
+  return_watch watch;
+  EXPECT_FALSE(watch.observe(milliseconds{8000}));
+  EXPECT_FALSE(watch.observe(milliseconds{8000}));
+  EXPECT_TRUE(watch.observe(milliseconds{7700}));
+  const auto admitted = [](std::uint32_t rank, bool returned, std::uint32_t outstanding) {
+    return keeps_passes_short(
+        {.upstreams = 100, .slots = 600, .outstanding = outstanding},
+        {.rank = rank, .engine = true, .pass_fill = 0.75, .returned = returned, .place = 1.0 / 6});
+  };
+  // The most requests for which each is admitted, in the order of who goes first.
+  std::vector<std::uint32_t> most;
+  for (const auto& [rank, returned] : {std::pair(0U, true), std::pair(0U, false), std::pair(1U, true),
+                                       std::pair(1U, false), std::pair(2U, true), std::pair(2U, false)}) {
+    std::uint32_t outstanding = 0;
+    while (admitted(rank, returned, outstanding + 1)) {
+      ++outstanding;
+    }
+    most.push_back(outstanding);
+  }
+  EXPECT_TRUE(std::is_sorted(most.rbegin(), most.rend()));
+  EXPECT_EQ(std::adjacent_find(most.begin(), most.end()), most.end());
+  EXPECT_GE(most.back(), 300U);  // Half of the places are filled whatever the passes.
+  // Nothing is known of passes: nobody is refused for them.
+  EXPECT_TRUE(
+      keeps_passes_short({.upstreams = 1, .slots = 6, .outstanding = 60}, {.rank = 2, .engine = true}));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
