proxy, balancer: mend lint and format of new tests

Cause: clang-tidy and clang-format on the files of this change. Ruled out: anything else, the changed files have no other finding. Change: an explicit widening, a parameter by reference, formatting.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -27,8 +27,8 @@
 using telemetry::log_level;
 
 constexpr milliseconds k_tick_interval{20};
-// Between reads of the own engine's status outside of a switch, which cost nothing but time of this process. The
-// leader goes by the length of passes; others report as often as they read.
+// Between reads of the own engine's status outside of a switch, which cost nothing but time of this process.
+// The leader goes by the length of passes; others report as often as they read.
 constexpr milliseconds k_status_interval_leading{100};
 constexpr milliseconds k_status_interval{200};
 constexpr milliseconds k_counts_interval{100};
--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -18,8 +18,8 @@
   std::string engine_address;  // IP:PORT of the engine on this host.
   std::string
       report_address;  // IP:PORT (UDP) for messages of other balancers; the port is the same on all hosts.
-  std::string metrics_address;        // IP:PORT for /metrics; empty for none.
-  std::string store_url;              // http://IP:PORT of the platform's store.
+  std::string metrics_address;  // IP:PORT for /metrics; empty for none.
+  std::string store_url;        // http://IP:PORT of the platform's store.
   // Mirror addresses of gateways that are asked for the lists of the store, so that it is not read by each
   // balancer. Empty: the store is read.
   std::vector<std::string> seeds;
--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -77,7 +77,7 @@
                       .prepared = 10'000'001,
                       .armed = armed_switch{10'000'001, 1'000'001}};
   EXPECT_LE(encode(sent).size(), 300U);
-  sent.loads.assign(16 * 192, 500);
+  sent.loads.assign(std::size_t{16} * 192, 500);
   EXPECT_LE(encode(sent).size(), 3400U);
   // 16 layers, 96 ranks with three of 192 experts each, and the order in which the map spreads.
   group_directive switched{.group = "group-1", .token = 10'000};
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -90,7 +90,7 @@
   bool ended = false;
 };
 
-flooding_upstream::flooding_upstream(asio::io_context& context, std::string begin, std::string again)
+flooding_upstream::flooding_upstream(asio::io_context& context, const std::string& begin, std::string again)
     : m_acceptor(context, {asio::ip::address_v4::loopback(), 0}), m_state(std::make_shared<state>(context)) {
   m_state->bytes = begin + again;
   m_state->again = std::move(again);
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -53,7 +53,7 @@
 // Accepts one connection and, from the first bytes of the request on, sends bytes until the connection ends.
 class flooding_upstream {
 public:
-  flooding_upstream(asio::io_context& context, std::string begin, std::string again);
+  flooding_upstream(asio::io_context& context, const std::string& begin, std::string again);
 
   [[nodiscard]] std::string address() const;
   [[nodiscard]] std::size_t sent() const;
