proxy: do not hold the rest of a stream to the limit of passes

Found by the test written for the exemption: 503 instead of event 9.

Change: admission() leaves the limit out for both.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -130,9 +130,7 @@
     }
   });
   m_state.budget(m_service).on_first_attempt();
-  // The rest of a stream that has been served in part goes before new ones.
-  const bool resumes = m_request.header(m_state.names.resume_after).has_value();
-  if (!resumes && !gateway::keeps_passes_short(m_state.upstreams.totals(m_service, now), admission(now))) {
+  if (!gateway::keeps_passes_short(m_state.upstreams.totals(m_service, now), admission(now))) {
     refuse(503, "passes would get too long", now);
     return;
   }
@@ -426,7 +424,9 @@
   gateway::admission_request request{
       .rank = m_rank, .engine = is_engine_call(), .time_left = time_left(now), .returned = m_returned};
   const auto passes = m_state.pass_limits.find(m_service);
-  if (request.engine && passes != m_state.pass_limits.end()) {
+  // The rest of a stream that has been served in part goes before new ones.
+  const bool resumes = m_answer_begun || m_request.header(m_state.names.resume_after).has_value();
+  if (request.engine && !resumes && passes != m_state.pass_limits.end()) {
     const auto totals = m_state.upstreams.totals(m_service, now);
     const auto room =
         passes->second.room(m_route->event_gap, *m_configuration->find_service(m_service)->engine, now);
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -318,6 +318,39 @@
   }
 }
 
+TEST_F(proxy_fixture, refuses_what_would_make_passes_too_long_but_not_the_rest_of_a_stream) {
+  constexpr milliseconds k_pause{150};
+  auto engines = std::make_shared<gateway::configuration>(*m_state.configuration);
+  engines->services.front().engine =
+      gateway::engine_cost{.step_ms = 5, .per_sequence_ms = 1, .steps_per_pass = 9};
+  for (gateway::route& each : engines->routes) {
+    each.event_gap = each.kind == gateway::call_kind::stream ? k_pause : milliseconds{0};
+  }
+  engines->build_index();
+  m_state.configuration = engines;
+  const auto& upstream = add_upstream("i-1", [](auto, const auto&) {
+    return reaction{std::string(k_stream_head) + chunk("id: 9\ndata: x\n\n") + "0\r\n\r\n"};
+  });
+  const time_point now = clock::now();
+  for (int i = 0; i < 3; ++i) {
+    m_state.upstreams.on_started("i-1", now);
+  }
+  // Three of four places are taken, and passes take twice the pause.
+  for (int i = 0; i < 50; ++i) {
+    m_state.pass_limits["s"].observe(2 * k_pause, 3, *engines->services.front().engine, now);
+  }
+  const auto refused = call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), whole);
+  EXPECT_THAT(refused.bytes, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(refused.bytes, HasSubstr("Retry-After: "));
+  EXPECT_TRUE(upstream.requests().empty());
+  const auto rest =
+      call(request("POST", "/stream/x", "a", "Last-Event-Id: 8\r\nContent-Length: 0\r\n"), whole);
+  EXPECT_THAT(rest.bytes, HasSubstr("id: 9"));
+  // Calls without events do not depend on the length of passes.
+  call(request("GET", "/safe/x", "a"), whole);
+  EXPECT_EQ(upstream.requests().size(), 2U);
+}
+
 TEST_F(proxy_fixture, serves_pipelined_requests_in_order) {
   add_upstream("i-1", [](std::size_t number, const auto&) {
     return reaction{answer(number == 1 ? "a" : "b", number == 1 ? "one" : "two")};
