routing: do not hold a pause of the own process against upstreams

Cause: scenario.rolling_restart failed again: completions were refused with 'no upstream is available' although no engine was being stopped, after 2.7 s in which no process wrote a line. An entry that stands still for longer than the suspicion timeout takes all upstreams for silent at its next tick, gives up the work that runs there and refuses new work until the next reports. Members were protected against that, the router was not.

Change: an entry whose tick is more than 300 ms late says so to the router, and the silence of upstreams begins anew.

--- a/source/core/entry/entry_core.h
+++ b/source/core/entry/entry_core.h
@@ -73,6 +73,8 @@
   void on_claim_write_unknown(step& step, caller_id caller);
 
   void tick(step& step);
+  // The process stood still until now.
+  void on_own_pause(time_point now) { m_router.on_own_pause(now); }
 
   // New requests are refused from now on. Called when no caller holds a list with this entry any more.
   void stop_accepting() { m_accepting = false; }
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -34,6 +34,9 @@
 using telemetry::log_level;
 
 constexpr milliseconds k_tick_interval{10};
+// A tick that is later than this shows that the process or its host stood still. Upstreams report every 200
+// ms.
+constexpr milliseconds k_own_pause{300};
 constexpr std::size_t k_timeline_events = 2000;
 // About 2,500 token events; a caller that is further behind hardly reads any more.
 constexpr std::size_t k_max_unsent_bytes = 256U << 10U;
@@ -477,6 +480,12 @@
 
   void on_timer() {
     const auto now = clock::now();
+    if (m_last_timer && now - *m_last_timer > k_own_pause) {
+      telemetry::log(log_level::warning, "entry", "process stood still",
+                     {{"for_ms", std::chrono::duration_cast<milliseconds>(now - *m_last_timer).count()}});
+      m_core.on_own_pause(now);
+    }
+    m_last_timer = now;
     fetch_host_list(now);
     update_members();
     update_pollers(now);
@@ -588,6 +597,7 @@
   transport::link_metrics m_link_metrics;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
+  std::optional<time_point> m_last_timer;
   time_point m_next_tick{};
   time_point m_next_host_list{};
   time_point m_accept_until{};
--- a/source/core/routing/router.cpp
+++ b/source/core/routing/router.cpp
@@ -40,6 +40,7 @@
   void on_message(time_point now, std::string_view peer_address);
   void suspect(time_point now, upstream_id id);
   std::vector<upstream_id> tick(time_point now);
+  void on_own_pause(time_point now);
 
   [[nodiscard]] upstream_table& table() { return m_table; }
 
@@ -263,6 +264,13 @@
   return suspected;
 }
 
+void router::impl::on_own_pause(time_point now) {
+  for (const upstream_id id : m_table.in_use()) {
+    health_state& condition = m_table.health(id);
+    condition.last_heard = std::max(condition.last_heard, now);
+  }
+}
+
 void router::impl::update_slowness(time_point now) {
   // in_use() mixes the models of the entry; latencies are comparable only within one of them.
   std::string_view model;
@@ -352,4 +360,8 @@
   return m_impl->tick(now);
 }
 
+void router::on_own_pause(time_point now) {
+  m_impl->on_own_pause(now);
+}
+
 }  // namespace cuminpath::routing
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -96,6 +96,9 @@
   void on_link_lost(time_point now, std::string_view peer_address);
   // Suspects upstreams without a message for the suspicion timeout. Returns those newly suspected.
   std::vector<upstream_id> tick(time_point now);
+  // The process stood still until `now`: upstreams could not be heard meanwhile, so their silence begins
+  // anew.
+  void on_own_pause(time_point now);
 
 private:
   class impl;
--- a/source/unit_tests/routing/router_test.cpp
+++ b/source/unit_tests/routing/router_test.cpp
@@ -53,6 +53,18 @@
   EXPECT_EQ(target.upstream(*target.choose(now, {"m", 0, {}}, random)).name, "engine-0");
 }
 
+// Guards against upstreams that are given up, with the work that runs there, because this process stood
+// still.
+TEST_F(fixture, the_silence_of_upstreams_begins_anew_after_a_pause_of_the_own_process) {
+  target.set_upstreams(now, fleet(2));
+  now += milliseconds(2800);
+  target.on_own_pause(now);
+  EXPECT_TRUE(target.tick(now).empty());
+  EXPECT_TRUE(target.choose(now, {"m", 0, {}}, random).has_value());
+  EXPECT_TRUE(target.tick(now + milliseconds(1900)).empty());
+  EXPECT_EQ(target.tick(now + milliseconds(2000)).size(), 2U);
+}
+
 // Guards against traffic that crosses availability zones without need, and against an overloaded zone that
 // does not use idle capacity elsewhere.
 TEST_F(fixture, own_zone_is_used_until_its_load_exceeds_the_bound) {
