proxy: log the shared prompt parts of requests and the events of failed attempts

placed and attempt ended now have prompt_parts, and attempt ended has events.

Ruled out: load (a crash with 2 requests at the upstream), map switches (the only one before the first two crashes had ended, in one of the two groups).

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -4,8 +4,10 @@
 #include <charconv>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "core/gateway/admission.h"
+#include "core/gateway/prompt_parts.h"
 #include "core/net/socket_options.h"
 #include "core/proxy/forwarded_headers.h"
 #include "core/telemetry/log.h"
@@ -108,6 +110,10 @@
          !http::find_header(head.headers, "Content-Encoding");
 }
 
+std::vector<std::string_view> exchange::shared_prompt_parts() const {
+  return gateway::shared_prompt_parts(m_request.header(m_state.header_names.prompt_parts).value_or(""));
+}
+
 bool exchange::is_engine_call() const {
   const gateway::service* service = m_configuration->find_service(m_service);
   return service != nullptr && service->engine.has_value();
@@ -232,6 +238,7 @@
                   {"load", static_cast<std::int64_t>(load)},
                   {"attempt", static_cast<std::int64_t>(m_tried_upstreams.size())},
                   {"resume_after", std::string_view(m_last_event_id)},
+                  {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
                   {"time_left_ms", time_left(now).count()},
                   {"configuration", static_cast<std::int64_t>(m_configuration->version)}});
   // If a reused connection breaks, it is unknown whether the upstream has run the request. Only requests that
@@ -536,6 +543,7 @@
   const time_point now = clock::now();
   const std::string upstream_id = m_attempt->upstream_id;
   const bool sent = m_attempt->sent;
+  const std::uint32_t events = m_attempt->events;
   const bool refused = end == attempt_result::not_executed || end == attempt_result::wrong_instance;
   const bool connection_reusable = refused || end == attempt_result::failed;
   const auto* failed = m_state.upstreams.find(upstream_id);
@@ -559,6 +567,8 @@
                   {"upstream", upstream_id},
                   {"end", attempt_result_name(end)},
                   {"reason", std::string_view(reason)},
+                  {"events", static_cast<std::int64_t>(events)},
+                  {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
                   {"may_have_run", m_may_have_run},
                   {"sent", static_cast<std::int64_t>(m_sent_attempts)},
                   {"budget_left", facts.retry_budget_available},
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -93,6 +93,8 @@
   // and no intermediary has encoded its body.
   [[nodiscard]] bool is_upstream_response(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
+  // Ids of the parts of the prompt that other requests may share.
+  [[nodiscard]] std::vector<std::string_view> shared_prompt_parts() const;
 
   proxy_state& m_state;
   std::shared_ptr<caller_connection> m_caller;
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -136,7 +136,9 @@
                           .resume_after = "Last-Event-Id",
                           .not_executed = "X-Not-Executed",
                           .stamp = "X-Stamp",
-                          .leaving = "X-Leaving"};
+                          .leaving = "X-Leaving",
+                          .model = "X-Model",
+                          .prompt_parts = "X-Prompt-Parts"};
   m_state.availability_zone = "z";
   auto configuration = std::make_shared<gateway::configuration>();
   configuration->version = 1;
