gateway: quarantine prompt parts that crash upstreams

What callers saw: with one prompt part in 5 in 100 requests of one class, about 1 in 9 requests was served in time while such requests came, and three or four times as many were refused.

Cause: a gateway knew only one reason for a broken attempt, the upstream. It ejected the upstream, sent the request to a second one, which crashed too, and kept nothing about the request; the next one with the same part crashed the next upstreams as soon as they were back. Class of fault: a failure is attributed to the server alone, so an input that kills its server is handed to one server after another.

At each crash a request with the part was in flight without an event; none of them ever got one.

Ruled out: a limit on retries alone (callers send new requests with the part); the caller's key (sound requests share it); every broken connection as a crash (the platform's upstreams reset single connections while they are sound).

Change: when a connection breaks before a second event, the gateway asks the upstream for its status. If there is no answer, each shared prompt part that is not known to have produced output is a suspect. After two crashes (five for a part that was sound before) it is quarantined for 30 s, twice as long after each further crash, and tested with one request at a time. Output anywhere clears a part. Crashes within 50 ms count once. Gateways exchange suspects in datagrams of at most 16 parts beside their reports, and only while there are any; who knows better answers at once. A request that may be the cause is not sent to another upstream. Requests with a quarantined part get 503 at once, and the log line names the part and the crashes.

--- a/source/core/gateway/attempt_policy.cpp
+++ b/source/core/gateway/attempt_policy.cpp
@@ -11,6 +11,9 @@
     return true;  // No upstream received the request, so neither the retry budget nor the number of attempts
                   // applies.
   }
+  if (end == attempt_result::crashed) {
+    return false;  // It would crash the next upstream, too.
+  }
   if (!facts.retry_budget_available) {
     return false;
   }
--- a/source/core/gateway/attempt_policy.h
+++ b/source/core/gateway/attempt_policy.h
@@ -12,6 +12,7 @@
   wrong_instance,  // Another instance uses the address; it has not run the request.
   not_executed,    // The upstream reports that it has not run the request.
   broken,          // The connection was closed or the response was malformed; the request may have run.
+  crashed,         // The upstream ended before it sent output, and the request may be the cause.
   failed,          // The upstream returned a complete error response (5xx).
   stalled,         // No progress within the time limit.
 };
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -45,6 +45,9 @@
 constexpr std::uint32_t k_max_urgency = 9;
 constexpr int k_misdirected_request = 421;
 constexpr int k_service_unavailable = 503;
+// A single event may have been sent before the upstream crashed on the request.
+constexpr std::uint32_t k_events_of_sound_request = 2;
+constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
   std::int64_t value = 0;
@@ -78,6 +81,8 @@
       return "not_executed";
     case attempt_result::broken:
       return "broken";
+    case attempt_result::crashed:
+      return "crashed";
     case attempt_result::failed:
       return "failed";
     case attempt_result::stalled:
@@ -135,6 +140,9 @@
       self->on_deadline();
     }
   });
+  if (quarantined(now)) {
+    return;
+  }
   m_state.budget(m_service).on_first_attempt();
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
     refuse(503, "passes would get too long", now);
@@ -213,6 +221,32 @@
   return true;
 }
 
+bool exchange::quarantined(time_point now) {
+  if (!is_engine_call()) {
+    return false;
+  }
+  const auto model = m_request.header(m_state.header_names.model).value_or("");
+  const auto ids = shared_prompt_parts();
+  for (const auto id : ids) {
+    m_prompt_parts.push_back(routing::hash_prompt_part(model, id));
+  }
+  const auto verdict = m_state.prompt_quarantine.admit(m_prompt_parts, now);
+  if (!verdict) {
+    return false;
+  }
+  const auto part = std::find(m_prompt_parts.begin(), m_prompt_parts.end(), verdict->part);
+  telemetry::log(log_level::info, "quarantine", "request refused",
+                 {{"request", m_request_id},
+                  {"prompt_part", ids[static_cast<std::size_t>(part - m_prompt_parts.begin())]},
+                  {"part", fmt::format("{:016x}", verdict->part)},
+                  {"crashes", fmt::format("{:08x}", fmt::join(verdict->crashes, ","))},
+                  {"retry_after_ms", verdict->remaining.count()}});
+  m_state.metrics.add("cuminpath_quarantined_requests_total");
+  respond_with_problem(503, k_quarantined, "not_run", verdict->remaining);
+  finish("refused", 503, k_quarantined);
+  return true;
+}
+
 const gateway::upstream_table::upstream* exchange::choose_upstream(time_point now) const {
   const double max_utilization = gateway::max_utilization(make_admission_request(now));
   return m_state.upstreams.choose(m_service,
@@ -348,7 +382,7 @@
   };
   events.failed = [self, is_current](std::string_view reason) {
     if (is_current()) {
-      self->end_attempt(attempt_result::broken, reason);
+      self->on_broken_connection(std::string(reason));
     }
   };
   m_attempt->connection->send(serialize_request(*target, now), m_state.header_names.request_id, m_request_id,
@@ -422,12 +456,21 @@
     m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
   }
   ++m_attempt->events;
+  if (m_attempt->events == k_events_of_sound_request) {
+    record_output(now);
+  }
   m_caller->write_chunk(event.bytes);
   if (!event.id.empty()) {
     m_last_event_id = event.id;
   }
 }
 
+void exchange::record_output(time_point now) {
+  if (!std::exchange(m_attempt->output_recorded, true)) {
+    m_state.prompt_quarantine.on_output(m_prompt_parts, now);
+  }
+}
+
 void exchange::record_forward_pass(duration gap, time_point now) {
   const gateway::service* service = m_configuration->find_service(m_service);
   const auto totals = m_state.upstreams.totals(m_service, now);
@@ -484,6 +527,9 @@
                 fmt::format("upstream answered {} to the rest of a stream", head.status));
     return;
   }
+  if (head.status == 200) {
+    record_output(clock::now());
+  }
   m_state.upstreams.on_success(m_attempt->upstream_id, clock::now());
   m_state.service_state(m_service).on_served(clock::now());
   if (!m_attempt->streamed) {
@@ -538,6 +584,47 @@
   m_attempt.reset();
 }
 
+void exchange::on_broken_connection(const std::string& reason) {
+  const auto* target = m_state.upstreams.find(m_attempt->upstream_id);
+  const auto peer = target == nullptr ? std::nullopt : net::parse_endpoint(target->record.address);
+  const bool may_be_cause = !m_prompt_parts.empty() && m_attempt->events < k_events_of_sound_request;
+  if (!may_be_cause || !peer || !m_state.upstream_checks) {
+    end_attempt(attempt_result::broken, reason);
+    return;
+  }
+  m_stall_timer.cancel();
+  m_state.upstream_checks->start(
+      m_attempt->upstream_id, *peer,
+      [self = shared_from_this(), reason, connection = m_attempt->connection.get(),
+       broken_at = clock::now()](upstream_state state) {
+        if (!self->m_attempt || self->m_attempt->connection.get() != connection) {
+          return;  // The deadline has passed or the caller has disconnected.
+        }
+        if (state != upstream_state::ended) {
+          self->end_attempt(attempt_result::broken, reason);
+          return;
+        }
+        const bool unknown =
+            self->m_state.prompt_quarantine.may_crash_upstreams(self->m_prompt_parts, clock::now());
+        self->on_upstream_crash(broken_at);
+        self->end_attempt(unknown ? attempt_result::crashed : attempt_result::broken, reason);
+      });
+}
+
+void exchange::on_upstream_crash(time_point crashed_at) {
+  const auto* ended = m_state.upstreams.find(m_attempt->upstream_id);
+  const auto crash =
+      routing::hash_crash(m_attempt->upstream_id, ended == nullptr ? 0 : ended->record.started_ms);
+  telemetry::log(log_level::warning, "quarantine", "upstream ended before it sent output",
+                 {{"upstream", m_attempt->upstream_id},
+                  {"crash", fmt::format("{:08x}", crash)},
+                  {"request", m_request_id},
+                  {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
+                  {"parts", fmt::format("{:016x}", fmt::join(m_prompt_parts, ","))}});
+  m_state.metrics.add("cuminpath_requests_at_crashes_total");
+  m_state.prompt_quarantine.on_crash(crash, m_prompt_parts, crashed_at);
+}
+
 void exchange::end_attempt(attempt_result end, std::string_view reason_view) {
   const std::string reason(reason_view);
   const time_point now = clock::now();
@@ -561,7 +648,10 @@
                                .retry_budget_available = m_state.budget(m_service).available(),
                                .other_upstream_available = target != nullptr,
                                .time_left = time_left(now)};
-  const next_step step = gateway::after_attempt(end, facts);
+  // The part may have been quarantined while the request was at an upstream.
+  const bool keep_from_upstreams =
+      !m_response_started && m_state.prompt_quarantine.admit(m_prompt_parts, now).has_value();
+  const next_step step = gateway::after_attempt(keep_from_upstreams ? attempt_result::crashed : end, facts);
   telemetry::log(log_level::info, "request", "attempt ended",
                  {{"request", m_request_id},
                   {"upstream", upstream_id},
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -30,6 +30,7 @@
   std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
   bool streamed = false;
   std::uint32_t events = 0;
+  bool output_recorded = false;
 };
 
 // Authorizes and routes a request, dispatches it to upstreams, retries where that is allowed, and writes the
@@ -74,6 +75,15 @@
   void record_forward_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
 
+  // Returns true if the request must be kept from upstreams, because a part of its prompt crashes them.
+  [[nodiscard]] bool quarantined(time_point now);
+  // Records that the parts of the prompt have produced output at an upstream.
+  void record_output(time_point now);
+  // Called if the connection of the current attempt breaks. Before the next step, checks whether the upstream
+  // has ended if the request may be the cause.
+  void on_broken_connection(const std::string& reason);
+  void on_upstream_crash(time_point crashed_at);
+
   // Ends the current attempt and takes the step that the attempt policy decides on.
   void end_attempt(gateway::attempt_result end, std::string_view reason);
   void release_attempt(bool keep_connection);
@@ -105,6 +115,7 @@
   const gateway::workspace* m_workspace = nullptr;
   std::string m_request_id;
   std::string m_service;
+  std::vector<routing::prompt_part> m_prompt_parts;  // That other requests may share.
   std::uint32_t m_priority = 0;
   bool m_is_retry = false;  // An earlier try of the caller has been refused.
   time_point m_arrived;
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -19,6 +19,7 @@
 #include "core/net/datagram_channel.h"
 #include "core/net/socket_options.h"
 #include "core/proxy/caller_listener.h"
+#include "core/proxy/evidence_exchange.h"
 #include "core/proxy/proxy_state.h"
 #include "core/telemetry/log.h"
 
@@ -48,6 +49,8 @@
 // restarted and start with a fresh budget.
 constexpr double k_retry_share = 0.5;
 constexpr double k_initial_retries = 5;
+// The status of an engine arrives within a few milliseconds.
+constexpr milliseconds k_upstream_check_timeout{100};
 
 std::int64_t boot_time_ms() {
   timespec now{};
@@ -83,10 +86,17 @@
         m_client(m_context),
         m_platform(make_platform(m_client, settings)),
         m_members({.suspicion_timeout = 4 * settings.report_interval}),
+        m_evidence(m_state.prompt_quarantine, m_state.metrics, settings.name,
+                   [this](std::string_view bytes, std::span<const std::string> addresses) {
+                     m_channel->send(bytes, addresses);
+                   }),
         m_callers(m_state),
         m_tick_timer(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
     m_state.random.seed(std::random_device{}());
+    m_state.prompt_quarantine = routing::prompt_quarantine({}, m_state.random());
+    m_state.upstream_checks = std::make_unique<upstream_check>(m_context, m_platform->engine_status_path(),
+                                                               k_upstream_check_timeout);
     m_state.header_names = m_platform->header_names();
     m_state.availability_zone = settings.availability_zone;
     m_local_report = {.name = settings.name,
@@ -204,6 +214,7 @@
     metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
+    metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -364,9 +375,10 @@
   // Members.
 
   void on_datagram(std::string_view bytes, time_point now) {
-    auto report = gateway::decode_report(bytes);
-    if (report) {
+    if (auto report = gateway::decode_report(bytes)) {
       on_report(std::move(report.value()), now);
+    } else if (const auto crashes = gateway::decode_crash_report(bytes)) {
+      m_evidence.on_report(crashes.value(), m_members, now);
     } else {
       m_state.metrics.add("cuminpath_malformed_reports_total");
     }
@@ -388,6 +400,7 @@
       case gateway::member_list::outcome::joined:
         telemetry::log(log_level::info, "members", "gateway joined", {{"name", name}});
         update_retry_limits();
+        m_evidence.on_member_joined(now);
         break;
       case gateway::member_list::outcome::state_changed:
         telemetry::log(log_level::info, "members", "gateway changed state",
@@ -406,6 +419,9 @@
     const auto round = m_report_schedule.next(m_local_report.availability_zone, m_members.all());
     send_report_to(round.near.addresses, round.near.rounds);
     send_report_to(round.far.addresses, round.far.rounds);
+    auto receivers = round.near.addresses;
+    receivers.insert(receivers.end(), round.far.addresses.begin(), round.far.addresses.end());
+    m_evidence.send(receivers, now);
     m_last_report = now;
     m_platform->set_store_reader_count(m_members.count_store_readers(now) +
                                        (m_local_report.reads_store ? 1 : 0));
@@ -472,7 +488,8 @@
     update_members(now);
     m_state.upstream_connections.close_expired(now);
     m_callers.tick(now);
-    if (now - m_last_report >= m_settings.report_interval) {
+    const bool has_news = m_evidence.tick(now);
+    if (has_news || now - m_last_report >= m_settings.report_interval) {
       send_report(now);
     }
     if (m_local_report.state == gateway::member_state::leaving && should_stop(now)) {
@@ -572,6 +589,7 @@
   gateway::member_report m_local_report;
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
+  evidence_exchange m_evidence;
   caller_listener m_callers;
   asio::steady_timer m_tick_timer;
   asio::signal_set m_signals;
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -63,6 +63,8 @@
   // HTTP paths that callers and the platform request from the gateway.
   [[nodiscard]] virtual std::string directory_path() const = 0;
   [[nodiscard]] virtual std::string ready_path() const = 0;
+  // HTTP path of the status of an engine, which is served without delay also while the engine is full.
+  [[nodiscard]] virtual std::string engine_status_path() const = 0;
   // Returns the body of the response that lists gateway addresses for callers.
   [[nodiscard]] virtual std::string directory_response_body(std::span<const std::string> addresses,
                                                             milliseconds ttl) const = 0;
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -13,7 +13,9 @@
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
 #include "core/gateway/upstream_table.h"
+#include "core/proxy/upstream_check.h"
 #include "core/proxy/upstream_connection_pool.h"
+#include "core/routing/prompt_quarantine.h"
 #include "core/routing/retry_budget.h"
 #include "core/telemetry/metrics.h"
 
@@ -29,6 +31,8 @@
   std::shared_ptr<const gateway::configuration> configuration;  // Null until the first version has been read.
   gateway::upstream_table upstreams;
   upstream_connection_pool upstream_connections;
+  std::unique_ptr<upstream_check> upstream_checks;  // Null if the platform has no status to ask for.
+  routing::prompt_quarantine prompt_quarantine;
   telemetry::metrics metrics;
   random_source random;
   // The retries of a service are limited over all gateways together; each gateway gets an equal share.
--- /dev/null
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -0,0 +1,379 @@
+#include "core/routing/prompt_quarantine.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "core/common/hash.h"
+
+namespace cuminpath::routing {
+namespace {
+
+// Parts whose output is remembered, in two generations of this size.
+constexpr std::size_t k_output_generation_size = 4096;
+constexpr std::size_t k_max_suspects = 256;
+// A change is part of every message for this long: some messages are lost, and each reaches a part of the
+// fleet.
+constexpr milliseconds k_change_send_time{3000};
+// Suspects without a further crash are forgotten after this time, or after several durations of their
+// quarantine.
+constexpr minutes k_suspect_memory{10};
+constexpr int k_suspect_memory_durations = 3;
+
+// Bounded memory of when parts last produced output. Forgets the parts that were not seen for longest.
+class output_memory {
+public:
+  [[nodiscard]] std::optional<time_point> find(prompt_part part) const {
+    for (const auto* generation : {&m_recent, &m_earlier}) {
+      if (const auto found = generation->find(part); found != generation->end()) {
+        return found->second;
+      }
+    }
+    return std::nullopt;
+  }
+  void record(prompt_part part, time_point at) {
+    const auto known = find(part);
+    if (m_recent.size() >= k_output_generation_size && !m_recent.contains(part)) {
+      m_earlier = std::exchange(m_recent, {});
+    }
+    m_recent[part] = std::max(at, known.value_or(at));
+  }
+
+private:
+  std::unordered_map<prompt_part, time_point> m_recent;
+  std::unordered_map<prompt_part, time_point> m_earlier;
+};
+
+struct crash {
+  crash_id id = 0;
+  time_point at;
+};
+
+// A part that was in flight at a crash.
+struct suspect {
+  std::optional<time_point> last_output;
+  std::vector<crash> crashes;  // Since the last output, ordered by time.
+  time_point changed_at;
+  time_point sent_at;
+  double extension = 0;
+  std::optional<time_point> trial_started;
+  bool quarantined = false;  // As last returned by update().
+};
+
+}  // namespace
+
+prompt_part hash_prompt_part(std::string_view model, std::string_view id) {
+  return hash64(id, hash64(model));
+}
+
+crash_id hash_crash(std::string_view upstream_id, std::uint64_t started_ms) {
+  return static_cast<crash_id>(hash64(upstream_id, started_ms));
+}
+
+class prompt_quarantine::implementation {
+public:
+  implementation(prompt_quarantine_options options, std::uint64_t seed)
+      : m_options(options), m_random(seed) {}
+
+  std::optional<verdict> admit(std::span<const prompt_part> parts, time_point now) {
+    for (const prompt_part part : parts) {
+      const auto found = m_suspects.find(part);
+      if (found == m_suspects.end()) {
+        continue;
+      }
+      suspect& known = found->second;
+      const auto until = quarantined_until(known);
+      if (!until || now < known.crashes.front().at + m_options.exchange_time) {
+        continue;
+      }
+      if (now < *until) {
+        return make_verdict(part, known, *until - now);
+      }
+      if (known.trial_started && now < *known.trial_started + m_options.max_trial_time) {
+        return make_verdict(part, known, *known.trial_started + m_options.max_trial_time - now);
+      }
+      known.trial_started = now;
+    }
+    return std::nullopt;
+  }
+
+  void on_output(std::span<const prompt_part> parts, time_point now) {
+    for (const prompt_part part : parts) {
+      record_output(part, now, now);
+    }
+  }
+
+  void on_crash(crash_id id, std::span<const prompt_part> parts, time_point now) {
+    // A part that is not known as sound explains the crash; the sound ones of the same request do not.
+    const bool some_unknown = may_crash_upstreams(parts, now);
+    for (const prompt_part part : parts) {
+      if (!some_unknown || !known_sound(part, now)) {
+        m_news = add_crash(part, {id, now}, now) || m_news;
+      }
+    }
+  }
+
+  [[nodiscard]] bool may_crash_upstreams(std::span<const prompt_part> parts, time_point now) const {
+    return std::any_of(parts.begin(), parts.end(), [&](prompt_part part) { return !known_sound(part, now); });
+  }
+
+  std::vector<part_evidence> evidence_to_send(time_point now) {
+    std::vector<std::pair<const prompt_part, suspect>*> changed;
+    std::pair<const prompt_part, suspect>* unchanged = nullptr;
+    for (auto& entry : m_suspects) {
+      if (now - entry.second.changed_at < k_change_send_time) {
+        changed.push_back(&entry);
+      } else if (quarantined_until(entry.second) &&
+                 (unchanged == nullptr || entry.second.sent_at < unchanged->second.sent_at)) {
+        unchanged = &entry;
+      }
+    }
+    // Parts with several crashes come first; equal ones take turns.
+    std::sort(changed.begin(), changed.end(), [](const auto* left, const auto* right) {
+      return std::pair(right->second.crashes.size(), left->second.sent_at) <
+             std::pair(left->second.crashes.size(), right->second.sent_at);
+    });
+    changed.resize(std::min(changed.size(), k_max_exchanged_parts));
+    if (unchanged != nullptr && changed.size() < k_max_exchanged_parts) {
+      changed.push_back(unchanged);
+    }
+    std::vector<part_evidence> sent;
+    for (auto* entry : changed) {
+      entry->second.sent_at = now;
+      sent.push_back(make_evidence(entry->first, entry->second, now));
+    }
+    return sent;
+  }
+
+  void merge(std::span<const part_evidence> evidence, time_point now) {
+    for (const part_evidence& received : evidence) {
+      if (refutes(received, now)) {
+        suspect& known = m_suspects.try_emplace(received.part).first->second;
+        known.last_output = recent_output(received.part, now);
+        known.changed_at = now;
+        m_news = true;
+      }
+      for (const crash_evidence& each : received.crashes) {
+        add_crash(received.part, {each.id, now - each.age}, now);
+      }
+      if (received.last_output_age) {
+        record_output(received.part, now - *received.last_output_age, now);
+      }
+    }
+  }
+
+  bool take_news() { return std::exchange(m_news, false); }
+
+  void resend(time_point now) {
+    for (auto& [part, known] : m_suspects) {
+      if (quarantined_until(known)) {
+        known.changed_at = now;
+      }
+    }
+  }
+
+  std::vector<change> update(time_point now) {
+    std::vector<change> changes;
+    for (auto& [part, known] : m_suspects) {
+      const auto until = quarantined_until(known);
+      const bool quarantined = until && now >= known.crashes.front().at + m_options.exchange_time;
+      if (quarantined != known.quarantined) {
+        known.quarantined = quarantined;
+        changes.push_back({quarantined ? change::kind::quarantined : change::kind::released,
+                           make_verdict(part, known, until ? *until - now : duration{})});
+      }
+    }
+    std::erase_if(m_suspects, [&](const auto& entry) { return outdated(entry.second, now); });
+    return changes;
+  }
+
+  [[nodiscard]] std::size_t size() const { return m_suspects.size(); }
+
+private:
+  // Returns when the part last produced output, unless that was too long ago to show anything.
+  [[nodiscard]] std::optional<time_point> recent_output(prompt_part part, time_point now) const {
+    const auto output = m_outputs.find(part);
+    return output && now - *output < m_options.output_memory ? output : std::nullopt;
+  }
+  [[nodiscard]] bool known_sound(prompt_part part, time_point now) const {
+    return recent_output(part, now).has_value();
+  }
+
+  // Returns true if the part produced output that the sender does not know of and that changes its judgement.
+  [[nodiscard]] bool refutes(const part_evidence& received, time_point now) const {
+    const auto output = recent_output(received.part, now);
+    return output && (!received.last_output_age ||
+                      std::any_of(received.crashes.begin(), received.crashes.end(),
+                                  [&](const crash_evidence& each) { return now - each.age < *output; }));
+  }
+
+  // Number of crashes, without those that coincide with the previous one.
+  [[nodiscard]] std::size_t count_crashes(const suspect& known) const {
+    std::size_t count = 0;
+    std::optional<time_point> last;
+    for (const crash& each : known.crashes) {
+      if (!last || each.at - *last > m_options.simultaneous_crashes) {
+        ++count;
+        last = each.at;
+      }
+    }
+    return count;
+  }
+
+  // Returns the end of the quarantine; absent if there are too few crashes.
+  [[nodiscard]] std::optional<time_point> quarantined_until(const suspect& known) const {
+    const std::size_t threshold =
+        known.last_output ? m_options.crashes_since_output : m_options.crashes_without_output;
+    const std::size_t count = count_crashes(known);
+    if (count < threshold) {
+      return std::nullopt;
+    }
+    return known.crashes.back().at + std::chrono::duration_cast<duration>(
+                                         quarantine_duration(count - threshold) * (1 + known.extension));
+  }
+
+  [[nodiscard]] seconds quarantine_duration(std::size_t doublings) const {
+    seconds length = m_options.base_duration;
+    for (std::size_t i = 0; i < doublings && length < m_options.max_duration; ++i) {
+      length *= 2;
+    }
+    return std::min(length, m_options.max_duration);
+  }
+
+  // Returns false if the crash is known already, or if the part has produced output since.
+  bool add_crash(prompt_part part, const crash& added, time_point now) {
+    const auto output = recent_output(part, now);
+    if (output && *output > added.at) {
+      return false;
+    }
+    auto found = m_suspects.find(part);
+    if (found == m_suspects.end()) {
+      if (m_suspects.size() >= k_max_suspects && !drop_weakest_suspect()) {
+        return false;
+      }
+      found = m_suspects.emplace(part, suspect{}).first;
+      found->second.last_output = output;
+      found->second.extension = std::uniform_real_distribution<double>(0, m_options.max_extension)(m_random);
+    }
+    auto& crashes = found->second.crashes;
+    if (std::any_of(crashes.begin(), crashes.end(),
+                    [&added](const crash& each) { return each.id == added.id; })) {
+      return false;
+    }
+    crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), added,
+                                    [](const crash& left, const crash& right) { return left.at < right.at; }),
+                   added);
+    if (crashes.size() > k_max_crashes_per_part) {
+      crashes.erase(crashes.begin());
+    }
+    found->second.trial_started.reset();
+    found->second.changed_at = now;
+    return true;
+  }
+
+  void record_output(prompt_part part, time_point at, time_point now) {
+    m_outputs.record(part, at);
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end()) {
+      return;
+    }
+    suspect& known = found->second;
+    const bool first = !known.last_output;
+    known.last_output = std::max(at, known.last_output.value_or(at));
+    const auto refuted =
+        std::erase_if(known.crashes, [&known](const crash& each) { return each.at < *known.last_output; });
+    if (first || refuted > 0) {
+      known.changed_at = now;
+      m_news = true;
+    }
+  }
+
+  // Removes the suspect with the fewest crashes, the oldest of these. Returns false if all are quarantined.
+  bool drop_weakest_suspect() {
+    const auto weakest = std::min_element(m_suspects.begin(), m_suspects.end(), [](auto& left, auto& right) {
+      return std::pair(left.second.crashes.size(), left.second.changed_at) <
+             std::pair(right.second.crashes.size(), right.second.changed_at);
+    });
+    if (quarantined_until(weakest->second)) {
+      return false;
+    }
+    m_suspects.erase(weakest);
+    return true;
+  }
+
+  [[nodiscard]] bool outdated(const suspect& known, time_point now) const {
+    if (known.crashes.empty()) {
+      return now - known.changed_at >= k_change_send_time;
+    }
+    const auto until = quarantined_until(known);
+    const duration quarantine = until ? *until - known.crashes.back().at : duration{};
+    return now - known.crashes.back().at >=
+           std::max<duration>(k_suspect_memory, k_suspect_memory_durations * quarantine);
+  }
+
+  [[nodiscard]] verdict make_verdict(prompt_part part, const suspect& known, duration remaining) const {
+    verdict out{.part = part, .remaining = std::chrono::ceil<milliseconds>(remaining)};
+    for (const crash& each : known.crashes) {
+      out.crashes.push_back(each.id);
+    }
+    return out;
+  }
+
+  [[nodiscard]] static part_evidence make_evidence(prompt_part part, const suspect& known, time_point now) {
+    const auto age = [now](time_point at) { return std::chrono::duration_cast<milliseconds>(now - at); };
+    part_evidence out{.part = part};
+    if (known.last_output) {
+      out.last_output_age = age(*known.last_output);
+    }
+    for (const crash& each : known.crashes) {
+      out.crashes.push_back({each.id, age(each.at)});
+    }
+    return out;
+  }
+
+  prompt_quarantine_options m_options;
+  random_source m_random;
+  output_memory m_outputs;
+  std::unordered_map<prompt_part, suspect> m_suspects;
+  bool m_news = false;
+};
+
+prompt_quarantine::prompt_quarantine(prompt_quarantine_options options, std::uint64_t seed)
+    : m_implementation(std::make_unique<implementation>(options, seed)) {}
+prompt_quarantine::~prompt_quarantine() = default;
+prompt_quarantine::prompt_quarantine(prompt_quarantine&& other) noexcept = default;
+prompt_quarantine& prompt_quarantine::operator=(prompt_quarantine&& other) noexcept = default;
+
+std::optional<prompt_quarantine::verdict> prompt_quarantine::admit(std::span<const prompt_part> parts,
+                                                                   time_point now) {
+  return m_implementation->admit(parts, now);
+}
+void prompt_quarantine::on_output(std::span<const prompt_part> parts, time_point now) {
+  m_implementation->on_output(parts, now);
+}
+void prompt_quarantine::on_crash(crash_id crash, std::span<const prompt_part> parts, time_point now) {
+  m_implementation->on_crash(crash, parts, now);
+}
+bool prompt_quarantine::may_crash_upstreams(std::span<const prompt_part> parts, time_point now) const {
+  return m_implementation->may_crash_upstreams(parts, now);
+}
+std::vector<part_evidence> prompt_quarantine::evidence_to_send(time_point now) {
+  return m_implementation->evidence_to_send(now);
+}
+void prompt_quarantine::merge(std::span<const part_evidence> evidence, time_point now) {
+  m_implementation->merge(evidence, now);
+}
+bool prompt_quarantine::take_news() {
+  return m_implementation->take_news();
+}
+void prompt_quarantine::resend(time_point now) {
+  m_implementation->resend(now);
+}
+std::vector<prompt_quarantine::change> prompt_quarantine::update(time_point now) {
+  return m_implementation->update(now);
+}
+std::size_t prompt_quarantine::size() const {
+  return m_implementation->size();
+}
+
+}  // namespace cuminpath::routing
--- a/source/unit_tests/gateway/attempt_policy_test.cpp
+++ b/source/unit_tests/gateway/attempt_policy_test.cpp
@@ -53,6 +53,15 @@
   EXPECT_EQ(after_attempt(attempt_result::broken, limited), next_step::fail);
 }
 
+TEST(attempt_policy, does_not_repeat_a_request_that_may_have_crashed_its_upstream) {
+  attempt_facts facts = first_attempt();
+  facts.repeatable = true;
+  facts.may_have_run = true;
+  EXPECT_EQ(after_attempt(attempt_result::crashed, facts), next_step::fail);
+  facts.caller_has_bytes = true;
+  EXPECT_EQ(after_attempt(attempt_result::crashed, facts), next_step::abort_response);
+}
+
 TEST(attempt_policy, a_failed_connection_uses_neither_budget_nor_attempts) {
   attempt_facts facts = first_attempt();
   facts.upstreams_sent_to = 0;
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "proxy_fixture.h"
 
 namespace cuminpath::proxy {
@@ -394,5 +396,99 @@
   EXPECT_TRUE(upstream.requests().empty());
 }
 
+// Crashes on requests whose prompt contains the part "bad", and serves others.
+upstream_action crash_on_bad_part(std::size_t /*number*/, const std::string& received) {
+  if (received.find("bad:") != std::string::npos) {
+    return {"", upstream_action::after::crash};
+  }
+  return {std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n") + chunk("id: 2\ndata: y\n\n") +
+          "0\r\n\r\n"};
+}
+
+std::string prompt_headers(std::string_view parts) {
+  return fmt::format("X-Model: m\r\nX-Prompt-Parts: {}\r\nContent-Length: 0\r\n", parts);
+}
+
+TEST_F(proxy_fixture, a_request_that_may_have_crashed_its_upstream_is_not_sent_to_another) {
+  use_engine();
+  add_upstream("i-1", crash_on_bad_part);
+  add_upstream("i-2", crash_on_bad_part);
+  const auto response =
+      call(request("POST", "/stream/x", "a", prompt_headers("shared:40,bad:10,own:5")), is_complete);
+  EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size(), 1U);
+}
+
+TEST_F(proxy_fixture, a_part_that_has_crashed_two_upstreams_is_refused_at_once_and_others_are_served) {
+  use_engine();
+  for (const auto* id : {"i-1", "i-2", "i-3"}) {
+    add_upstream(id, crash_on_bad_part);
+  }
+  const auto run = [&](const std::string& parts) {
+    return call(request("POST", "/stream/x", "a", prompt_headers(parts)), is_complete).bytes;
+  };
+  const auto arrivals = [&] {
+    std::size_t count = 0;
+    for (const auto& each : m_upstreams) {
+      count += static_cast<std::size_t>(std::count_if(
+          each->requests().begin(), each->requests().end(),
+          [](const std::string& received) { return received.find("bad:") != std::string::npos; }));
+    }
+    return count;
+  };
+  EXPECT_THAT(run("shared:40,own1:5"), StartsWith("HTTP/1.1 200"));
+  // Refused connections to crashed upstreams can end some of these requests before an upstream gets them.
+  for (int i = 0; i < 20 && arrivals() < 2; ++i) {
+    run("shared:40,bad:10,own2:5");
+    const time_point until = clock::now() + milliseconds{100};
+    run_until([until] { return clock::now() >= until; });
+  }
+  const time_point until = clock::now() + milliseconds{400};
+  run_until([until] { return clock::now() >= until; });
+  for (int i = 0; i < 5; ++i) {
+    const auto refusal = run("shared:40,bad:10,own3:5");
+    EXPECT_THAT(refusal, StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(refusal, HasSubstr("Retry-After: "));
+    EXPECT_THAT(refusal, HasSubstr("a part of the prompt crashes upstreams"));
+  }
+  EXPECT_EQ(arrivals(), 2U);
+  EXPECT_THAT(run("shared:40,own4:5"), StartsWith("HTTP/1.1 200"));
+}
+
+TEST_F(proxy_fixture, a_request_with_sound_parts_is_sent_to_another_upstream_after_a_crash) {
+  use_engine();
+  bool crash = false;
+  const auto script = [&crash](std::size_t number, const std::string& received) {
+    return std::exchange(crash, false) ? upstream_action{"", upstream_action::after::crash}
+                                       : crash_on_bad_part(number, received);
+  };
+  add_upstream("i-1", script);
+  add_upstream("i-2", script);
+  const auto run = [&] {
+    return call(request("POST", "/stream/x", "a", prompt_headers("shared:40,own:5")), is_complete).bytes;
+  };
+  EXPECT_THAT(run(), StartsWith("HTTP/1.1 200"));
+  crash = true;
+  EXPECT_THAT(run(), StartsWith("HTTP/1.1 200"));
+}
+
+TEST_F(proxy_fixture, a_broken_connection_to_a_running_upstream_is_no_crash) {
+  use_engine();
+  const auto script = [](std::size_t, const std::string& received) {
+    return received.find(k_status_path) != std::string::npos
+               ? upstream_action{response_text("a", "status")}
+               : upstream_action{"", upstream_action::after::reset};
+  };
+  add_upstream("i-1", script);
+  add_upstream("i-2", script);
+  for (int i = 0; i < 3; ++i) {
+    const auto response =
+        call(request("POST", "/stream/x", "a", prompt_headers("shared:40,own:5")), is_complete);
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 502"));
+  }
+  EXPECT_EQ(m_state.prompt_quarantine.size(), 0U);
+  EXPECT_GE(m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size(), 4U);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -74,6 +74,10 @@
             peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
             peer->socket.close(ignored);
             return;
+          case upstream_action::after::crash:
+            m_acceptor.close(ignored);
+            peer->socket.close(ignored);
+            return;
           case upstream_action::after::close:
             peer->socket.close(ignored);
             return;
@@ -168,6 +172,14 @@
   EXPECT_TRUE(m_listener.listen("127.0.0.1:0"));
 }
 
+void proxy_fixture::use_engine() {
+  auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
+  configuration->services[0].engine = gateway::engine_cost{};
+  m_state.configuration = std::move(configuration);
+  m_state.upstream_checks =
+      std::make_unique<upstream_check>(m_context, std::string(k_status_path), milliseconds{500});
+}
+
 scripted_upstream& proxy_fixture::add_upstream(std::string id, scripted_upstream::script script) {
   m_upstreams.push_back(std::make_unique<scripted_upstream>(m_context, std::move(script)));
   m_records.push_back({.id = std::move(id),
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -16,10 +16,14 @@
 
 namespace cuminpath::proxy {
 
+// Path of the status of scripted upstreams.
+constexpr std::string_view k_status_path = "/status";
+
 // What a scripted upstream does after it has received a request.
 struct upstream_action {
   std::string bytes;
-  enum class after : std::uint8_t { keep, close, reset } then = after::keep;
+  // crash: closes the connection and accepts no more.
+  enum class after : std::uint8_t { keep, close, reset, crash } then = after::keep;
   std::string late_bytes = {};  // Sent when the next request arrives, before its response.
 };
 
@@ -72,6 +76,8 @@
 protected:
   proxy_fixture();
 
+  // Makes the service "s" an engine whose upstreams are checked after a broken connection.
+  void use_engine();
   // Adds an upstream to the service "s".
   scripted_upstream& add_upstream(std::string id, scripted_upstream::script script);
   // Runs the event loop until the condition holds. Returns false if it does not within 5 s.
