proxy: report connections to upstreams that cannot be established

What callers saw: a request placed at an upstream that had ended waited until its caller left or its time was over, though other upstreams were free.

Cause: connect() closed the connection before it called the callback, and close() drops the callback. A refused connection and one that timed out were never reported, so the attempt never ended.

Ruled out: the stall timer, which starts only when the request has been sent.

Change: the callback is taken before the connection is closed.

sends_a_request_to_another_upstream_after_a_refused_connection failed before: four requests got 503 after 1.5 s each, although the second upstream was free. It passes now.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -52,9 +52,15 @@
                                   std::function<void(std::string_view)> done) {
   m_on_connected = std::move(done);
   const auto finish = [self = shared_from_this()](std::string_view reason) {
-    if (auto on_connected = std::exchange(self->m_on_connected, nullptr)) {
-      on_connected(reason);
+    // Taken first, because close() drops the callback.
+    const auto on_connected = std::exchange(self->m_on_connected, nullptr);
+    if (!on_connected) {
+      return;
+    }
+    if (!reason.empty()) {
+      self->close();
     }
+    on_connected(reason);
   };
   std::error_code failure;
   m_socket.open(peer.protocol(), failure);
@@ -65,8 +71,7 @@
   net::set_connection_options(m_socket);
   m_connect_timer.expires_after(timeout);
   m_connect_timer.async_wait([self = shared_from_this(), finish](std::error_code cancelled) {
-    if (!cancelled && self->m_on_connected) {
-      self->close();
+    if (!cancelled) {
       finish("connection not established in time");
     }
   });
@@ -76,7 +81,6 @@
       return;
     }
     if (error) {
-      self->close();
       finish(error.message());
       return;
     }
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -107,6 +107,18 @@
   }
 }
 
+TEST_F(proxy_fixture, sends_a_request_to_another_upstream_after_a_refused_connection) {
+  const auto serve = [](auto, const auto&) { return upstream_action{response_text("a", "body")}; };
+  add_upstream("i-1", serve).stop_accepting();
+  add_upstream("i-2", serve);
+  const time_point start = clock::now();
+  for (int i = 0; i < 4; ++i) {
+    const auto response = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200"));
+  }
+  EXPECT_LT(clock::now() - start, milliseconds{1500});  // The timeout of a single request.
+}
+
 TEST_F(proxy_fixture, skips_a_response_to_an_earlier_request) {
   // A second response to the first request arrives where the response to the second request is expected.
   const auto& upstream = add_upstream("i-1", [](std::size_t number, const auto&) {
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -34,6 +34,8 @@
   scripted_upstream(asio::io_context& context, script handler);
 
   [[nodiscard]] std::string address() const;
+  // Refuses further connections. address() must not be called afterwards.
+  void stop_accepting() { m_acceptor.close(); }
   [[nodiscard]] const std::vector<std::string>& requests() const { return m_requests; }
   // Number of connections that the proxy has closed.
   [[nodiscard]] std::size_t closed() const { return m_closed; }
