--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -33,7 +33,7 @@
   // The same for a part whose requests produced output before these crashes, but none since.
   std::size_t crashes_since_output = 5;
   // Crashes within this time of each other count once: they may have a common cause outside, such as a rack.
-  milliseconds simultaneous_crashes{50};
+  milliseconds simultaneous_crashes{10};
   // From the first crash until a part is quarantined. Other processes that know the part as sound respond by
   // then.
   milliseconds exchange_time{300};
