routing: answer only to evidence that local output refutes

A gateway that learned from another one that a part is sound sent that back to its source, because every refuted crash counted as news. merge() now tells whether it learned something, and only what the local process knows better is news.

--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -99,7 +99,7 @@
 
   void on_output(std::span<const prompt_part> parts, time_point now) {
     for (const prompt_part part : parts) {
-      record_output(part, now, now);
+      m_news = record_output(part, now, now) || m_news;
     }
   }
 
@@ -145,7 +145,8 @@
     return sent;
   }
 
-  void merge(std::span<const part_evidence> evidence, time_point now) {
+  bool merge(std::span<const part_evidence> evidence, time_point now) {
+    bool learned = false;
     for (const part_evidence& received : evidence) {
       if (refutes(received, now)) {
         suspect& known = m_suspects.try_emplace(received.part).first->second;
@@ -154,12 +155,13 @@
         m_news = true;
       }
       for (const crash_evidence& each : received.crashes) {
-        add_crash(received.part, {each.id, now - each.age}, now);
+        learned = add_crash(received.part, {each.id, now - each.age}, now) || learned;
       }
       if (received.last_output_age) {
-        record_output(received.part, now - *received.last_output_age, now);
+        learned = record_output(received.part, now - *received.last_output_age, now) || learned;
       }
     }
+    return learned;
   }
 
   bool take_news() { return std::exchange(m_news, false); }
@@ -271,21 +273,23 @@
     return true;
   }
 
-  void record_output(prompt_part part, time_point at, time_point now) {
+  // Returns true if this changes what is known of a suspect.
+  bool record_output(prompt_part part, time_point at, time_point now) {
     m_outputs.record(part, at);
     const auto found = m_suspects.find(part);
     if (found == m_suspects.end()) {
-      return;
+      return false;
     }
     suspect& known = found->second;
     const bool first = !known.last_output;
     known.last_output = std::max(at, known.last_output.value_or(at));
     const auto refuted =
         std::erase_if(known.crashes, [&known](const crash& each) { return each.at < *known.last_output; });
-    if (first || refuted > 0) {
-      known.changed_at = now;
-      m_news = true;
+    if (!first && refuted == 0) {
+      return false;
     }
+    known.changed_at = now;
+    return true;
   }
 
   // Removes the suspect with the fewest crashes, the oldest of these. Returns false if all are quarantined.
@@ -360,8 +364,8 @@
 std::vector<part_evidence> prompt_quarantine::evidence_to_send(time_point now) {
   return m_implementation->evidence_to_send(now);
 }
-void prompt_quarantine::merge(std::span<const part_evidence> evidence, time_point now) {
-  m_implementation->merge(evidence, now);
+bool prompt_quarantine::merge(std::span<const part_evidence> evidence, time_point now) {
+  return m_implementation->merge(evidence, now);
 }
 bool prompt_quarantine::take_news() {
   return m_implementation->take_news();
--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -87,8 +87,8 @@
 
   // Returns what other processes may not know yet: recent changes, and in turn the parts in quarantine.
   [[nodiscard]] std::vector<part_evidence> evidence_to_send(time_point now);
-  // Adds what another process knows.
-  void merge(std::span<const part_evidence> evidence, time_point now);
+  // Adds what another process knows. Returns true if that was new.
+  bool merge(std::span<const part_evidence> evidence, time_point now);
   // Returns true once after each change that other processes do not know from elsewhere.
   [[nodiscard]] bool take_news();
   // Sends the parts in quarantine again, because a process has started.
