entry, agent: keep prompts that crash engines from further engines

An agent now asks its engine for a response before it reports a run that broke. If there is none and the run had no token, it sends upstream_crash before the refusal, with a number that all runs broken by that end share. Entries judge the messages of a chat (without the last) and the first 256 bytes of another prompt with routing::prompt_quarantine, as gateways judge prompt parts, and exchange evidence with the entries that they send heartbeats to: with each heartbeat while there is any, and at once when something is new.

A process of an earlier version drops an envelope with one of the two new messages; they are only sent when an engine has ended. Not covered: a prompt that no other request shares a part with, such as a chat of one message.

--- a/source/core/agent/agent_core.cpp
+++ b/source/core/agent/agent_core.cpp
@@ -45,6 +45,9 @@
   void operator()(const wire::refusal&) const {}
   void operator()(const wire::attempt_status&) const {}
   void operator()(const wire::load_report&) const {}
+  void operator()(const wire::upstream_crash&) const {}
+  // Only entries exchange this message.
+  void operator()(const wire::crash_evidence&) const {}
   void operator()(wire::switch_prepare& value) const { forward(std::move(value)); }
   void operator()(wire::switch_prepared& value) const { forward(std::move(value)); }
   void operator()(wire::switch_arm& value) const { forward(std::move(value)); }
--- a/source/core/agent/agent_core.h
+++ b/source/core/agent/agent_core.h
@@ -60,7 +60,8 @@
                    std::vector<action>& actions);
   void on_run_data(time_point now, run_id run, std::string_view data, std::vector<action>& actions);
   void on_run_end(time_point now, run_id run, std::vector<action>& actions);
-  void on_run_failed(time_point now, run_id run, const http::call_failure& failure,
+  // `upstream_ended` states that the upstream did not respond when it was asked after the failure.
+  void on_run_failed(time_point now, run_id run, const http::call_failure& failure, bool upstream_ended,
                      std::vector<action>& actions);
   // Records the result of a health probe of the upstream.
   void on_upstream_health(bool healthy, std::vector<action>& actions);
@@ -128,6 +129,7 @@
   std::deque<scheduling::job_id> m_held_jobs;  // In order of arrival; may include attempts that have ended.
   bool m_draining = false;
   bool m_upstream_healthy = true;
+  std::uint32_t m_upstream_crashes = 0;
 };
 
 }  // namespace cuminpath::agent
--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds k_probe_timeout{900};
 // A single failed probe may only be a delay on a busy host.
 constexpr int k_failed_probes_until_unhealthy = 2;
+// The upstream is on the same host.
+constexpr milliseconds k_upstream_check_timeout{100};
 // Until the agent has a configuration, it needs the addresses of peers soon. Afterwards it fetches the whole
 // list, about 2.6 MB at 13,200 hosts, so rarely that this takes less than 1.5 KB/s.
 constexpr seconds k_host_list_retry_interval{2};
@@ -292,7 +294,7 @@
       asio::post(m_context, [this, run] {
         handle_event([run](agent_core& core, time_point now, auto& actions) {
           core.on_run_failed(now, run, {error_code::timed_out, "the deadline passed before the start", false},
-                             actions);
+                             false, actions);
         });
       });
       return;
@@ -325,12 +327,29 @@
             .failure =
                 [this, run](const http::call_failure& failure) {
                   m_calls.erase(run);
+                  if (failure.sent && failure.code == error_code::unreachable) {
+                    check_upstream(run, failure);
+                    return;
+                  }
                   handle_event([&](agent_core& core, time_point now, auto& actions) {
-                    core.on_run_failed(now, run, failure, actions);
+                    core.on_run_failed(now, run, failure, false, actions);
                   });
                 }};
   }
 
+  // Asks the upstream for a response before the failure of a run is reported, because its request may be the
+  // reason why the upstream has ended.
+  void check_upstream(run_id run, const http::call_failure& failure) {
+    m_client.call(m_settings.agent.upstream_url, {.method = "HEAD", .target = "/"},
+                  {.timeout = k_upstream_check_timeout, .never_reuse_connection = true},
+                  [this, run, failure](const http::client::call_result& response) {
+                    const bool ended = response.failure.has_value();
+                    handle_event([&](agent_core& core, time_point now, auto& actions) {
+                      core.on_run_failed(now, run, failure, ended, actions);
+                    });
+                  });
+  }
+
   void execute_one(const cancel_run& value) {
     if (const auto found = m_calls.find(value.id); found != m_calls.end()) {
       m_client.cancel(found->second);
--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -4,6 +4,7 @@
 #include "core/agent/agent_core.h"
 #include "core/agent/upstream_request.h"
 #include "core/common/assert.h"
+#include "core/common/hash.h"
 
 namespace cuminpath::agent {
 namespace {
@@ -215,11 +216,22 @@
 }
 
 void agent_core::on_run_failed(time_point now, run_id run, const http::call_failure& failure,
-                               std::vector<action>& actions) {
+                               bool upstream_ended, std::vector<action>& actions) {
   auto* value = m_attempts.find(run);
   if (value == nullptr) {
     return;
   }
+  if (upstream_ended) {
+    m_upstream_crashes += m_upstream_healthy ? 1 : 0;
+    on_upstream_health(false, actions);
+    if (is_model_request(*value) && value->next_index <= value->request.resume_index) {
+      const auto crash = static_cast<std::uint32_t>(
+          hash64(m_options.host, to_integer(m_options.local_incarnation) + m_upstream_crashes));
+      actions.emplace_back(
+          send_message{value->peer_address,
+                       wire::upstream_crash{value->request.request_id, value->request.attempt, crash}});
+    }
+  }
   if (!failure.sent) {
     m_attempts.mark_unsent(*value);
     if (failure.code == error_code::unreachable) {
--- a/source/core/entry/agent_messages.cpp
+++ b/source/core/entry/agent_messages.cpp
@@ -13,6 +13,8 @@
 // Retry delay after a refusal for a stale configuration. A new configuration triggers the retry at once, so
 // the delay matters only if the message with it is lost.
 constexpr milliseconds k_stale_configuration_delay{250};
+// A single token may have been sent before the upstream crashed on the request.
+constexpr std::uint64_t k_tokens_of_sound_request = 2;
 
 template <class... handlers>
 struct overloaded : handlers... {
@@ -90,18 +92,21 @@
       (this->*handler)(context, *value, content);
     }
   };
-  std::visit(overloaded{
-                 [&](const wire::response_head& content) { with_attempt(content, &entry_core::on_head); },
-                 [&](const wire::response_chunk& content) { with_attempt(content, &entry_core::on_chunk); },
-                 [&](const wire::response_end& content) { with_attempt(content, &entry_core::on_end); },
-                 [&](const wire::refusal& content) { with_attempt(content, &entry_core::on_refusal); },
-                 [&](const wire::attempt_status& content) { on_attempt_status(context, sender, content); },
-                 [&](const wire::load_report& content) { m_router.on_load_report(context.now, content); },
-                 // The entry process handles heartbeats and configuration messages; entries ignore all other
-                 // messages.
-                 [](const auto&) {},
-             },
-             message);
+  std::visit(
+      overloaded{
+          [&](const wire::response_head& content) { with_attempt(content, &entry_core::on_head); },
+          [&](const wire::response_chunk& content) { with_attempt(content, &entry_core::on_chunk); },
+          [&](const wire::response_end& content) { with_attempt(content, &entry_core::on_end); },
+          [&](const wire::refusal& content) { with_attempt(content, &entry_core::on_refusal); },
+          [&](const wire::upstream_crash& content) { with_attempt(content, &entry_core::on_upstream_crash); },
+          [&](const wire::crash_evidence& content) { on_crash_evidence(context, content); },
+          [&](const wire::attempt_status& content) { on_attempt_status(context, sender, content); },
+          [&](const wire::load_report& content) { m_router.on_load_report(context.now, content); },
+          // The entry process handles heartbeats and configuration messages; entries ignore all other
+          // messages.
+          [](const auto&) {},
+      },
+      message);
   m_requests.sweep();
 }
 
@@ -159,6 +164,9 @@
     }
     value.answer.append(std::move(event).value());
     ++m_counters.tokens;
+    if (value.answer.next_index == k_tokens_of_sound_request) {
+      m_prompt_quarantine.on_output(value.accepted.prompt_parts, context.now);
+    }
     if (value.accepted.streaming) {
       events.append("data: ").append(line).append("\n\n");
     }
@@ -196,6 +204,7 @@
   }
   close_attempt(context, value, routing::attempt_outcome::succeeded, false);
   if (is_model_response) {
+    m_prompt_quarantine.on_output(value.accepted.prompt_parts, context.now);
     finish_model_answer(context, value);
     return;
   }
@@ -264,6 +273,10 @@
     run_claim_actions(context, value, std::move(actions));
     return;
   }
+  if (value.may_have_crashed_upstream && !value.stream_begun) {
+    fail_request(context, value, value.last_refusal);
+    return;
+  }
   // If a second upstream is busy too, a third attempt is unlikely to succeed.
   const bool busy = message.reason == wire::refusal_reason::infeasible ||
                     message.reason == wire::refusal_reason::queue_full;
--- a/source/core/entry/attempts.cpp
+++ b/source/core/entry/attempts.cpp
@@ -39,6 +39,9 @@
 }
 
 void entry_core::start_attempt(event_context& context, request& value) {
+  if (refuse_quarantined(context, value)) {
+    return;
+  }
   const auto upstream = choose_upstream(context, value);
   if (upstream) {
     value.upstream_lost_at.reset();
--- a/source/core/entry/caller_request.cpp
+++ b/source/core/entry/caller_request.cpp
@@ -18,6 +18,7 @@
 // upstream.
 constexpr std::size_t k_prefix_bytes = 256;
 constexpr std::size_t k_min_prefix_bytes = 64;
+constexpr std::size_t k_max_shared_prompt_parts = 16;
 // Average length of a token in English text. Only the relative size of requests matters.
 constexpr std::size_t k_mean_bytes_per_token = 4;
 
@@ -120,6 +121,21 @@
   return text;
 }
 
+// Returns the parts of the prompt that other requests may share.
+std::vector<routing::prompt_part> shared_prompt_parts(const json& document, std::string_view model,
+                                                      std::string_view prompt) {
+  std::vector<routing::prompt_part> parts;
+  if (const auto messages = document.find("messages"); messages != document.end() && messages->is_array()) {
+    for (std::size_t i = 0; i + 1 < messages->size() && parts.size() < k_max_shared_prompt_parts; ++i) {
+      parts.push_back(routing::hash_prompt_part(
+          model, (*messages)[i].dump(-1, ' ', false, json::error_handler_t::replace)));
+    }
+  } else if (prompt.size() > k_prefix_bytes) {
+    parts.push_back(routing::hash_prompt_part(model, prompt.substr(0, k_prefix_bytes)));
+  }
+  return parts;
+}
+
 std::optional<problem> read_generation_options(const json& document, const config::model& model,
                                                std::size_t prompt_bytes, accepted_request& accepted) {
   if (const auto stream = document.find("stream"); stream != document.end() && !stream->is_null()) {
@@ -175,6 +191,7 @@
   if (prompt->size() >= k_min_prefix_bytes) {
     accepted.prefix_hash = hash64(std::string_view(*prompt).substr(0, k_prefix_bytes), 1);
   }
+  accepted.prompt_parts = shared_prompt_parts(document, accepted.model_or_service, *prompt);
   accepted.headers.emplace_back("content-type", "application/json");
   accepted.body = std::move(request.body);
   return std::nullopt;
--- a/source/core/entry/caller_request.h
+++ b/source/core/entry/caller_request.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/common/time.h"
 #include "core/entry/manifest_index.h"
 #include "core/entry/problem.h"
 #include "core/http/message.h"
+#include "core/routing/prompt_quarantine.h"
 #include "core/wire/messages.h"
 
 namespace cuminpath::entry {
@@ -35,6 +37,9 @@
   milliseconds timeout{0};
   std::uint32_t expected_tokens = 0;
   std::uint64_t prefix_hash = 0;  // 0 if the prompt is too short for prefix affinity.
+  // Parts of the prompt that other requests may share: the messages of a chat without the last one, and the
+  // beginning of another prompt.
+  std::vector<routing::prompt_part> prompt_parts;
   bool streaming = false;
   bool repeatable = true;
   std::string idempotency_key;
--- a/source/core/entry/entry_core.cpp
+++ b/source/core/entry/entry_core.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/hash.h"
+
 namespace cuminpath::entry {
 namespace {
 
@@ -28,7 +30,8 @@
 
 entry_core::entry_core(entry_options options)
     : m_options(std::move(options)),
-      m_router(routing::router_options{m_options.name, m_options.availability_zone, m_options.region}) {}
+      m_router(routing::router_options{m_options.name, m_options.availability_zone, m_options.region}),
+      m_prompt_quarantine({}, hash64(m_options.name)) {}
 
 void entry_core::on_configuration(event_context& context, configuration_version version,
                                   std::shared_ptr<const config::manifest> manifest) {
@@ -250,6 +253,7 @@
     }
   }
   subscribe(context);
+  record_quarantine_changes(context);
   m_requests.for_each([&](request& value) { tick_request(context, value); });
   m_requests.sweep();
 }
--- a/source/core/entry/entry_core.h
+++ b/source/core/entry/entry_core.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include "core/entry/caller_request.h"
 #include "core/entry/manifest_index.h"
 #include "core/entry/request_table.h"
+#include "core/routing/prompt_quarantine.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
 
@@ -87,6 +89,11 @@
   [[nodiscard]] const manifest_index& configuration() const { return m_manifest_index; }
   [[nodiscard]] std::size_t known_peers() const { return m_peers.size(); }
 
+  // Returns what other entries may not know yet of prompts that crash upstreams; absent if there is nothing.
+  [[nodiscard]] std::optional<wire::crash_evidence> crash_evidence_to_send(time_point now);
+  // Returns true once after each change that must not wait for the next regular message.
+  [[nodiscard]] bool take_crash_news();
+
 private:
   struct peer {
     incarnation agent_incarnation{};
@@ -130,6 +137,13 @@
   void finish_model_answer(event_context& context, request& value);
   http::response upstream_response(request& value) const;
 
+  // prompt_crashes.cpp: requests that crash upstreams.
+  // Returns true if the request has been refused, because a part of its prompt crashes upstreams.
+  bool refuse_quarantined(event_context& context, request& value);
+  void on_upstream_crash(event_context& context, request& value, const wire::upstream_crash& message);
+  void on_crash_evidence(event_context& context, const wire::crash_evidence& message);
+  void record_quarantine_changes(event_context& context);
+
   // claims.cpp: calls that may not be repeated.
   void begin_claim(event_context& context, request& value);
   std::optional<idempotency::claim_target> choose_claim_target(event_context& context, request& value);
@@ -148,6 +162,8 @@
   // One budget for each priority class, so that refusals during an overload of one class do not use up the
   // retries of the others.
   std::unordered_map<std::string, routing::retry_budget> m_retry_budgets;
+  routing::prompt_quarantine m_prompt_quarantine;
+  bool m_crash_news = false;
   request_table m_requests;
   // Agents of the upstream subset and of open attempts, by peer address.
   std::unordered_map<std::string, peer> m_peers;
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -315,7 +315,7 @@
   }
 
   void execute_one(record_event& value) {
-    telemetry::log(log_level::debug, "entry", value.kind, {{"detail", value.detail}});
+    telemetry::log(log_level::info, "entry", value.kind, {{"detail", value.detail}});
     record(value.kind, std::move(value.detail));
   }
 
@@ -500,6 +500,7 @@
     handle_rollout_event([&](time_point, auto& actions) { m_rollout.tick(now, m_random, actions); });
     std::vector<membership::send_heartbeat> heartbeats;
     m_members.tick(now, m_random, heartbeats);
+    send_crash_evidence(heartbeats, now);
     for (auto& heartbeat : heartbeats) {
       send(heartbeat.peer_address, std::move(heartbeat.message));
     }
@@ -516,6 +517,33 @@
     });
   }
 
+  // Sends evidence with the heartbeats, and between them as soon as there is news.
+  void send_crash_evidence(std::span<const membership::send_heartbeat> heartbeats, time_point now) {
+    for (const auto& heartbeat : heartbeats) {
+      m_evidence_peers[heartbeat.peer_address] = now;
+    }
+    std::erase_if(m_evidence_peers, [now](const auto& peer) {
+      return now - peer.second > 2 * membership::k_heartbeat_interval;
+    });
+    const bool news = m_core.take_crash_news();
+    if (!news && heartbeats.empty()) {
+      return;
+    }
+    const auto evidence = m_core.crash_evidence_to_send(now);
+    if (!evidence) {
+      return;
+    }
+    if (!news) {
+      for (const auto& heartbeat : heartbeats) {
+        send(heartbeat.peer_address, *evidence);
+      }
+      return;
+    }
+    for (const auto& [address, at] : m_evidence_peers) {
+      send(address, *evidence);
+    }
+  }
+
   void wait_for_signal() {
     m_signals.async_wait([this](const std::error_code& code, int) {
       if (code) {
@@ -597,6 +625,8 @@
   storage::host_list_client m_hosts;
   entry_core m_core;
   membership::member_table m_members;
+  std::unordered_map<std::string, time_point>
+      m_evidence_peers;  // Entries with recent heartbeats, by address.
   rollout::rollout m_rollout;
   std::unique_ptr<transport::mailbox> m_mailbox;
   std::unique_ptr<http::server> m_admin;
--- a/source/core/entry/request_table.h
+++ b/source/core/entry/request_table.h
@@ -51,6 +51,7 @@
   problem last_refusal;  // Why the last attempt failed.
   // The last attempt was refused because of the entry's stale configuration.
   bool stale_configuration = false;
+  bool may_have_crashed_upstream = false;
   bool retry_is_free = false;  // The retry after the last refusal is not taken from the retry budget.
 
   bool head_received = false;
--- a/source/core/wire/codec.cpp
+++ b/source/core/wire/codec.cpp
@@ -71,6 +71,14 @@
 auto fields(m& v) { return std::tie(v.group, v.token, v.rank, v.switch_id, v.phase, v.step, v.digest); }
 template <class m> requires std::same_as<std::remove_const_t<m>, expert_load>
 auto fields(m& v) { return std::tie(v.group, v.rank, v.step, v.step_ms, v.layers); }
+template <class m> requires std::same_as<std::remove_const_t<m>, upstream_crash>
+auto fields(m& v) { return std::tie(v.request_id, v.attempt, v.crash); }
+template <class m> requires std::same_as<std::remove_const_t<m>, crash_record>
+auto fields(m& v) { return std::tie(v.crash, v.age_ms); }
+template <class m> requires std::same_as<std::remove_const_t<m>, suspected_part>
+auto fields(m& v) { return std::tie(v.part, v.last_output_age_ms, v.crashes); }
+template <class m> requires std::same_as<std::remove_const_t<m>, crash_evidence>
+auto fields(m& v) { return std::tie(v.parts); }
 // clang-format on
 
 template <class type>
--- a/source/core/wire/messages.h
+++ b/source/core/wire/messages.h
@@ -229,12 +229,35 @@
   std::vector<std::vector<std::uint32_t>> layers;
 };
 
+// Agent to entry, before the refusal of the attempt: the upstream ended before it sent a token. `crash` is
+// the same for all attempts that the same end of the upstream broke.
+struct upstream_crash {
+  std::string request_id;
+  attempt_number attempt{};
+  std::uint32_t crash = 0;
+};
+
+// Between entries: parts of prompts that were in flight when upstreams crashed. Ages are relative to the time
+// of sending.
+struct crash_record {
+  std::uint32_t crash = 0;
+  std::uint32_t age_ms = 0;
+};
+struct suspected_part {
+  std::uint64_t part = 0;
+  std::int64_t last_output_age_ms = -1;  // -1 if no output is known.
+  std::vector<crash_record> crashes;
+};
+struct crash_evidence {
+  std::vector<suspected_part> parts;
+};
+
 // The index of an alternative is the message number on the wire, so alternatives may only be appended.
-using message =
-    std::variant<submit_request, cancel_request, settle_attempt, subscribe_load, response_head,
-                 response_chunk, response_end, refusal, attempt_status, load_report, heartbeat,
-                 configuration_fetch, configuration_sections, switch_prepare, switch_prepared, switch_arm,
-                 switch_armed, switch_commit, switch_abort, switch_query, switch_state, expert_load>;
+using message = std::variant<submit_request, cancel_request, settle_attempt, subscribe_load, response_head,
+                             response_chunk, response_end, refusal, attempt_status, load_report, heartbeat,
+                             configuration_fetch, configuration_sections, switch_prepare, switch_prepared,
+                             switch_arm, switch_armed, switch_commit, switch_abort, switch_query,
+                             switch_state, expert_load, upstream_crash, crash_evidence>;
 
 struct envelope {
   std::string sender;          // Name of the sending process.
--- a/source/unit_tests/agent/agent_harness.cpp
+++ b/source/unit_tests/agent/agent_harness.cpp
@@ -101,9 +101,9 @@
   collect(actions);
 }
 
-void agent_harness::fail_run(run_id run, bool sent) {
+void agent_harness::fail_run(run_id run, bool sent, bool upstream_ended) {
   std::vector<action> actions;
-  core.on_run_failed(now, run, {error_code::unreachable, "failed", sent}, actions);
+  core.on_run_failed(now, run, {error_code::unreachable, "failed", sent}, upstream_ended, actions);
   collect(actions);
 }
 
--- a/source/unit_tests/agent/agent_harness.h
+++ b/source/unit_tests/agent/agent_harness.h
@@ -28,7 +28,7 @@
   void send_data(run_id run, std::string_view bytes);
   void finish_stream(run_id run) { send_data(run, "data: [DONE]\n\n"); }
   void end_run(run_id run);
-  void fail_run(run_id run, bool sent);
+  void fail_run(run_id run, bool sent, bool upstream_ended = false);
   void lose_link(std::string_view peer);
   void drain();
 
--- a/source/unit_tests/agent/run_test.cpp
+++ b/source/unit_tests/agent/run_test.cpp
@@ -219,5 +219,45 @@
   EXPECT_TRUE(std::holds_alternative<forward_group_message>(actions[0]));
 }
 
+// Guards against an engine's end by one request that looks like a broken connection.
+TEST(agent_run, reports_an_engine_that_ends_before_the_first_token) {
+  agent_harness agent;
+  agent.receive(completion("a"));
+  agent.receive(completion("b"));
+  ASSERT_EQ(agent.runs.size(), 2U);
+  agent.send_head(agent.runs[1].id);
+  agent.send_tokens(agent.runs[1].id, 0, 2);
+  agent.fail_run(agent.runs[0].id, true, true);
+  agent.fail_run(agent.runs[1].id, true, true);
+  const auto crashes = agent.sent<wire::upstream_crash>();
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].request_id, "a");
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::upstream_failed);
+  EXPECT_FALSE(agent.core.load(agent.now).upstream_healthy);
+}
+
+// Guards against two ends of an engine that look like one.
+TEST(agent_run, each_end_of_an_engine_has_its_own_number) {
+  agent_harness agent;
+  for (const auto* id : {"a", "b"}) {
+    agent.receive(completion(id));
+    agent.fail_run(agent.runs.back().id, true, true);
+    agent.receive(completion(std::string(id) + "2"));
+    agent.send_head(agent.runs.back().id);
+    agent.send_tokens(agent.runs.back().id, 0, 1);
+    agent.finish_stream(agent.runs.back().id);
+  }
+  const auto crashes = agent.sent<wire::upstream_crash>();
+  ASSERT_EQ(crashes.size(), 2U);
+  EXPECT_NE(crashes[0].crash, crashes[1].crash);
+}
+
+TEST(agent_run, a_broken_run_of_a_running_engine_is_no_crash) {
+  agent_harness agent;
+  agent.receive(completion("a"));
+  agent.fail_run(agent.runs[0].id, true, false);
+  EXPECT_TRUE(agent.sent<wire::upstream_crash>().empty());
+}
+
 }  // namespace
 }  // namespace cuminpath::agent
--- a/source/unit_tests/wire/codec_test.cpp
+++ b/source/unit_tests/wire/codec_test.cpp
@@ -31,6 +31,9 @@
   expert_load load;
   load.layers = {{1, 2}, {3, 4}};
   value.messages.emplace_back(load);
+  value.messages.emplace_back(upstream_crash{"r1", attempt_number{2}, 77});
+  value.messages.emplace_back(
+      crash_evidence{.parts = {{.part = ~0ULL, .last_output_age_ms = -1, .crashes = {{77, 1500}, {78, 0}}}}});
   return value;
 }
 
@@ -44,6 +47,11 @@
   EXPECT_EQ(submit.attempt, attempt_number{2});
   EXPECT_FALSE(submit.repeatable);
   EXPECT_EQ(std::get<expert_load>(decoded.value().messages.at(2)).layers.at(1).at(1), 4U);
+  EXPECT_EQ(std::get<upstream_crash>(decoded.value().messages.at(3)).crash, 77U);
+  const auto& part = std::get<crash_evidence>(decoded.value().messages.at(4)).parts.at(0);
+  EXPECT_EQ(part.part, ~0ULL);
+  EXPECT_EQ(part.last_output_age_ms, -1);
+  EXPECT_EQ(part.crashes.at(0).age_ms, 1500U);
 }
 
 // Guards against truncated input that is accepted or that crashes the decoder.
