gateway: announce a change read after a newer one of another table

What callers saw: a gateway refused a new route with 404, and sent requests as a configuration allowed that was replaced 4 s before, until something else changed.

Cause: gateways announce one number for their mirror, the newest version in any table. After the store had dropped its history, a reader had read version 63 of the upstreams before version 62 of the configuration. Other gateways took the first and saw no newer number when the second came.

Change: the number is the sum of the newest versions of all tables. During an update, a gateway of the earlier version asks one of this version for changes up to ten times a second, until it is updated.

announces_a_change_that_is_read_after_a_newer_one_of_another_collection failed before (63 against 63) and passes now.

--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -67,7 +67,6 @@
     return;
   }
   target.last_change_version = std::max(target.last_change_version, value.version);
-  m_content_version = std::max(m_content_version, value.version);
   target.content.insert_or_assign(std::string(key), std::move(value));
 }
 
@@ -80,7 +79,6 @@
   target.content.erase(known);
   target.remember_removal(key, version);
   target.last_change_version = std::max(target.last_change_version, version);
-  m_content_version = std::max(m_content_version, version);
 }
 
 void mirror::replace(std::string_view collection, documents content, std::uint64_t version) {
@@ -96,7 +94,6 @@
     }
     // A removal leaves no document behind, so the version of the read is used for it.
     target.last_change_version = newest == target.last_change_version ? version : newest;
-    m_content_version = std::max(m_content_version, target.last_change_version);
   }
   if (version > target.version) {
     // Rows that were added and removed between the two reads are not known.
@@ -129,6 +126,14 @@
   return known;
 }
 
+std::uint64_t mirror::content_version() const {
+  std::uint64_t sum = 0;
+  for (const auto& [name, current] : m_collections) {
+    sum += current.last_change_version;
+  }
+  return sum;
+}
+
 mirror::change_set mirror::changes_of(const collection_state& current, std::uint64_t known) {
   change_set changes{.version = current.version, .last_change_version = current.last_change_version};
   if (known == 0 || known < current.removals_since) {
@@ -220,7 +225,6 @@
       }
       collection_state& target = state(name);
       changed = merge_into(target, std::move(newer)) || changed;
-      m_content_version = std::max(m_content_version, target.last_change_version);
     }
   } catch (const json::exception& failure) {
     return make_error(error_code::invalid_input, failure.what());
--- a/source/core/gateway/mirror.h
+++ b/source/core/gateway/mirror.h
@@ -43,9 +43,10 @@
   [[nodiscard]] const documents& collection(std::string_view name) const;
   // Returns the version up to which a collection is complete; 0 if it was never read.
   [[nodiscard]] std::uint64_t version(std::string_view collection) const;
-  // Returns the newest version of any document or removal. Equal mirrors return equal versions, whenever they
-  // were read.
-  [[nodiscard]] std::uint64_t content_version() const { return m_content_version; }
+  // Returns a number that grows with each change of any collection: the sum of the newest versions of all
+  // collections. The newest version of all would hide a change that is read after a newer one of another
+  // collection. Equal mirrors return equal numbers, whenever they were read.
+  [[nodiscard]] std::uint64_t content_version() const;
 
   [[nodiscard]] collection_versions known_versions() const;
   // Returns the changes that a gateway whose collections have these versions lacks, as one MessagePack
@@ -81,7 +82,6 @@
   collection_state& state(std::string_view name);
 
   std::map<std::string, collection_state, std::less<>> m_collections;
-  std::uint64_t m_content_version = 0;
 };
 
 }  // namespace cuminpath::gateway
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -112,6 +112,18 @@
 
 // Two gateways assign different versions to a removal: that of the change, or that of the read that did not
 // contain the row.
+TEST(mirror, announces_a_change_that_is_read_after_a_newer_one_of_another_collection) {
+  mirror reader;
+  reader.replace("upstreams", {{"u", {50, "ready"}}}, 60);
+  reader.replace("configuration", {{"c", {40, "old"}}}, 60);
+  mirror other;
+  ASSERT_TRUE(other.merge(reader.changes_since({})));
+  reader.put("upstreams", "u", {63, "leaving"});
+  ASSERT_TRUE(other.merge(reader.changes_since(other.known_versions())));
+  reader.put("configuration", "c", {62, "new"});
+  EXPECT_GT(reader.content_version(), other.content_version());
+}
+
 TEST(mirror, agrees_on_the_newest_change_with_a_mirror_that_has_read_the_whole_table) {
   mirror by_changes;
   by_changes.replace("a", {{"gone", {1, "value"}}}, 2);
