--- a/source/unit_tests/routing/prompt_quarantine_test.cpp
+++ b/source/unit_tests/routing/prompt_quarantine_test.cpp
@@ -60,6 +60,19 @@
   EXPECT_TRUE(admitted({k_shared}));
 }
 
+TEST_F(prompt_quarantine_test, answers_a_suspicion_that_later_output_refutes) {
+  output({k_shared});
+  static_cast<void>(m_quarantine.take_news());
+  const std::vector<part_evidence> evidence{{.part = k_shared, .crashes = {{1, milliseconds{100}}}}};
+  m_quarantine.merge(evidence, m_now);
+  EXPECT_TRUE(m_quarantine.take_news());
+  const auto answer = m_quarantine.evidence_to_send(m_now);
+  ASSERT_THAT(answer, SizeIs(1));
+  EXPECT_EQ(answer[0].part, k_shared);
+  EXPECT_TRUE(answer[0].last_output_age);
+  EXPECT_THAT(answer[0].crashes, IsEmpty());
+}
+
 TEST_F(prompt_quarantine_test, a_crash_of_many_upstreams_at_once_counts_once) {
   for (int i = 0; i < 20; ++i) {
     crash({k_shared});
