routing, proxy: bound refuted suspects, name the refusal as what it does

A process that knows many suspects of others as sound kept an entry for each, beyond the 256 that it may keep, for 3 s: up to the 8,192 parts whose output it remembers. find_or_add() is now the one place that adds a suspect. memory_is_bounded sends it 10,000 such suspicions.

exchange::quarantined() refuses the request; it is refuse_quarantined() now, as in the entry.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -140,7 +140,7 @@
       self->on_deadline();
     }
   });
-  if (quarantined(now)) {
+  if (refuse_quarantined(now)) {
     return;
   }
   m_state.budget(m_service).on_first_attempt();
@@ -221,7 +221,7 @@
   return true;
 }
 
-bool exchange::quarantined(time_point now) {
+bool exchange::refuse_quarantined(time_point now) {
   if (!is_engine_call()) {
     return false;
   }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -75,8 +75,8 @@
   void record_forward_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
 
-  // Returns true if the request must be kept from upstreams, because a part of its prompt crashes them.
-  [[nodiscard]] bool quarantined(time_point now);
+  // Refuses the request and returns true if a part of its prompt crashes upstreams.
+  [[nodiscard]] bool refuse_quarantined(time_point now);
   // Records that the parts of the prompt have produced output at an upstream.
   void record_output(time_point now);
   // Called if the connection of the current attempt breaks. Before the next step, checks whether the upstream
--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -149,10 +149,10 @@
     bool learned = false;
     for (const part_evidence& received : evidence) {
       if (refutes(received, now)) {
-        suspect& known = m_suspects.try_emplace(received.part).first->second;
-        known.last_output = recent_output(received.part, now);
-        known.changed_at = now;
-        m_news = true;
+        if (suspect* known = find_or_add(received.part, now)) {
+          known->changed_at = now;
+          m_news = true;
+        }
       }
       for (const crash_evidence& each : received.crashes) {
         learned = add_crash(received.part, {each.id, now - each.age}, now) || learned;
@@ -242,22 +242,31 @@
     return std::min(length, m_options.max_duration);
   }
 
+  // Returns null if there is no room, because all suspects are quarantined.
+  suspect* find_or_add(prompt_part part, time_point now) {
+    const auto found = m_suspects.find(part);
+    if (found != m_suspects.end()) {
+      return &found->second;
+    }
+    if (m_suspects.size() >= k_max_suspects && !drop_weakest_suspect()) {
+      return nullptr;
+    }
+    suspect added{.last_output = recent_output(part, now),
+                  .extension = std::uniform_real_distribution<double>(0, m_options.max_extension)(m_random)};
+    return &m_suspects.emplace(part, std::move(added)).first->second;
+  }
+
   // Returns false if the crash is known already, or if the part has produced output since.
   bool add_crash(prompt_part part, const crash& added, time_point now) {
     const auto output = recent_output(part, now);
     if (output && *output > added.at) {
       return false;
     }
-    auto found = m_suspects.find(part);
-    if (found == m_suspects.end()) {
-      if (m_suspects.size() >= k_max_suspects && !drop_weakest_suspect()) {
-        return false;
-      }
-      found = m_suspects.emplace(part, suspect{}).first;
-      found->second.last_output = output;
-      found->second.extension = std::uniform_real_distribution<double>(0, m_options.max_extension)(m_random);
+    suspect* known = find_or_add(part, now);
+    if (known == nullptr) {
+      return false;
     }
-    auto& crashes = found->second.crashes;
+    auto& crashes = known->crashes;
     if (std::any_of(crashes.begin(), crashes.end(),
                     [&added](const crash& each) { return each.id == added.id; })) {
       return false;
@@ -268,8 +277,8 @@
     if (crashes.size() > k_max_crashes_per_part) {
       crashes.erase(crashes.begin());
     }
-    found->second.trial_started.reset();
-    found->second.changed_at = now;
+    known->trial_started.reset();
+    known->changed_at = now;
     return true;
   }
 
--- a/source/unit_tests/routing/prompt_quarantine_test.cpp
+++ b/source/unit_tests/routing/prompt_quarantine_test.cpp
@@ -145,6 +145,10 @@
     crash({part, part + 1'000'000});
     wait(milliseconds{1});
   }
+  for (prompt_part part = 90'000; part < 100'000; ++part) {
+    const std::vector<part_evidence> evidence{{.part = part, .crashes = {{1, milliseconds{1}}}}};
+    m_quarantine.merge(evidence, m_now);
+  }
   EXPECT_LE(m_quarantine.size(), 256U);
   EXPECT_LE(m_quarantine.evidence_to_send(m_now).size(), k_max_exchanged_parts);
   wait(minutes{30});
