routing: parts at the same two crashes need more to be told apart

Cause: all gateways had been killed, so none knew any part as sound, and no request got output while the group was down. Links to two upstreams broke for another reason in that time, with requests of all six shared parts waiting at both.

Ruled out: the crashing part (quarantined 13 s before, known to be it); lost reports (all gateways had the same evidence).

Change: two crashes quarantine a part only if at most two suspects were in flight at all of its crashes; otherwise it takes five, as for a part that was sound before. A third crash usually tells them apart.

parts_of_a_fleet_that_has_just_started_are_not_quarantined_by_two_crashes failed before and passes now.

--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -222,11 +222,28 @@
     return count;
   }
 
+  // Number of suspects, this one included, that were in flight at each of its crashes.
+  [[nodiscard]] std::size_t count_parts_at_same_crashes(const suspect& known) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_suspects.begin(), m_suspects.end(), [&known](const auto& entry) {
+          const auto& others = entry.second.crashes;
+          return std::all_of(known.crashes.begin(), known.crashes.end(), [&others](const crash& each) {
+            return std::any_of(others.begin(), others.end(),
+                               [&each](const crash& other) { return other.id == each.id; });
+          });
+        }));
+  }
+
   // Returns the end of the quarantine; absent if there are too few crashes.
   [[nodiscard]] std::optional<time_point> quarantined_until(const suspect& known) const {
-    const std::size_t threshold =
-        known.last_output ? m_options.crashes_since_output : m_options.crashes_without_output;
     const std::size_t count = count_crashes(known);
+    if (count < m_options.crashes_without_output) {
+      return std::nullopt;
+    }
+    const bool ambiguous =
+        known.last_output || count_parts_at_same_crashes(known) > m_options.max_parts_at_same_crashes;
+    const std::size_t threshold =
+        ambiguous ? m_options.crashes_since_output : m_options.crashes_without_output;
     if (count < threshold) {
       return std::nullopt;
     }
--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -30,8 +30,10 @@
   // Crashes after which a part is quarantined if no request with it has ever produced output, as far as
   // known.
   std::size_t crashes_without_output = 2;
-  // The same for a part whose requests produced output before these crashes, but none since.
+  // The same for a part whose requests produced output before these crashes, but none since, and for parts
+  // that were all in flight at the same crashes: processes that have just started know no part as sound.
   std::size_t crashes_since_output = 5;
+  std::size_t max_parts_at_same_crashes = 2;
   // Crashes within this time of each other count once: they may have a common cause outside, such as a rack.
   milliseconds simultaneous_crashes{10};
   // From the first crash until a part is quarantined. Other processes that know the part as sound respond by
--- a/source/unit_tests/routing/prompt_quarantine_test.cpp
+++ b/source/unit_tests/routing/prompt_quarantine_test.cpp
@@ -73,6 +73,26 @@
   EXPECT_THAT(answer[0].crashes, IsEmpty());
 }
 
+TEST_F(prompt_quarantine_test, parts_of_a_fleet_that_has_just_started_are_not_quarantined_by_two_crashes) {
+  const std::vector<prompt_part> parts{11, 12, 13, 14, 15, 16};
+  for (int i = 0; i < 2; ++i) {
+    ++m_last_crash;
+    for (const prompt_part part : parts) {
+      const std::vector<prompt_part> one{part};
+      m_quarantine.on_crash(m_last_crash, one, m_now);
+    }
+    wait(seconds{1});
+  }
+  for (const prompt_part part : parts) {
+    EXPECT_TRUE(admitted({part})) << part;
+  }
+  // A third crash tells one of them apart.
+  crash({11});
+  wait(milliseconds{400});
+  EXPECT_FALSE(admitted({11}));
+  EXPECT_TRUE(admitted({12}));
+}
+
 TEST_F(prompt_quarantine_test, a_crash_of_many_upstreams_at_once_counts_once) {
   for (int i = 0; i < 20; ++i) {
     crash({k_shared});
