--- a/review/support/engine_group.py
+++ b/review/support/engine_group.py
@@ -43,6 +43,7 @@
         self.armed = None      # (version, step)
         self.held = None
         self.fence = 0
+        self.disarmed_at = 0.0
         self.sequence = 0
         self.counts = [0] * (SETS * EXPERTS)
         self.streams = []      # Queues, one for each request that runs.
@@ -66,8 +67,6 @@
 
     async def handle(self, request, reader, writer):
         if request.path in ("/cuminpath/report", "/cuminpath/picked", "/cuminpath/order"):
-            if self.group.go_arrived and b'"go"' in request.body:
-                self.group.go_arrived.set()
             await asyncio.sleep(PROBE_S)
         if request.path == "/cuminpath/report":
             own = self.group.is_own_machine(writer, self.number)
@@ -129,6 +128,7 @@
         if not self.armed or self.armed[0] != order["version"]:
             return 200
         self.armed = None
+        self.disarmed_at = time.monotonic()
         return 202
 
     def hold(self, order):
@@ -186,7 +186,6 @@
         self.mixed = 0
         self.switches = 0
         self.held_since = None
-        self.go_arrived = None  # Event that a script waits for.
         self.random = random.Random(seed)
         self.balancers = {}    # Rank -> process id.
         self.owners = {}       # Connection -> rank of the balancer at its other end.
