proxy: log which requests a planned stop cuts

The logs could not tell why a request has no whole response around a stop: a gateway wrote how many requests were active when it ended, but not which, and nothing about connections whose response was on its way.

'stopping' now has the time since the signal, the idle, half-read and lingering connections and the unsent bytes. Each request that is still being served then gets its line 'ended' with the outcome 'cut', and 'ended' says how long after the signal the request had arrived. No decision is changed.

--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -55,13 +55,13 @@
 }
 
 void caller_connection::wait_readable() {
-  if (m_wait_pending || m_phase == phase::closed || m_pipelined.size() >= k_max_pipelined_bytes) {
+  if (m_wait_pending || m_phase == connection_phase::closed || m_pipelined.size() >= k_max_pipelined_bytes) {
     return;
   }
   m_wait_pending = true;
   m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
     self->m_wait_pending = false;
-    if (!error && self->m_phase != phase::closed) {
+    if (!error && self->m_phase != connection_phase::closed) {
       self->on_readable();
     }
   });
@@ -76,16 +76,16 @@
     return;
   }
   if (error) {
-    if (m_phase == phase::responding && m_handlers.disconnected) {
-      m_handlers.disconnected();
+    if (m_phase == connection_phase::responding && m_handlers.disconnected) {
+      m_handlers.disconnected(this);
     }
     close();
     return;
   }
   m_last_read = clock::now();
-  if (m_phase == phase::responding) {
+  if (m_phase == connection_phase::responding) {
     m_pipelined.append(buffer.data(), size);
-  } else if (m_phase != phase::lingering) {
+  } else if (m_phase != connection_phase::lingering) {
     consume({buffer.data(), size});
   }
   wait_readable();
@@ -95,8 +95,8 @@
   if (bytes.empty()) {
     return;
   }
-  if (m_phase == phase::idle) {
-    m_phase = phase::reading;
+  if (m_phase == connection_phase::idle) {
+    m_phase = connection_phase::reading;
     m_phase_start = m_last_read;
     m_limits = m_handlers.limits();
     m_request = {};
@@ -124,14 +124,14 @@
 }
 
 void caller_connection::handle_request() {
-  m_phase = phase::responding;
+  m_phase = connection_phase::responding;
   const time_point arrived = m_phase_start;
   m_phase_start = m_last_read;
   m_handlers.request(shared_from_this(), std::move(m_request), arrived);
 }
 
 void caller_connection::reject(int status, std::string_view reason) {
-  m_phase = phase::responding;
+  m_phase = connection_phase::responding;
   m_keep_alive = false;
   respond({.status = status,
            .headers = {{"Content-Type", "application/problem+json"}},
@@ -150,7 +150,7 @@
 }
 
 void caller_connection::respond(const http::response& response) {
-  if (m_phase != phase::responding) {
+  if (m_phase != connection_phase::responding) {
     return;
   }
   std::string text = serialize_head(response.status, response.headers);
@@ -184,23 +184,23 @@
 }
 
 void caller_connection::finish_response() {
-  if (m_phase != phase::responding) {
+  if (m_phase != connection_phase::responding) {
     return;
   }
   if (m_close_after_response || !m_keep_alive) {
-    m_phase = phase::lingering;
+    m_phase = connection_phase::lingering;
     m_phase_start = clock::now();
     flush();
     return;
   }
-  m_phase = phase::idle;
+  m_phase = connection_phase::idle;
   m_phase_start = m_last_read = clock::now();
   if (m_pipelined.empty()) {
     return;
   }
   // The next pipelined request is handled from the event loop, so that long pipelines do not recurse.
   asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-    if (self->m_phase == phase::idle) {
+    if (self->m_phase == connection_phase::idle) {
       const std::string bytes = std::exchange(self->m_pipelined, {});
       self->consume(bytes);
       self->wait_readable();
@@ -209,7 +209,7 @@
 }
 
 void caller_connection::append(std::string_view bytes) {
-  if (m_phase == phase::closed) {
+  if (m_phase == connection_phase::closed) {
     return;
   }
   m_pending_output.append(bytes);
@@ -224,14 +224,14 @@
 }
 
 void caller_connection::flush() {
-  if (m_writing || m_phase == phase::closed) {
+  if (m_writing || m_phase == connection_phase::closed) {
     return;
   }
   if (m_pending_output.empty()) {
-    if (m_phase == phase::lingering) {
+    if (m_phase == connection_phase::lingering) {
       shutdown_send();
-    } else if (m_phase == phase::responding && m_handlers.drained) {
-      m_handlers.drained();
+    } else if (m_phase == connection_phase::responding && m_handlers.drained) {
+      m_handlers.drained(this);
     }
     return;
   }
@@ -243,9 +243,9 @@
                       self->m_output_in_flight.clear();
                       if (!error) {
                         self->flush();
-                      } else if (self->m_phase != phase::closed) {
-                        if (self->m_phase == phase::responding && self->m_handlers.disconnected) {
-                          self->m_handlers.disconnected();
+                      } else if (self->m_phase != connection_phase::closed) {
+                        if (self->m_phase == connection_phase::responding && self->m_handlers.disconnected) {
+                          self->m_handlers.disconnected(self.get());
                         }
                         self->close();
                       }
@@ -259,33 +259,33 @@
 
 void caller_connection::enforce_limits(time_point now) {
   switch (m_phase) {
-    case phase::idle:
+    case connection_phase::idle:
       if (now - m_phase_start >= m_limits.idle_timeout) {
         close();
       }
       return;
-    case phase::reading:
+    case connection_phase::reading:
       // The timeout limits the whole head, but for a body only the time between two reads.
       if (now - (m_head_done ? m_last_read : m_phase_start) >= m_limits.header_timeout) {
         reject(408, "request not received in time");
       }
       return;
-    case phase::lingering:
+    case connection_phase::lingering:
       if (now - m_phase_start >= k_linger_timeout && !m_writing) {
         close();
       }
       return;
-    case phase::responding:
-    case phase::closed:
+    case connection_phase::responding:
+    case connection_phase::closed:
       return;
   }
 }
 
 void caller_connection::close() {
-  if (m_phase == phase::closed) {
+  if (m_phase == connection_phase::closed) {
     return;
   }
-  m_phase = phase::closed;
+  m_phase = connection_phase::closed;
   std::error_code ignored;
   m_socket.close(ignored);
   if (m_handlers.closed) {
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -14,6 +14,14 @@
 
 namespace cuminpath::proxy {
 
+enum class connection_phase : std::uint8_t {
+  idle,        // Waiting for the first byte of a request.
+  reading,     // Part of a request has been received.
+  responding,  // A request is being served.
+  lingering,   // The last response has been sent; further input is discarded.
+  closed,
+};
+
 // An HTTP/1.1 connection accepted from a caller. Serves one request at a time.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -21,9 +29,9 @@
     // Called with each complete request. The response is written with the functions below.
     std::function<void(const std::shared_ptr<caller_connection>&, http::request, time_point arrived)> request;
     // Called when the caller closes the connection while its request is being served.
-    std::function<void()> disconnected;
+    std::function<void(caller_connection*)> disconnected;
     // Called when all bytes written so far for a streamed response have been handed to the socket.
-    std::function<void()> drained;
+    std::function<void(caller_connection*)> drained;
     // Called once when the connection is closed.
     std::function<void(caller_connection*)> closed;
     // Returns the limits to apply to the request that is about to begin.
@@ -53,19 +61,12 @@
   // for too long. Called several times a second.
   void enforce_limits(time_point now);
 
+  [[nodiscard]] connection_phase phase() const { return m_phase; }
   [[nodiscard]] std::size_t unsent_bytes() const {
     return m_pending_output.size() + m_output_in_flight.size();
   }
 
 private:
-  enum class phase : std::uint8_t {
-    idle,        // Waiting for the first byte of a request.
-    reading,     // Part of a request has been received.
-    responding,  // A request is being served.
-    lingering,   // The last response has been sent; further input is discarded.
-    closed,
-  };
-
   void wait_readable();
   void on_readable();
   void consume(std::string_view bytes);
@@ -86,7 +87,7 @@
   std::string m_pipelined;       // Bytes received while a request was being served.
   std::string m_pending_output;  // To be written after `m_output_in_flight`.
   std::string m_output_in_flight;
-  phase m_phase = phase::idle;
+  connection_phase m_phase = connection_phase::idle;
   time_point m_phase_start;
   time_point m_last_read;
   bool m_head_done = false;
--- a/source/core/proxy/caller_listener.cpp
+++ b/source/core/proxy/caller_listener.cpp
@@ -8,6 +8,7 @@
 namespace cuminpath::proxy {
 
 caller_listener::caller_listener(proxy_state& state) : m_state(state), m_acceptor(state.context) {}
+caller_listener::~caller_listener() = default;
 
 result<void> caller_listener::listen(const std::string& address) {
   const auto endpoint = net::parse_endpoint(address);
@@ -49,27 +50,16 @@
 }
 
 void caller_listener::add(asio::ip::tcp::socket socket, time_point now) {
-  // Holds the active exchange of the connection, shared by the connection's callbacks.
-  auto active_exchange = std::make_shared<std::shared_ptr<exchange>>();
   caller_connection::handlers callbacks;
-  callbacks.request = [this, active_exchange](const std::shared_ptr<caller_connection>& caller,
-                                              http::request request, time_point arrived) {
-    const auto started =
-        std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, active_exchange] {
-          --m_active_requests;
-          active_exchange->reset();
-        });
-    ++m_active_requests;
-    *active_exchange = started;
-    started->start(clock::now());
-  };
-  callbacks.disconnected = [active_exchange] {
-    if (const auto active = *active_exchange) {
+  callbacks.request = [this](const std::shared_ptr<caller_connection>& caller, http::request request,
+                             time_point arrived) { start_exchange(caller, std::move(request), arrived); };
+  callbacks.disconnected = [this](caller_connection* connection) {
+    if (const auto active = active_exchange(connection)) {
       active->on_caller_disconnected();
     }
   };
-  callbacks.drained = [active_exchange] {
-    if (const auto active = *active_exchange) {
+  callbacks.drained = [this](caller_connection* connection) {
+    if (const auto active = active_exchange(connection)) {
       active->on_caller_drained();
     }
   };
@@ -81,14 +71,33 @@
   if (m_close_after_responses) {
     connection->close_after_response();
   }
-  m_connections.emplace(connection.get(), connection);
+  m_connections.emplace(connection.get(), served_connection{.connection = connection, .active = nullptr});
   connection->start();
 }
 
+void caller_listener::start_exchange(const std::shared_ptr<caller_connection>& caller, http::request request,
+                                     time_point arrived) {
+  const caller_connection* key = caller.get();
+  const auto started = std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, key] {
+    --m_active_requests;
+    if (const auto found = m_connections.find(key); found != m_connections.end()) {
+      found->second.active.reset();
+    }
+  });
+  ++m_active_requests;
+  m_connections.at(key).active = started;
+  started->start(clock::now());
+}
+
+std::shared_ptr<exchange> caller_listener::active_exchange(const caller_connection* connection) const {
+  const auto found = m_connections.find(connection);
+  return found == m_connections.end() ? nullptr : found->second.active;
+}
+
 void caller_listener::close_after_responses() {
   m_close_after_responses = true;
-  for (const auto& [key, connection] : m_connections) {
-    connection->close_after_response();
+  for (const auto& [key, served] : m_connections) {
+    served.connection->close_after_response();
   }
 }
 
@@ -96,9 +105,41 @@
   for (const auto* closed : std::exchange(m_closed_connections, {})) {
     m_connections.erase(closed);
   }
-  for (const auto& [key, connection] : m_connections) {
-    connection->enforce_limits(now);
+  for (const auto& [key, served] : m_connections) {
+    served.connection->enforce_limits(now);
+  }
+}
+
+void caller_listener::log_unfinished_requests() {
+  for (const auto& [key, served] : m_connections) {
+    if (const auto active = served.active) {
+      active->on_process_end();
+    }
+  }
+}
+
+connection_counts caller_listener::count_connections() const {
+  connection_counts counts;
+  for (const auto& [key, served] : m_connections) {
+    counts.unsent_bytes += served.connection->unsent_bytes();
+    switch (served.connection->phase()) {
+      case connection_phase::idle:
+        ++counts.idle;
+        break;
+      case connection_phase::reading:
+        ++counts.reading;
+        break;
+      case connection_phase::responding:
+        ++counts.responding;
+        break;
+      case connection_phase::lingering:
+        ++counts.lingering;
+        break;
+      case connection_phase::closed:
+        break;
+    }
   }
+  return counts;
 }
 
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/caller_listener.h
+++ b/source/core/proxy/caller_listener.h
@@ -14,10 +14,24 @@
 
 namespace cuminpath::proxy {
 
+class exchange;
+
+// Number of caller connections in each phase.
+struct connection_counts {
+  std::size_t idle = 0;
+  std::size_t reading = 0;
+  std::size_t responding = 0;
+  std::size_t lingering = 0;
+  std::size_t unsent_bytes = 0;  // Of all connections; not yet handed to the kernel.
+};
+
 // Accepts caller connections at one address and tracks them until they are closed.
 class caller_listener {
 public:
   explicit caller_listener(proxy_state& state);
+  ~caller_listener();
+  caller_listener(const caller_listener&) = delete;
+  caller_listener& operator=(const caller_listener&) = delete;
 
   // Starts to listen on `address` (IP:PORT). Errors: invalid_input for a malformed address, unreachable if it
   // cannot be bound.
@@ -29,18 +43,29 @@
   void close_after_responses();
   // Enforces the caller limits on all connections and releases the closed ones.
   void tick(time_point now);
+  // Logs every request that is still being served, because the process ends.
+  void log_unfinished_requests();
 
   [[nodiscard]] std::size_t connection_count() const { return m_connections.size(); }
+  [[nodiscard]] connection_counts count_connections() const;
   // Returns the number of requests being served.
   [[nodiscard]] std::size_t active_request_count() const { return m_active_requests; }
 
 private:
+  struct served_connection {
+    std::shared_ptr<caller_connection> connection;
+    std::shared_ptr<exchange> active;  // Null while no request is being served.
+  };
+
   void accept();
   void add(asio::ip::tcp::socket socket, time_point now);
+  void start_exchange(const std::shared_ptr<caller_connection>& caller, http::request request,
+                      time_point arrived);
+  [[nodiscard]] std::shared_ptr<exchange> active_exchange(const caller_connection* connection) const;
 
   proxy_state& m_state;
   asio::ip::tcp::acceptor m_acceptor;
-  std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
+  std::unordered_map<const caller_connection*, served_connection> m_connections;
   std::vector<const caller_connection*> m_closed_connections;  // Released in the next tick.
   std::size_t m_active_requests = 0;
   bool m_close_after_responses = false;
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -751,6 +751,12 @@
   finish("caller_gone", 0, "the caller closed the connection");
 }
 
+void exchange::on_process_end() {
+  finish(
+      "cut", 0,
+      m_response_started ? "the process ends during the response" : "the process ends before the response");
+}
+
 void exchange::on_caller_drained() {
   if (m_attempt && m_attempt->connection) {
     m_attempt->connection->resume_reading();
@@ -820,6 +826,8 @@
        {"status", static_cast<std::int64_t>(status)},
        {"reason", reason},
        {"attempts", static_cast<std::int64_t>(m_tried_upstreams.size())},
+       {"after_stop_signal_ms",
+        m_state.stop_signal_time ? ms_between(*m_state.stop_signal_time, m_arrived) : std::int64_t{-1}},
        {"first_byte_ms", m_first_byte_time ? ms_between(m_arrived, *m_first_byte_time) : std::int64_t{-1}},
        {"total_ms", ms_between(m_arrived, now)}});
   m_state.metrics.add("cuminpath_requests_total",
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -47,6 +47,8 @@
   void start(time_point now);
   // Cancels the work at the upstream because the caller has disconnected.
   void on_caller_disconnected();
+  // Logs the request as cut, because the process ends before its response is complete.
+  void on_process_end();
   // Resumes reading from a paused upstream, now that everything has been written to the caller.
   void on_caller_drained();
 
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -493,7 +493,7 @@
       send_report(now);
     }
     if (m_local_report.state == gateway::member_state::leaving && should_stop(now)) {
-      stop();
+      stop(now);
       return;
     }
     schedule_tick();
@@ -524,7 +524,7 @@
       if (signal == SIGHUP) {
         reload();
       } else if (m_local_report.state == gateway::member_state::leaving) {
-        stop();
+        stop(clock::now());
         return;
       } else {
         start_leaving(clock::now());
@@ -556,6 +556,7 @@
                    {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())}});
     m_local_report.state = gateway::member_state::leaving;
     m_leaving_since = now;
+    m_state.stop_signal_time = now;
     m_platform->withdraw();
     send_report_to_all(now);
     m_callers.close_after_responses();
@@ -569,9 +570,17 @@
            (m_callers.active_request_count() == 0 && since >= std::min<duration>(addresses_expired, latest));
   }
 
-  void stop() {
-    telemetry::log(log_level::info, "process", "stopping",
-                   {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())}});
+  void stop(time_point now) {
+    const auto connections = m_callers.count_connections();
+    telemetry::log(
+        log_level::info, "process", "stopping",
+        {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())},
+         {"after_signal_ms", std::chrono::duration_cast<milliseconds>(now - m_leaving_since).count()},
+         {"idle_connections", static_cast<std::int64_t>(connections.idle)},
+         {"half_read_requests", static_cast<std::int64_t>(connections.reading)},
+         {"lingering_connections", static_cast<std::int64_t>(connections.lingering)},
+         {"unsent_bytes", static_cast<std::int64_t>(connections.unsent_bytes)}});
+    m_callers.log_unfinished_requests();
     m_context.stop();
   }
 
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -40,6 +41,8 @@
   std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
 
+  std::optional<time_point> stop_signal_time;  // Absent until the planned stop of the process begins.
+
   std::size_t buffered_response_bytes = 0;  // Of responses that are forwarded only when complete.
 
   std::unordered_map<std::string, gateway::service_availability> service_states;       // By service.
