proxy: a repeated SIGTERM does not cut the requests of a leaving gateway

Cause: the second signal was taken as an order to end at once, while operators and supervisors repeat SIGTERM to be sure that it has arrived.

A repeated SIGTERM now only writes a line. SIGINT ends a leaving gateway at once, for a person at a terminal.

--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -523,11 +523,13 @@
       }
       if (signal == SIGHUP) {
         reload();
-      } else if (m_local_report.state == gateway::member_state::leaving) {
+      } else if (m_local_report.state != gateway::member_state::leaving) {
+        start_leaving(clock::now());
+      } else if (signal == SIGINT) {
         stop(clock::now());
         return;
       } else {
-        start_leaving(clock::now());
+        telemetry::log(log_level::info, "process", "already leaving", {});
       }
       wait_for_signal();
     });
