gateway, proxy: a leaving gateway refuses at once what it may not finish

Cause: a leaving gateway accepted requests until the end of its grace period and closed whatever was left then. Callers reach it late over connections that they keep, with answers of the directory that they use for several lifetimes, and because the directory of a leaving gateway listed itself if it knew no other. Class of fault: work is accepted by a process that knows when it will end, without comparing that time to what the work may need.

Change: stop_schedule, from the signal, the grace period and the lifetime of the directory's answers, says by when all requests must have their final response. A request is accepted if its deadline is not later, or, while callers cannot know of the stop, if the longest recent request of its route would end in time; otherwise it is refused at once (503, not run), with a Retry-After of some milliseconds if another gateway is ready. Requests that are running end by that time: with 503 if no upstream has them, with 504 if one may have run them; a stream that has begun is cut as before, which only concerns streams that were sent before the stop or early in it. Upstreams are told the shorter time. A leaving gateway no longer lists itself in the directory.

--- /dev/null
+++ b/source/core/gateway/stop_schedule.cpp
@@ -0,0 +1,33 @@
+#include "core/gateway/stop_schedule.h"
+
+#include <algorithm>
+
+namespace cuminpath::gateway {
+namespace {
+
+// Some callers use an answer of the directory for this many of its lifetimes.
+constexpr int k_lifetimes_in_use = 3;
+// Left of the grace period when the process ends, since the platform counts from before the signal arrived.
+constexpr milliseconds k_exit_margin{300};
+// For sending the last responses and for callers to read them.
+constexpr milliseconds k_send_time{400};
+
+}  // namespace
+
+stop_schedule::stop_schedule(time_point signalled_at, milliseconds grace_period, milliseconds directory_ttl)
+    : m_signalled_at(signalled_at),
+      m_answers_expire_at(signalled_at + directory_ttl),
+      m_exit_by(signalled_at + std::max(milliseconds{0}, grace_period - k_exit_margin)) {
+  m_respond_by = std::max(signalled_at, m_exit_by - k_send_time);
+  m_exit_from = std::min<time_point>(signalled_at + k_lifetimes_in_use * directory_ttl, m_respond_by);
+}
+
+bool stop_schedule::accepts(time_point deadline, std::optional<duration> longest_service_time,
+                            time_point now) const {
+  if (deadline <= m_respond_by) {
+    return true;
+  }
+  return longest_service_time && now < m_answers_expire_at && now + *longest_service_time <= m_respond_by;
+}
+
+}  // namespace cuminpath::gateway
--- a/source/core/proxy/caller_listener.cpp
+++ b/source/core/proxy/caller_listener.cpp
@@ -68,7 +68,7 @@
     return m_state.configuration ? m_state.configuration->limits : gateway::caller_limits{};
   };
   auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks), now);
-  if (m_close_after_responses) {
+  if (m_state.stop) {
     connection->close_after_response();
   }
   m_connections.emplace(connection.get(), served_connection{.connection = connection, .active = nullptr});
@@ -94,10 +94,12 @@
   return found == m_connections.end() ? nullptr : found->second.active;
 }
 
-void caller_listener::close_after_responses() {
-  m_close_after_responses = true;
+void caller_listener::on_stop_scheduled() {
   for (const auto& [key, served] : m_connections) {
     served.connection->close_after_response();
+    if (const auto active = served.active) {
+      active->on_stop_scheduled();
+    }
   }
 }
 
--- a/source/core/proxy/caller_listener.h
+++ b/source/core/proxy/caller_listener.h
@@ -39,8 +39,9 @@
   // Returns the IP:PORT that the listener is bound to.
   [[nodiscard]] std::string address() const;
 
-  // Makes every later response close its connection, also on connections accepted from now on.
-  void close_after_responses();
+  // Begins or reschedules the planned stop of proxy_state::stop: every later response closes its connection,
+  // also on connections accepted from now on, and requests end in time.
+  void on_stop_scheduled();
   // Enforces the caller limits on all connections and releases the closed ones.
   void tick(time_point now);
   // Logs every request that is still being served, because the process ends.
@@ -68,7 +69,6 @@
   std::unordered_map<const caller_connection*, served_connection> m_connections;
   std::vector<const caller_connection*> m_closed_connections;  // Released in the next tick.
   std::size_t m_active_requests = 0;
-  bool m_close_after_responses = false;
 };
 
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -47,6 +47,10 @@
 constexpr int k_service_unavailable = 503;
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
+constexpr std::string_view k_timed_out = "timeout of the route or the caller";
+constexpr std::string_view k_stopping = "the gateway is being stopped";
+// Another gateway can take a refused request at once; the spread keeps its callers from coming together.
+constexpr milliseconds k_max_wait_for_other_gateway{50};
 constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
@@ -105,8 +109,12 @@
 
 exchange::~exchange() = default;
 
+time_point exchange::end_of_time() const {
+  return m_state.stop ? std::min(m_deadline, m_state.stop->respond_by()) : m_deadline;
+}
+
 milliseconds exchange::time_left(time_point now) const {
-  return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(m_deadline - now));
+  return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(end_of_time() - now));
 }
 
 bool exchange::is_upstream_response(const message_head& head) const {
@@ -131,15 +139,10 @@
     refuse(503, "no configuration yet", now);
     return;
   }
-  if (!resolve_route(now) || !authorize() || !choose_service(now)) {
+  if (!resolve_route(now) || !authorize() || !choose_service(now) || !fits_planned_stop(now)) {
     return;
   }
-  m_deadline_timer.expires_at(m_deadline);
-  m_deadline_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
-    if (!cancelled) {
-      self->on_deadline();
-    }
-  });
+  arm_deadline_timer();
   if (refuse_quarantined(now)) {
     return;
   }
@@ -221,6 +224,32 @@
   return true;
 }
 
+bool exchange::fits_planned_stop(time_point now) {
+  if (!m_state.stop) {
+    return true;
+  }
+  const auto service_time = m_state.service_times.find(m_route->name);
+  const auto longest =
+      service_time == m_state.service_times.end() ? std::nullopt : service_time->second.value(now);
+  if (m_state.stop->accepts(m_deadline, longest, now)) {
+    return true;
+  }
+  refuse_for_stop();
+  return false;
+}
+
+void exchange::refuse_for_stop() {
+  m_state.metrics.add("cuminpath_requests_refused_by_stop_total");
+  const auto random_wait = [this](milliseconds longest) {
+    return milliseconds(random_index(m_state.random, static_cast<std::size_t>(longest.count())));
+  };
+  const milliseconds wait = m_state.other_gateway_ready
+                                ? random_wait(k_max_wait_for_other_gateway) + milliseconds{1}
+                                : random_wait(k_retry_after_without_service) + k_retry_after_without_service;
+  respond_with_problem(503, k_stopping, "not_run", wait);
+  finish("refused", 503, k_stopping);
+}
+
 bool exchange::refuse_quarantined(time_point now) {
   if (!is_engine_call()) {
     return false;
@@ -694,6 +723,21 @@
   finish("upstream_failure", m_failure_response->first.status, reason);
 }
 
+void exchange::arm_deadline_timer() {
+  m_deadline_timer.expires_at(end_of_time());
+  m_deadline_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
+    if (!cancelled) {
+      self->on_deadline();
+    }
+  });
+}
+
+void exchange::on_stop_scheduled() {
+  if (!m_done && m_route != nullptr) {
+    arm_deadline_timer();
+  }
+}
+
 void exchange::arm_stall_timer() {
   if (!m_route->repeatable() || m_sent_attempts >= m_route->max_attempts) {
     return;
@@ -731,13 +775,18 @@
     m_may_have_run = m_may_have_run || m_attempt->sent;
     release_attempt(false);
   }
+  const time_point now = clock::now();
+  const bool stopping = now < m_deadline;
+  const std::string_view reason = stopping ? k_stopping : k_timed_out;
   if (m_response_started) {
     m_caller->abort();
-    finish("broken_off", 0, "timeout of the route or the caller");
+    finish(stopping ? "cut" : "broken_off", 0, reason);
   } else if (m_may_have_run) {
-    fail(504, "timeout of the route or the caller");
+    fail(504, reason);
+  } else if (stopping) {
+    refuse_for_stop();
   } else {
-    refuse(503, "timeout before an upstream got the request", clock::now());
+    refuse(503, "timeout before an upstream got the request", now);
   }
 }
 
@@ -826,14 +875,18 @@
        {"status", static_cast<std::int64_t>(status)},
        {"reason", reason},
        {"attempts", static_cast<std::int64_t>(m_tried_upstreams.size())},
+       {"stopping", m_state.stop.has_value()},
        {"after_stop_signal_ms",
-        m_state.stop_signal_time ? ms_between(*m_state.stop_signal_time, m_arrived) : std::int64_t{-1}},
+        m_state.stop ? ms_between(m_state.stop->signalled_at(), m_arrived) : std::int64_t{0}},
        {"first_byte_ms", m_first_byte_time ? ms_between(m_arrived, *m_first_byte_time) : std::int64_t{-1}},
        {"total_ms", ms_between(m_arrived, now)}});
   m_state.metrics.add("cuminpath_requests_total",
                       {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
   m_state.metrics.observe("cuminpath_request_seconds", std::chrono::duration<double>(now - m_arrived).count(),
                           {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
+  if (m_route != nullptr && m_sent_attempts > 0 && outcome != "caller_gone") {
+    m_state.service_times[m_route->name].observe(now - m_arrived, now);
+  }
   if (m_first_byte_time) {
     m_state.metrics.observe("cuminpath_first_byte_seconds",
                             std::chrono::duration<double>(*m_first_byte_time - m_arrived).count(),
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -47,6 +47,8 @@
   void start(time_point now);
   // Cancels the work at the upstream because the caller has disconnected.
   void on_caller_disconnected();
+  // Ends the request at the end of the planned stop if its deadline is later.
+  void on_stop_scheduled();
   // Logs the request as cut, because the process ends before its response is complete.
   void on_process_end();
   // Resumes reading from a paused upstream, now that everything has been written to the caller.
@@ -58,6 +60,9 @@
   bool resolve_route(time_point now);
   bool authorize();
   bool choose_service(time_point now);
+  bool fits_planned_stop(time_point now);
+  // Refuses the request because of the planned stop. It has not been sent to an upstream.
+  void refuse_for_stop();
 
   [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream(time_point now) const;
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
@@ -89,8 +94,10 @@
   // Ends the current attempt and takes the step that the attempt policy decides on.
   void end_attempt(gateway::attempt_result end, std::string_view reason);
   void release_attempt(bool keep_connection);
+  void arm_deadline_timer();
   void arm_stall_timer();
   void on_stall();
+  // Called at the deadline, or earlier at the end of the planned stop.
   void on_deadline();
 
   void deliver_buffered_response();
@@ -100,6 +107,8 @@
                             milliseconds retry_after);
   void finish(std::string_view outcome, int status, std::string_view reason);
 
+  // The deadline, or the end of the planned stop if that is earlier.
+  [[nodiscard]] time_point end_of_time() const;
   [[nodiscard]] milliseconds time_left(time_point now) const;
   // Returns true if the response was written by an upstream: it carries the headers that every upstream sets,
   // and no intermediary has encoded its body.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -42,9 +42,6 @@
 // A starting gateway asks the seeds for the content of the store for this long before it reads the store
 // itself. When all gateways start together, the seeds read the store within a fraction of this time.
 constexpr milliseconds k_seed_wait{1200};
-// A planned stop waits until callers have dropped the address; some use it for three times its lifetime.
-constexpr int k_directory_ttls_before_stop = 3;
-constexpr milliseconds k_stop_margin{400};  // Time left before the platform kills the process.
 // Share of the overall retry limit that the gateways use. The rest is a reserve for gateways that have just
 // restarted and start with a fresh budget.
 constexpr double k_retry_share = 0.5;
@@ -190,9 +187,12 @@
                                                k_max_directory_addresses - (local_usable ? 1 : 0), now)) {
       addresses.push_back(member->report.caller_address);
     }
-    if (local_usable || addresses.empty()) {
+    if (local_usable) {
       addresses.push_back(m_settings.address);
     }
+    if (addresses.empty()) {
+      return {.status = 503};
+    }
     return {.headers = {{"Content-Type", "application/json"}},
             .body = m_platform->directory_response_body(addresses, m_settings.directory_ttl)};
   }
@@ -492,8 +492,7 @@
     if (has_news || now - m_last_report >= m_settings.report_interval) {
       send_report(now);
     }
-    if (m_local_report.state == gateway::member_state::leaving && should_stop(now)) {
-      stop(now);
+    if (m_state.stop && advance_stop(now)) {
       return;
     }
     schedule_tick();
@@ -523,10 +522,10 @@
       }
       if (signal == SIGHUP) {
         reload();
-      } else if (m_local_report.state != gateway::member_state::leaving) {
+      } else if (!m_state.stop) {
         start_leaving(clock::now());
       } else if (signal == SIGINT) {
-        stop(clock::now());
+        end_process(clock::now());
         return;
       } else {
         telemetry::log(log_level::info, "process", "already leaving", {});
@@ -550,6 +549,9 @@
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
     update_retry_limits();
+    if (m_state.stop) {
+      schedule_stop(m_state.stop->signalled_at(), clock::now());
+    }
     telemetry::log(log_level::info, "process", "settings reloaded", {});
   }
 
@@ -557,31 +559,43 @@
     telemetry::log(log_level::info, "process", "leaving",
                    {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())}});
     m_local_report.state = gateway::member_state::leaving;
-    m_leaving_since = now;
-    m_state.stop_signal_time = now;
     m_platform->withdraw();
     send_report_to_all(now);
-    m_callers.close_after_responses();
+    schedule_stop(now, now);
   }
 
-  bool should_stop(time_point now) const {
-    const auto since = now - m_leaving_since;
-    const auto addresses_expired = k_directory_ttls_before_stop * m_settings.directory_ttl;
-    const auto latest = m_settings.shutdown_grace - k_stop_margin;
-    return since >= latest ||
-           (m_callers.active_request_count() == 0 && since >= std::min<duration>(addresses_expired, latest));
+  void schedule_stop(time_point signalled_at, time_point now) {
+    m_state.stop.emplace(signalled_at, m_settings.shutdown_grace, m_settings.directory_ttl);
+    m_state.other_gateway_ready = other_gateway_ready(now);
+    m_callers.on_stop_scheduled();
   }
 
-  void stop(time_point now) {
+  [[nodiscard]] bool other_gateway_ready(time_point now) const {
+    return !m_members.usable(m_settings.availability_zone, 1, now).empty();
+  }
+
+  // Advances the planned stop. Returns true once the event loop has been told to end.
+  bool advance_stop(time_point now) {
+    m_state.other_gateway_ready = other_gateway_ready(now);
+    const gateway::stop_schedule& stop = *m_state.stop;
+    const bool ended = now >= stop.exit_from() && m_callers.active_request_count() == 0;
+    if (!ended && now < stop.exit_by()) {
+      return false;
+    }
+    end_process(now);
+    return true;
+  }
+
+  void end_process(time_point now) {
     const auto connections = m_callers.count_connections();
-    telemetry::log(
-        log_level::info, "process", "stopping",
-        {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())},
-         {"after_signal_ms", std::chrono::duration_cast<milliseconds>(now - m_leaving_since).count()},
-         {"idle_connections", static_cast<std::int64_t>(connections.idle)},
-         {"half_read_requests", static_cast<std::int64_t>(connections.reading)},
-         {"lingering_connections", static_cast<std::int64_t>(connections.lingering)},
-         {"unsent_bytes", static_cast<std::int64_t>(connections.unsent_bytes)}});
+    telemetry::log(log_level::info, "process", "stopping",
+                   {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())},
+                    {"after_signal_ms",
+                     std::chrono::duration_cast<milliseconds>(now - m_state.stop->signalled_at()).count()},
+                    {"idle_connections", static_cast<std::int64_t>(connections.idle)},
+                    {"half_read_requests", static_cast<std::int64_t>(connections.reading)},
+                    {"lingering_connections", static_cast<std::int64_t>(connections.lingering)},
+                    {"unsent_bytes", static_cast<std::int64_t>(connections.unsent_bytes)}});
     m_callers.log_unfinished_requests();
     m_context.stop();
   }
@@ -612,7 +626,6 @@
   time_point m_last_mirror_call{};
   time_point m_last_report{};
   time_point m_last_tick{};
-  time_point m_leaving_since{};
   std::int64_t m_last_tick_boot_ms = 0;
 };
 
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -13,6 +13,8 @@
 #include "core/gateway/concurrency_limiter.h"
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
+#include "core/gateway/recent_maximum.h"
+#include "core/gateway/stop_schedule.h"
 #include "core/gateway/upstream_table.h"
 #include "core/proxy/upstream_check.h"
 #include "core/proxy/upstream_connection_pool.h"
@@ -41,7 +43,9 @@
   std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
 
-  std::optional<time_point> stop_signal_time;  // Absent until the planned stop of the process begins.
+  std::optional<gateway::stop_schedule> stop;  // Absent until the planned stop of the process begins.
+  bool other_gateway_ready = false;  // Callers that are refused can turn to another gateway at once.
+  std::unordered_map<std::string, gateway::recent_maximum> service_times;  // By route.
 
   std::size_t buffered_response_bytes = 0;  // Of responses that are forwarded only when complete.
 
--- /dev/null
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -0,0 +1,149 @@
+// Checks what callers receive from a gateway during its planned stop.
+
+#include <gmock/gmock.h>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <asio/write.hpp>
+
+#include "proxy_fixture.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+
+constexpr milliseconds k_directory_ttl{100};
+constexpr milliseconds k_long_grace_period{60'000};
+
+// A caller that keeps its connection and reads on demand.
+class raw_caller {
+public:
+  raw_caller(asio::io_context& context, const std::string& address) : m_socket(context) {
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    m_socket.connect({asio::ip::address_v4::loopback(), port});
+    m_socket.non_blocking(true);
+  }
+
+  void send(const std::string& bytes) {
+    std::error_code failure;
+    asio::write(m_socket, asio::buffer(bytes), failure);
+    EXPECT_FALSE(failure);
+  }
+  // Reads what has arrived and returns all that has been received so far.
+  const std::string& received() {
+    std::array<char, 65536> buffer{};
+    std::error_code failure;
+    for (std::size_t size = 1; size > 0 && !failure;) {
+      size = m_socket.read_some(asio::buffer(buffer), failure);
+      m_received.append(buffer.data(), size);
+    }
+    m_ended = m_ended || (failure && failure != asio::error::would_block);
+    m_reset = m_reset || failure == asio::error::connection_reset;
+    return m_received;
+  }
+  // Whether the gateway has closed the connection, as far as received() has read.
+  [[nodiscard]] bool ended() const { return m_ended; }
+  [[nodiscard]] bool was_reset() const { return m_reset; }
+
+private:
+  asio::ip::tcp::socket m_socket;
+  std::string m_received;
+  bool m_ended = false;
+  bool m_reset = false;
+};
+
+class planned_stop_test : public proxy_fixture {
+protected:
+  // Begins a planned stop that has `time_left` until every request must have its response.
+  void begin_stop(milliseconds time_left) {
+    const gateway::stop_schedule probe(time_point{}, k_long_grace_period, k_directory_ttl);
+    const auto margin = std::chrono::duration_cast<milliseconds>(k_long_grace_period -
+                                                                 (probe.respond_by() - probe.signalled_at()));
+    m_state.stop.emplace(clock::now(), time_left + margin, k_directory_ttl);
+    m_listener.on_stop_scheduled();
+  }
+  bool run_until_received(raw_caller& caller, std::string_view text) {
+    return run_until([&] { return caller.received().find(text) != std::string::npos; });
+  }
+  bool run_until_ended(raw_caller& caller) {
+    return run_until([&] {
+      m_listener.tick(clock::now());
+      static_cast<void>(caller.received());
+      return caller.ended();
+    });
+  }
+  scripted_upstream& add_upstream_that_serves() {
+    return add_upstream("i-1", [](auto, const auto&) { return upstream_action{response_text("a", "body")}; });
+  }
+  scripted_upstream& add_upstream_that_is_silent() {
+    return add_upstream("i-1", [](auto, const auto&) { return upstream_action{}; });
+  }
+};
+
+TEST_F(planned_stop_test, a_request_that_may_outlast_the_stop_is_refused_at_once_and_not_sent) {
+  const auto& upstream = add_upstream_that_serves();
+  begin_stop(milliseconds{1000});  // The request has 1.5 s.
+  const auto started = clock::now();
+  const auto response = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
+  EXPECT_LT(clock::now() - started, milliseconds{500});
+  EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(response.bytes, HasSubstr("Retry-After: "));
+  EXPECT_THAT(response.bytes, HasSubstr("Connection: close"));
+  EXPECT_THAT(response.bytes, HasSubstr("not_run"));
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+TEST_F(planned_stop_test, a_refused_caller_waits_only_if_no_other_gateway_is_ready) {
+  begin_stop(milliseconds{0});
+  m_state.other_gateway_ready = true;
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, HasSubstr("Retry-After: 0.0"));
+  m_state.other_gateway_ready = false;
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, HasSubstr("Retry-After: 1."));
+}
+
+TEST_F(planned_stop_test, a_request_that_ends_in_time_is_served_and_its_connection_closed) {
+  add_upstream_that_serves();
+  begin_stop(milliseconds{4000});
+  const auto response =
+      call(request("GET", "/safe/x", "a"), [](const std::string& bytes) { return bytes.ends_with("body"); });
+  EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(response.bytes, HasSubstr("Connection: close"));
+}
+
+TEST_F(planned_stop_test, early_in_the_stop_a_request_is_accepted_if_others_of_its_route_have_been_short) {
+  add_upstream_that_serves();
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  begin_stop(milliseconds{1000});
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  ASSERT_TRUE(run_until([this] { return clock::now() > m_state.stop->answers_expire_at(); }));
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 503"));
+}
+
+TEST_F(planned_stop_test, a_request_without_a_response_is_answered_at_the_end_of_the_stop) {
+  const auto& upstream = add_upstream_that_is_silent();
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("POST", "/once/x", "a", "Content-Length: 0\r\n"));
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  begin_stop(milliseconds{100});
+  ASSERT_TRUE(run_until_received(caller, "\r\n\r\n"));
+  EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 504"));
+  EXPECT_THAT(caller.received(), HasSubstr(R"("execution":"unknown")"));
+}
+
+TEST_F(planned_stop_test, an_upstream_gets_no_more_time_than_the_stop_leaves) {
+  add_upstream_that_serves();
+  call(request("GET", "/safe/x", "a"), is_complete);
+  begin_stop(milliseconds{1000});
+  call(request("GET", "/safe/x", "a"), is_complete);
+  const std::string& received = m_upstreams[0]->requests().back();
+  const std::size_t at = received.find("X-Left: ");
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_LE(std::stol(received.substr(at + 8)), 1000);
+}
+
+}  // namespace
+}  // namespace cuminpath::proxy
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -36,6 +36,11 @@
   return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
 }
 
+void scripted_upstream::send_to_last(const std::string& bytes) {
+  std::error_code ignored;
+  asio::write(m_last->socket, asio::buffer(bytes), ignored);
+}
+
 void scripted_upstream::accept() {
   m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
     if (!error) {
@@ -62,6 +67,7 @@
           return;
         }
         m_requests.push_back(std::exchange(peer->received, {}));
+        m_last = peer;
         const upstream_action action = m_script(m_requests.size(), m_requests.back());
         std::error_code ignored;
         asio::write(peer->socket,
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -36,6 +36,8 @@
   [[nodiscard]] std::string address() const;
   // Refuses further connections. address() must not be called afterwards.
   void stop_accepting() { m_acceptor.close(); }
+  // Sends further bytes on the connection of the last request.
+  void send_to_last(const std::string& bytes);
   [[nodiscard]] const std::vector<std::string>& requests() const { return m_requests; }
   // Number of connections that the proxy has closed.
   [[nodiscard]] std::size_t closed() const { return m_closed; }
@@ -51,6 +53,7 @@
   asio::ip::tcp::acceptor m_acceptor;
   script m_script;
   std::vector<std::string> m_requests;
+  std::shared_ptr<connection> m_last;  // The connection of the last request.
   std::size_t m_closed = 0;
   std::size_t m_resets = 0;
   std::size_t m_accepted = 0;
