proxy: a leaving gateway ends only when callers have their responses

Callers could lose the end of a response, a whole response, or a request when a leaving gateway ended. Cause: the process ended when no request was being served, but a request stopped counting as soon as its response was handed to the connection. Bytes that a slow caller had not taken yet, half-read requests and requests waiting in the socket were not counted; a stream that was cut lost the events that had been received but not sent; and a connection whose response had begun before the stop was closed after it without having said so, so that the next request on it was read and thrown away.

Change: the process ends when all connections are closed, or shortly before the end of the grace period. Then it stops accepting, answers half-read requests with 503 and closes idle connections on which nothing has arrived; connections that are idle since before the stop are closed when callers can know of it. A cut stream is sent to its last received event. A connection closes only after a response that has announced it.

--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -138,12 +138,13 @@
            .body = fmt::format(R"({{"status":{},"reason":"{}","execution":"not_run"}})", status, reason)});
 }
 
-std::string caller_connection::serialize_head(int status, const http::header_list& headers) const {
+std::string caller_connection::serialize_head(int status, const http::header_list& headers) {
   std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, http::reason_phrase(status));
   for (const auto& [name, value] : headers) {
     text += fmt::format("{}: {}\r\n", name, value);
   }
-  if (m_close_after_response || !m_keep_alive) {
+  m_close_announced = m_close_after_response || !m_keep_alive;
+  if (m_close_announced) {
     text += "Connection: close\r\n";
   }
   return text;
@@ -180,14 +181,31 @@
 }
 
 void caller_connection::abort() {
-  close();
+  if (m_phase == connection_phase::responding) {
+    m_close_announced = true;
+    finish_response();
+  }
+}
+
+void caller_connection::close_if_idle_since(time_point time) {
+  std::error_code error;
+  if (m_phase == connection_phase::idle && m_phase_start <= time && unsent_bytes() == 0 &&
+      m_pipelined.empty() && m_socket.available(error) == 0) {
+    close();
+  }
+}
+
+void caller_connection::refuse_unfinished_request(std::string_view reason) {
+  if (m_phase == connection_phase::reading) {
+    reject(503, reason);
+  }
 }
 
 void caller_connection::finish_response() {
   if (m_phase != connection_phase::responding) {
     return;
   }
-  if (m_close_after_response || !m_keep_alive) {
+  if (m_close_announced) {
     m_phase = connection_phase::lingering;
     m_phase_start = clock::now();
     flush();
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -52,11 +52,17 @@
   void begin_stream(int status, const http::header_list& headers);
   void write_chunk(std::string_view bytes);
   void end_stream();
-  // Closes the connection without the final chunk, so that the caller sees an incomplete response.
+  // Sends what has been written and closes the connection without the final chunk, so that the caller sees an
+  // incomplete response.
   void abort();
 
-  // Makes every later response carry "Connection: close" and closes the connection after it.
+  // Makes every later response carry "Connection: close" and closes the connection after it. A response that
+  // has begun keeps the connection open for one more request, since the caller may already have sent it.
   void close_after_response() { m_close_after_response = true; }
+  // Closes the connection if it has waited for a request since `time` or earlier and none has arrived.
+  void close_if_idle_since(time_point time);
+  // Refuses a request of which only a part has arrived.
+  void refuse_unfinished_request(std::string_view reason);
   // Rejects a request that arrives too slowly, and closes the connection when it has been idle or lingering
   // for too long. Called several times a second.
   void enforce_limits(time_point now);
@@ -77,7 +83,7 @@
   void flush();
   void shutdown_send();
   void close();
-  [[nodiscard]] std::string serialize_head(int status, const http::header_list& headers) const;
+  [[nodiscard]] std::string serialize_head(int status, const http::header_list& headers);
 
   asio::ip::tcp::socket m_socket;
   handlers m_handlers;
@@ -93,6 +99,7 @@
   bool m_head_done = false;
   bool m_keep_alive = true;
   bool m_close_after_response = false;
+  bool m_close_announced = false;  // The last response carries "Connection: close".
   bool m_writing = false;
   bool m_flush_posted = false;
   bool m_wait_pending = false;
--- a/source/core/proxy/caller_listener.cpp
+++ b/source/core/proxy/caller_listener.cpp
@@ -103,12 +103,29 @@
   }
 }
 
+void caller_listener::finish_stop(time_point now) {
+  std::error_code ignored;
+  m_acceptor.close(ignored);
+  for (const auto& [key, served] : m_connections) {
+    served.connection->close_if_idle_since(now);
+    served.connection->refuse_unfinished_request("the gateway is being stopped");
+  }
+}
+
+bool caller_listener::drained() const {
+  const auto counts = count_connections();
+  return counts.reading + counts.responding + counts.lingering + counts.unsent_bytes == 0;
+}
+
 void caller_listener::tick(time_point now) {
   for (const auto* closed : std::exchange(m_closed_connections, {})) {
     m_connections.erase(closed);
   }
   for (const auto& [key, served] : m_connections) {
     served.connection->enforce_limits(now);
+    if (m_state.stop && now >= m_state.stop->answers_expire_at()) {
+      served.connection->close_if_idle_since(m_state.stop->signalled_at());
+    }
   }
 }
 
--- a/source/core/proxy/caller_listener.h
+++ b/source/core/proxy/caller_listener.h
@@ -42,6 +42,11 @@
   // Begins or reschedules the planned stop of proxy_state::stop: every later response closes its connection,
   // also on connections accepted from now on, and requests end in time.
   void on_stop_scheduled();
+  // Accepts no more connections, closes those that wait for a request, and refuses requests of which only a
+  // part has arrived.
+  void finish_stop(time_point now);
+  // Whether no request is being served or read, and callers have received all responses.
+  [[nodiscard]] bool drained() const;
   // Enforces the caller limits on all connections and releases the closed ones.
   void tick(time_point now);
   // Logs every request that is still being served, because the process ends.
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -19,6 +19,14 @@
 constexpr milliseconds k_directory_ttl{100};
 constexpr milliseconds k_long_grace_period{60'000};
 
+constexpr std::string_view k_stream_head =
+    "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n";
+
+std::string chunk(std::string_view text) {
+  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
 // A caller that keeps its connection and reads on demand.
 class raw_caller {
 public:
@@ -145,5 +153,103 @@
   EXPECT_LE(std::stol(received.substr(at + 8)), 1000);
 }
 
+TEST_F(planned_stop_test, a_stream_that_outlasts_the_stop_ends_incomplete_after_all_received_events) {
+  add_upstream("i-1", [](auto, const auto&) {
+    return upstream_action{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n")};
+  });
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"));
+  ASSERT_TRUE(run_until_received(caller, "id: 1"));
+  begin_stop(milliseconds{100});
+  ASSERT_TRUE(run_until_ended(caller));
+  EXPECT_TRUE(caller.received().ends_with(chunk("id: 1\ndata: x\n\n")));
+  EXPECT_FALSE(caller.was_reset());
+}
+
+TEST_F(planned_stop_test, the_stop_is_not_complete_while_a_slow_caller_has_not_received_its_response) {
+  const std::string body(12U << 20U, 'x');
+  const std::string response = response_text("a", body);
+  const std::string head = response.substr(0, response.size() - body.size());
+  auto& upstream = add_upstream("i-1", [&head](auto, const auto&) { return upstream_action{head}; });
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("GET", "/safe/x", "a"));
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  begin_stop(milliseconds{4000});
+  constexpr std::size_t k_piece_bytes = 64U << 10U;  // Fits in the buffers of the socket.
+  for (std::size_t sent = 0; sent < body.size(); sent += k_piece_bytes) {
+    upstream.send_to_last(body.substr(sent, k_piece_bytes));
+    ASSERT_TRUE(run_until([&] {
+      return m_state.buffered_response_bytes >= sent + k_piece_bytes ||
+             m_listener.active_request_count() == 0;
+    }));
+  }
+  ASSERT_TRUE(run_until([this] {
+    return m_listener.active_request_count() == 0 && m_listener.count_connections().unsent_bytes > 0;
+  }));
+  EXPECT_FALSE(m_listener.drained());
+  ASSERT_TRUE(run_until_ended(caller));
+  EXPECT_TRUE(caller.received().ends_with(body));
+  EXPECT_TRUE(run_until([this] {
+    m_listener.tick(clock::now());
+    return m_listener.drained();
+  }));
+}
+
+TEST_F(planned_stop_test, a_half_read_request_is_refused_at_the_end_of_the_stop) {
+  raw_caller caller(m_context, m_listener.address());
+  caller.send("POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+  ASSERT_TRUE(run_until([this] { return m_listener.count_connections().reading == 1; }));
+  begin_stop(milliseconds{0});
+  EXPECT_FALSE(m_listener.drained());
+  m_listener.finish_stop(clock::now());
+  ASSERT_TRUE(run_until_received(caller, "not_run"));
+  EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 503"));
+}
+
+TEST_F(planned_stop_test, idle_connections_are_closed_once_callers_can_know_of_the_stop) {
+  add_upstream_that_serves();
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("GET", "/safe/x", "a"));
+  ASSERT_TRUE(run_until_received(caller, "body"));
+  begin_stop(k_long_grace_period);
+  m_listener.tick(clock::now());
+  static_cast<void>(caller.received());
+  EXPECT_FALSE(caller.ended());
+  ASSERT_TRUE(run_until_ended(caller));
+  EXPECT_GE(clock::now(), m_state.stop->answers_expire_at());
+}
+
+TEST_F(planned_stop_test, a_request_that_has_arrived_on_an_idle_connection_is_answered_before_it_closes) {
+  add_upstream_that_serves();
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("GET", "/safe/x", "a"));
+  ASSERT_TRUE(run_until_received(caller, "body"));
+  begin_stop(milliseconds{0});
+  const std::size_t first = caller.received().size();
+  caller.send(request("GET", "/safe/x", "b"));
+  m_listener.finish_stop(clock::now());
+  ASSERT_TRUE(run_until_received(caller, "not_run"));
+  EXPECT_THAT(caller.received().substr(first), StartsWith("HTTP/1.1 503"));
+}
+
+TEST_F(planned_stop_test, a_connection_whose_response_began_before_the_stop_takes_one_more_request) {
+  add_upstream("i-1", [](std::size_t number, const auto&) {
+    const std::string events = chunk("id: 1\ndata: x\n\n");
+    return number == 1 ? upstream_action{std::string(k_stream_head) + events}
+                       : upstream_action{response_text("b", "body")};
+  });
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"));
+  ASSERT_TRUE(run_until_received(caller, "id: 1"));
+  EXPECT_THAT(caller.received(), Not(HasSubstr("Connection: close")));
+  begin_stop(milliseconds{4000});
+  m_upstreams[0]->send_to_last(std::string("0\r\n\r\n"));
+  ASSERT_TRUE(run_until_received(caller, "0\r\n\r\n"));
+  caller.send(request("GET", "/safe/x", "b"));
+  ASSERT_TRUE(run_until_received(caller, "body"));
+  EXPECT_THAT(caller.received(), HasSubstr("Connection: close"));
+  EXPECT_TRUE(run_until_ended(caller));
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
