tests: mutants of the planned stop, and two tests that did not find theirs

Two tests passed with theirs: the response at the end of the stop could also come at the deadline of the request (its reason is checked now), and the events of a cut stream had already reached the caller (the stream now has unsent bytes when it is cut). The test of a request on an idle connection ran while its first response still counted as unsent.

--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -126,6 +126,7 @@
   add_upstream_that_serves();
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
   begin_stop(milliseconds{1000});
+  m_state.other_gateway_ready = true;
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
   ASSERT_TRUE(run_until([this] { return clock::now() > m_state.stop->answers_expire_at(); }));
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 503"));
@@ -139,6 +140,7 @@
   begin_stop(milliseconds{100});
   ASSERT_TRUE(run_until_received(caller, "\r\n\r\n"));
   EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 504"));
+  EXPECT_THAT(caller.received(), HasSubstr("stopped"));
   EXPECT_THAT(caller.received(), HasSubstr(R"("execution":"unknown")"));
 }
 
@@ -154,15 +156,25 @@
 }
 
 TEST_F(planned_stop_test, a_stream_that_outlasts_the_stop_ends_incomplete_after_all_received_events) {
-  add_upstream("i-1", [](auto, const auto&) {
-    return upstream_action{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n")};
-  });
+  auto& upstream =
+      add_upstream("i-1", [](auto, const auto&) { return upstream_action{std::string(k_stream_head)}; });
   raw_caller caller(m_context, m_listener.address());
   caller.send(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"));
-  ASSERT_TRUE(run_until_received(caller, "id: 1"));
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  const std::string event = chunk("data: " + std::string(60'000, 'x') + "\n\n");
+  std::size_t events = 0;
+  for (; m_listener.count_connections().unsent_bytes == 0; ++events) {
+    ASSERT_LT(events, 1000U);
+    upstream.send_to_last(event);
+    m_context.run_for(milliseconds{1});
+    m_context.restart();
+  }
   begin_stop(milliseconds{100});
+  ASSERT_TRUE(run_until([this] { return m_listener.active_request_count() == 0; }));
   ASSERT_TRUE(run_until_ended(caller));
-  EXPECT_TRUE(caller.received().ends_with(chunk("id: 1\ndata: x\n\n")));
+  const std::size_t head = caller.received().find("\r\n\r\n") + 4;
+  EXPECT_EQ(caller.received().size() - head, events * event.size());
+  EXPECT_TRUE(caller.received().ends_with(event));
   EXPECT_FALSE(caller.was_reset());
 }
 
@@ -224,6 +236,7 @@
   raw_caller caller(m_context, m_listener.address());
   caller.send(request("GET", "/safe/x", "a"));
   ASSERT_TRUE(run_until_received(caller, "body"));
+  ASSERT_TRUE(run_until([this] { return m_listener.count_connections().unsent_bytes == 0; }));
   begin_stop(milliseconds{0});
   const std::size_t first = caller.received().size();
   caller.send(request("GET", "/safe/x", "b"));
