gateway: a leaving gateway serves for longer if no other gateway is ready

Cause: a leaving gateway compares a long request to its own time only; that nobody else can serve the caller was not asked.

While no other gateway is ready, requests that usually end in time are accepted for two lifetimes of the directory's answers in place of one, and a gateway that has nothing left to do ends after these in place of three, so that its successor comes sooner.

--- a/source/core/gateway/stop_schedule.cpp
+++ b/source/core/gateway/stop_schedule.cpp
@@ -7,6 +7,8 @@
 
 // Some callers use an answer of the directory for this many of its lifetimes.
 constexpr int k_lifetimes_in_use = 3;
+// Lifetimes for which a gateway accepts longer requests if no other gateway is ready.
+constexpr int k_lifetimes_alone = 2;
 // Left of the grace period when the process ends, since the platform counts from before the signal arrived.
 constexpr milliseconds k_exit_margin{300};
 // For sending the last responses and for callers to read them.
@@ -19,15 +21,17 @@
       m_answers_expire_at(signalled_at + directory_ttl),
       m_exit_by(signalled_at + std::max(milliseconds{0}, grace_period - k_exit_margin)) {
   m_respond_by = std::max(signalled_at, m_exit_by - k_send_time);
+  m_alone_until = std::min<time_point>(signalled_at + k_lifetimes_alone * directory_ttl, m_respond_by);
   m_exit_from = std::min<time_point>(signalled_at + k_lifetimes_in_use * directory_ttl, m_respond_by);
 }
 
 bool stop_schedule::accepts(time_point deadline, std::optional<duration> longest_service_time,
-                            time_point now) const {
+                            bool other_gateway_ready, time_point now) const {
   if (deadline <= m_respond_by) {
     return true;
   }
-  return longest_service_time && now < m_answers_expire_at && now + *longest_service_time <= m_respond_by;
+  const time_point end_of_early_part = other_gateway_ready ? m_answers_expire_at : m_alone_until;
+  return longest_service_time && now < end_of_early_part && now + *longest_service_time <= m_respond_by;
 }
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -578,11 +578,12 @@
   bool advance_stop(time_point now) {
     m_state.other_gateway_ready = other_gateway_ready(now);
     const gateway::stop_schedule& stop = *m_state.stop;
-    if ((now >= stop.exit_from() && m_callers.drained()) || now >= stop.respond_by()) {
+    const time_point exit_from = stop.exit_from(m_state.other_gateway_ready);
+    if ((now >= exit_from && m_callers.drained()) || now >= stop.respond_by()) {
       m_callers.finish_stop(now);
       m_callers.tick(now);  // Releases the connections that have been closed.
     }
-    const bool all_closed = now >= stop.exit_from() && m_callers.connection_count() == 0;
+    const bool all_closed = now >= exit_from && m_callers.connection_count() == 0;
     if (!all_closed && now < stop.exit_by()) {
       return false;
     }
--- a/source/unit_tests/gateway/stop_schedule_test.cpp
+++ b/source/unit_tests/gateway/stop_schedule_test.cpp
@@ -19,31 +19,41 @@
   EXPECT_LT(stop.exit_by(), k_signal + k_grace_period);
   // Requests that are still running may be cut in the last sixth of the grace period only.
   EXPECT_GE(stop.respond_by(), k_signal + k_grace_period * 5 / 6);
-  EXPECT_EQ(stop.exit_from(), k_signal + 3 * k_ttl);
+  EXPECT_EQ(stop.exit_from(true), k_signal + 3 * k_ttl);
+  EXPECT_EQ(stop.exit_from(false), k_signal + 2 * k_ttl);
 }
 
 TEST(stop_schedule, accepts_a_request_whose_deadline_is_in_time_at_any_moment) {
   const auto stop = make_schedule();
-  EXPECT_TRUE(stop.accepts(stop.respond_by(), std::nullopt, k_signal));
-  EXPECT_TRUE(stop.accepts(stop.respond_by(), std::nullopt, k_signal + seconds{7}));
-  EXPECT_FALSE(stop.accepts(stop.respond_by() + milliseconds{1}, std::nullopt, k_signal));
+  EXPECT_TRUE(stop.accepts(stop.respond_by(), std::nullopt, true, k_signal));
+  EXPECT_TRUE(stop.accepts(stop.respond_by(), std::nullopt, true, k_signal + seconds{7}));
+  EXPECT_FALSE(stop.accepts(stop.respond_by() + milliseconds{1}, std::nullopt, true, k_signal));
 }
 
 TEST(stop_schedule, accepts_a_request_that_usually_ends_in_time_only_while_callers_cannot_know_of_the_stop) {
   const auto stop = make_schedule();
   const time_point deadline = k_signal + seconds{9};
-  EXPECT_TRUE(stop.accepts(deadline, seconds{2}, k_signal + k_ttl - milliseconds{1}));
-  EXPECT_FALSE(stop.accepts(deadline, seconds{2}, k_signal + k_ttl));
-  EXPECT_FALSE(stop.accepts(deadline, seconds{7}, k_signal + seconds{1}));
-  EXPECT_FALSE(stop.accepts(deadline, std::nullopt, k_signal));
+  EXPECT_TRUE(stop.accepts(deadline, seconds{2}, true, k_signal + k_ttl - milliseconds{1}));
+  EXPECT_FALSE(stop.accepts(deadline, seconds{2}, true, k_signal + k_ttl));
+  EXPECT_FALSE(stop.accepts(deadline, seconds{7}, true, k_signal + seconds{1}));
+  EXPECT_FALSE(stop.accepts(deadline, std::nullopt, true, k_signal));
+}
+
+TEST(stop_schedule, accepts_such_a_request_for_longer_if_no_other_gateway_is_ready) {
+  const auto stop = make_schedule();
+  const time_point deadline = k_signal + seconds{9};
+  EXPECT_TRUE(stop.accepts(deadline, seconds{2}, false, k_signal + 2 * k_ttl - milliseconds{1}));
+  EXPECT_FALSE(stop.accepts(deadline, seconds{2}, false, k_signal + 2 * k_ttl));
+  EXPECT_FALSE(stop.accepts(deadline, seconds{6}, false, k_signal + k_ttl));
 }
 
 TEST(stop_schedule, a_grace_period_that_is_too_short_ends_at_once) {
   const stop_schedule stop(k_signal, milliseconds{200}, k_ttl);
   EXPECT_EQ(stop.respond_by(), k_signal);
-  EXPECT_EQ(stop.exit_from(), k_signal);
+  EXPECT_EQ(stop.exit_from(true), k_signal);
+  EXPECT_EQ(stop.exit_from(false), k_signal);
   EXPECT_EQ(stop.exit_by(), k_signal);
-  EXPECT_FALSE(stop.accepts(k_signal + milliseconds{1}, milliseconds{1}, k_signal));
+  EXPECT_FALSE(stop.accepts(k_signal + milliseconds{1}, milliseconds{1}, true, k_signal));
 }
 
 }  // namespace
