--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -545,15 +545,18 @@
   }
 
   void wait_for_signal() {
-    m_signals.async_wait([this](const std::error_code& code, int) {
+    m_signals.async_wait([this](const std::error_code& code, int signal) {
       if (code) {
         return;
       }
-      if (m_signal_received) {
+      if (!m_signal_received) {
+        m_signal_received = true;
+        start_drain();
+      } else if (signal == SIGINT) {
         std::_Exit(EXIT_FAILURE);
+      } else {
+        telemetry::log(log_level::info, "process", "already leaving");
       }
-      m_signal_received = true;
-      start_drain();
       wait_for_signal();
     });
   }
--- a/source/scenario/lua_interface.h
+++ b/source/scenario/lua_interface.h
@@ -9,7 +9,7 @@
 
 // Registers these functions and fields in the global table "runner". `target` must outlive the Lua state.
 //   start(name, program, {argument,...})  -> pid
-//   signal(name, "KILL"|"TERM"|"STOP"|"CONT")
+//   signal(name, "KILL"|"TERM"|"INT"|"HUP"|"STOP"|"CONT")
 //   exit_status(name)                     -> nil while it runs; 128 + signal number if a signal ended it
 //   output(name)                          -> what it has written to its standard output
 //   free_address()                        -> "127.0.0.1:PORT"
--- a/tests/scenarios/support/language.lua
+++ b/tests/scenarios/support/language.lua
@@ -124,6 +124,9 @@
 function resume(name) runner.signal(name, "CONT") end
 -- Starts the graceful shutdown of a process (SIGTERM).
 function stop(name) runner.signal(name, "TERM") end
+function interrupt(name) runner.signal(name, "INT") end
+-- Makes a process reload its settings (SIGHUP).
+function reload(name) runner.signal(name, "HUP") end
 -- Returns the exit status of a process, or nil while it runs.
 function exit_status(name) return runner.exit_status(name) end
 
