entry, agent: survive SIGHUP

SIGHUP ended an entry or an agent at once, with all requests: neither handled the signal, whose default action ends the process. Gateways reload their settings at SIGHUP and balancers log that they don't, so operators send it to all daemons alike.

Both now log that settings of a running process are not reloaded, as the balancer does.

scenario.reload_signal runs real processes. Without the change it fails: "entry-1 has ended"; with the change in the entry alone: "agent-service-1 has ended". It passes with the change.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -109,7 +109,7 @@
         m_rollout({.name = settings.host,
                    .availability_zone = settings.availability_zone,
                    .may_read_store = false}),
-        m_signals(m_context, SIGTERM, SIGINT),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_timer(m_context),
         m_flush_timer(m_context) {}
 
@@ -183,7 +183,9 @@
       if (code) {
         return;
       }
-      if (!m_signal_received) {
+      if (signal == SIGHUP) {
+        telemetry::log(telemetry::log_level::info, "process", "settings of a running agent are not reloaded");
+      } else if (!m_signal_received) {
         m_signal_received = true;
         start_drain();
       } else if (signal == SIGINT) {
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -88,7 +88,7 @@
                    .address = settings.address}),
         m_rollout(
             {.name = settings.host, .availability_zone = settings.availability_zone, .may_read_store = true}),
-        m_signals(m_context, SIGTERM, SIGINT),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_timer(m_context) {}
 
   int run() {
@@ -549,7 +549,9 @@
       if (code) {
         return;
       }
-      if (!m_signal_received) {
+      if (signal == SIGHUP) {
+        telemetry::log(log_level::info, "process", "settings of a running entry are not reloaded");
+      } else if (!m_signal_received) {
         m_signal_received = true;
         start_drain();
       } else if (signal == SIGINT) {
