cuminpathd: survive SIGHUP before the handlers are installed

A daemon that got SIGHUP while it was reading its settings ended at once: the handlers are installed by the process of its role, after the settings have been read and logging has started, and the default action of SIGHUP ends a process. A rollout that reloads daemons just after it has started them lost them.

main() ignores the signal first; the handlers of the roles replace this. A SIGHUP that arrives until then has no effect, and the process goes on with the settings that it is reading. Before main() is reached nothing can be done.

scenario.reload_signal_at_start holds an entry in the reading of its settings with a pipe; all roles share that code. Without the change the entry ends at the signal ("did not hold: entry-1 reads its settings"); with it the entry starts and serves.

--- a/source/programs/cuminpathd/main.cpp
+++ b/source/programs/cuminpathd/main.cpp
@@ -137,6 +137,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Its default action would end the process until the handlers of the role are installed.
+  std::signal(SIGHUP, SIG_IGN);
   try {
     return run(argc, argv);
   } catch (const std::exception& failure) {
