--- a/source/scenario/lua_interface.cpp
+++ b/source/scenario/lua_interface.cpp
@@ -77,9 +77,9 @@
 }
 
 int send_signal(lua_State* lua) {
-  static const std::map<std::string, int> s_numbers = {
-      {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"INT", SIGINT},
-      {"HUP", SIGHUP},   {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+  static const std::map<std::string, int> s_numbers = {{"KILL", SIGKILL}, {"TERM", SIGTERM},
+                                                       {"INT", SIGINT},   {"HUP", SIGHUP},
+                                                       {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
   const auto found = s_numbers.find(string_argument(lua, 2));
   if (found == s_numbers.end()) {
     return raise_error(lua, "unknown signal");
