entry, http: end a stop only when callers have their responses

An entry that was being stopped could end with a request half read or with the end of a response unsent, and callers that keep connections sent requests to it until the process was gone. Cause: the process ended 0.5 s after no request was active in entry_core. A request is not active while it is being read, and no longer once its response is handed to RESTinio, which sends it as fast as the caller takes it; and no response announced that its connection would close.

http::server counts open connections and can make each later response carry "Connection: close". The entry does so from the start of the stop on and ends when all connections are closed. Requests that arrive once the entry has left the lists are refused as before (503, not_run), and the refusal closes the connection.

Unit tests of the server, which has new functions: responses of both kinds announce the close (fails without connection_close()), and a connection counts until a slow client has taken 32 MB (fails if only requests in progress are counted).

--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -45,8 +45,8 @@
 // Other entries learn within 3 s that this one is leaving (invariant 5) and may include it in their lists
 // until then.
 constexpr seconds k_leave_propagation_time{3};
-// Time for the connections to send the last responses; stopping earlier would truncate them.
-constexpr milliseconds k_response_flush_time{500};
+// Time for the last messages to agents to reach the socket; stopping earlier would drop them.
+constexpr milliseconds k_message_flush_time{500};
 constexpr seconds k_min_host_list_interval{2};
 constexpr milliseconds k_store_readers_interval{500};
 // A host takes about 200 bytes in the list, so that this rate limits the fetches of the list to a third of
@@ -572,6 +572,7 @@
     m_draining = true;
     const auto now = clock::now();
     m_members.leave(now);
+    m_server->close_after_responses();
     // Callers may use a list that names this entry until its lifetime has passed.
     m_accept_until = now + m_settings.entry.entries_ttl + k_leave_propagation_time;
   }
@@ -586,10 +587,11 @@
       m_core.stop_accepting();
       m_server->stop_accepting();
     }
-    if (m_core.in_flight() > 0) {
+    // Open connections may have unsent responses or half-read requests.
+    if (m_core.in_flight() > 0 || m_server->connection_count() > 0) {
       m_idle_since = now;
     }
-    return now >= m_idle_since + k_response_flush_time;
+    return now >= m_idle_since + k_message_flush_time;
   }
 
   // --- Metrics ---
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <restinio/all.hpp>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cuminpath::http {
 struct streamed_output {};
@@ -72,9 +73,11 @@
 
 class connection_responder;
 
-// Responses in progress by connection, used to notify them when their connection closes.
 struct connection_table {
+  std::unordered_set<connection_id> open;
+  // Responses in progress, used to notify them when their connection closes.
   std::unordered_map<connection_id, std::weak_ptr<connection_responder>> responders;
+  bool close_after_responses = false;
 };
 
 using stream_builder = restinio::response_builder_t<streamed_output>;
@@ -100,6 +103,9 @@
       return;
     }
     auto builder = m_request->create_response(status_line(value.status));
+    if (m_table->close_after_responses) {
+      builder.connection_close();
+    }
     for (auto& [name, text] : value.headers) {
       builder.append_header(std::move(name), std::move(text));
     }
@@ -113,6 +119,9 @@
       return;
     }
     m_stream.emplace(m_request->create_response<streamed_output>(status_line(status)));
+    if (m_table->close_after_responses) {
+      m_stream->connection_close();
+    }
     for (const auto& [name, text] : headers) {
       m_stream->append_header(name, text);
     }
@@ -192,15 +201,18 @@
   std::function<void()> m_on_closed;
 };
 
-// Marks the response in progress as closed when RESTinio reports that its connection has closed.
+// Keeps the table of connections, and marks the response in progress as closed when RESTinio reports that its
+// connection has closed.
 class state_listener {
 public:
   explicit state_listener(std::shared_ptr<connection_table> table) : m_table(std::move(table)) {}
 
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
     if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+      m_table->open.insert(notice.connection_id());
       return;
     }
+    m_table->open.erase(notice.connection_id());
     const auto found = m_table->responders.find(notice.connection_id());
     if (found == m_table->responders.end()) {
       return;
@@ -298,7 +310,9 @@
   impl& operator=(const impl&) = delete;
 
   [[nodiscard]] const std::string& address() const { return m_address; }
+  void close_after_responses() { m_table->close_after_responses = true; }
   void stop_accepting() { m_server->close_sync(); }
+  [[nodiscard]] std::size_t connection_count() const { return m_table->open.size(); }
 
 private:
   restinio::request_handling_status_t on_request(restinio::request_handle_t handle) {
@@ -335,9 +349,15 @@
 std::string server::address() const {
   return m_impl->address();
 }
+void server::close_after_responses() {
+  m_impl->close_after_responses();
+}
 void server::stop_accepting() {
   m_impl->stop_accepting();
 }
+std::size_t server::connection_count() const {
+  return m_impl->connection_count();
+}
 
 result<std::unique_ptr<server>> serve_page(asio::io_context& context, const std::string& address,
                                            std::string path, page_handler handler) {
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -67,8 +67,13 @@
 
   // Returns the IP:PORT that the server listens on.
   [[nodiscard]] std::string address() const;
+  // Makes every later response carry "Connection: close" and closes the connection after it.
+  void close_after_responses();
   // Stops accepting connections; open connections continue.
   void stop_accepting();
+  // Returns the number of open connections. A connection that is idle, that sends its request too slowly or
+  // that does not take its response closes after `read_timeout`.
+  [[nodiscard]] std::size_t connection_count() const;
 
 private:
   class impl;
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 
 #include "core/http/client.h"
 #include "core/http/server.h"
@@ -102,6 +105,52 @@
   EXPECT_FALSE(response.failure->sent);
 }
 
+// A client that is not told of the stop would send its next request to a process that is about to end.
+TEST_F(http_test, a_stopping_server_closes_connections_after_their_responses) {
+  serve([](const request& value, const std::shared_ptr<responder>& to) {
+    if (value.target == "/stream") {
+      to->begin_stream(200, {});
+      to->end_stream();
+    } else {
+      to->respond({});
+    }
+  });
+  call({});
+  EXPECT_EQ(m_server->connection_count(), 1U);
+  m_server->close_after_responses();
+  for (const char* target : {"/", "/stream"}) {
+    const auto response = call({.target = target});
+    ASSERT_FALSE(response.failure) << target;
+    EXPECT_EQ(find_header(response.value.headers, "connection"), "close") << target;
+  }
+  EXPECT_TRUE(run_until(m_context, [&] { return m_server->connection_count() == 0; }));
+}
+
+// The end of a response was lost if the process ended before a slow client had taken it.
+TEST_F(http_test, a_connection_counts_until_a_slow_client_has_its_response) {
+  constexpr std::size_t k_more_than_socket_buffers = 32U << 20U;
+  serve([](const request&, const std::shared_ptr<responder>& to) {
+    to->respond({.body = std::string(k_more_than_socket_buffers, 'x')});
+  });
+  m_server->close_after_responses();
+  asio::ip::tcp::socket client(m_context);
+  const std::string address = m_server->address();
+  const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  client.connect({asio::ip::make_address("127.0.0.1"), port});
+  asio::write(client, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: test\r\n\r\n")));
+  ASSERT_TRUE(run_until(m_context, [&] { return client.available() > 0; }));
+  m_server->stop_accepting();
+  EXPECT_EQ(m_server->connection_count(), 1U);
+
+  std::string received;
+  bool ended = false;
+  asio::async_read(client, asio::dynamic_buffer(received),
+                   [&](std::error_code, std::size_t) { ended = true; });
+  ASSERT_TRUE(run_until(m_context, [&] { return ended; }));
+  EXPECT_GT(received.size(), k_more_than_socket_buffers);
+  EXPECT_TRUE(run_until(m_context, [&] { return m_server->connection_count() == 0; }));
+}
+
 TEST(retry_after, parses_seconds_and_nothing_else) {
   using std::chrono::milliseconds;
   EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
