--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -109,7 +109,7 @@
         m_rollout({.name = settings.host,
                    .availability_zone = settings.availability_zone,
                    .may_read_store = false}),
-        m_signals(m_context, SIGTERM, SIGINT),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_timer(m_context),
         m_flush_timer(m_context) {}
 
@@ -179,15 +179,20 @@
   }
 
   void wait_for_signal() {
-    m_signals.async_wait([this](const std::error_code& code, int) {
+    m_signals.async_wait([this](const std::error_code& code, int signal) {
       if (code) {
         return;
       }
-      if (m_signal_received) {
+      if (signal == SIGHUP) {
+        telemetry::log(telemetry::log_level::info, "process", "settings of a running agent are not reloaded");
+      } else if (!m_signal_received) {
+        m_signal_received = true;
+        start_drain();
+      } else if (signal == SIGINT) {
         std::_Exit(EXIT_FAILURE);
+      } else {
+        telemetry::log(telemetry::log_level::info, "process", "already leaving");
       }
-      m_signal_received = true;
-      start_drain();
       wait_for_signal();
     });
   }
