proxy: a refusal without the id of the request is no statement about it

Callers were told 503 "not run" for requests that an upstream was running, and requests that may run once ran at a second upstream, if an upstream wrote an earlier refusal once more. Cause: responses with another id than that of the request were skipped, but 421 and the header for requests that were not executed were believed in a response without any id, and of two id headers only the first was compared. The same responses also kept requests from the upstream (its Retry-After, or as the wrong instance). Requests that may run once never travel on a kept connection; at them the refusal has to come on a new one.

Copies that arrive with the end of the earlier response, on the idle connection, or with a foreign or empty id did no harm before either.

Change: a response counts as refusal only if it has the id of the request; without an id it ends the attempt as a broken connection does: a request that may run once gets 502, others go to another upstream. A response is skipped if any of its id headers names another request. The state of the upstream is taken from responses with the id only.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -127,6 +127,12 @@
   return gateway::shared_prompt_parts(m_request.header(m_state.header_names.prompt_parts).value_or(""));
 }
 
+bool exchange::is_refusal(const message_head& head) const {
+  return http::find_header(head.headers, m_state.header_names.request_id) &&
+         (head.status == k_misdirected_request ||
+          http::find_header(head.headers, m_state.header_names.not_executed));
+}
+
 bool exchange::is_engine_call() const {
   const gateway::service* service = m_configuration->find_service(m_service);
   return service != nullptr && service->engine.has_value();
@@ -423,7 +429,9 @@
 void exchange::on_head(message_head&& head) {
   m_attempt->head = std::move(head);
   const message_head& received = *m_attempt->head;
-  record_upstream_state(received, clock::now());
+  if (http::find_header(received.headers, m_state.header_names.request_id)) {
+    record_upstream_state(received, clock::now());
+  }
   m_attempt->streamed =
       m_route->kind == call_kind::stream && received.status == 200 && is_upstream_response(received);
 }
@@ -531,13 +539,14 @@
 
 void exchange::on_response_end() {
   message_head& head = *m_attempt->head;
-  if (head.status == k_misdirected_request) {
+  const bool refused = is_refusal(head);
+  if (refused && head.status == k_misdirected_request) {
     m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
     --m_sent_attempts;
     end_attempt(attempt_result::wrong_instance, "another instance has the address");
     return;
   }
-  if (http::find_header(head.headers, m_state.header_names.not_executed)) {
+  if (refused) {
     m_state.service_state(m_service).on_refused(clock::now());
     end_attempt(attempt_result::not_executed, fmt::format("upstream answered {}", head.status));
     return;
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -113,6 +113,9 @@
   // Returns true if the response was written by an upstream: it carries the headers that every upstream sets,
   // and no intermediary has encoded its body.
   [[nodiscard]] bool is_upstream_response(const message_head& head) const;
+  // Returns true if the response states that the upstream has not run this request. A response without the
+  // id of the request may belong to another one; those with another id do not get here.
+  [[nodiscard]] bool is_refusal(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
   // Ids of the parts of the prompt that other requests may share.
   [[nodiscard]] std::vector<std::string_view> shared_prompt_parts() const;
--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "core/proxy/upstream_connection.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <charconv>
@@ -187,8 +188,10 @@
   if (m_skipping_response) {
     return;
   }
-  const auto echoed = http::find_header(head.headers, m_id_header);
-  if (echoed && *echoed != m_request_id) {
+  const auto is_other_id = [this](const auto& header) {
+    return http::equal_ignoring_case(header.first, m_id_header) && header.second != m_request_id;
+  };
+  if (std::any_of(head.headers.begin(), head.headers.end(), is_other_id)) {
     m_skipping_response = true;
     m_keep_alive = head.keep_alive;
     return;
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -35,8 +35,8 @@
   void connect(const asio::ip::tcp::endpoint& peer, milliseconds timeout,
                std::function<void(std::string_view)> done);
 
-  // Sends a request. Responses whose `id_header` differs from `request_id` belong to earlier requests on this
-  // connection and are skipped.
+  // Sends a request. Responses that have an `id_header` other than `request_id` belong to earlier requests on
+  // this connection and are skipped.
   void send(std::string bytes, std::string id_header, std::string request_id, bool no_body,
             response_handlers events);
 
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -45,6 +45,8 @@
   m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
     if (!error) {
       ++m_accepted;
+      std::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       read(std::make_shared<connection>(std::move(socket)));
       accept();
     }
@@ -61,36 +63,43 @@
         }
         peer->received.append(peer->buffer.data(), size);
         const std::size_t head = peer->received.find("\r\n\r\n");
-        if (head == std::string::npos ||
-            peer->received.size() < head + 4 + body_length(peer->received.substr(0, head))) {
+        if (head == std::string::npos) {
           read(peer);
           return;
         }
+        if (peer->received.size() < head + 4 + body_length(peer->received.substr(0, head))) {
+          act(peer, std::exchange(m_early_action, std::nullopt).value_or(upstream_action{}));
+          return;
+        }
         m_requests.push_back(std::exchange(peer->received, {}));
         m_last = peer;
-        const upstream_action action = m_script(m_requests.size(), m_requests.back());
-        std::error_code ignored;
-        asio::write(peer->socket,
-                    asio::buffer(std::exchange(peer->late_bytes, action.late_bytes) + action.bytes), ignored);
-        switch (action.then) {
-          case upstream_action::after::keep:
-            read(peer);
-            return;
-          case upstream_action::after::reset:
-            peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-            peer->socket.close(ignored);
-            return;
-          case upstream_action::after::crash:
-            m_acceptor.close(ignored);
-            peer->socket.close(ignored);
-            return;
-          case upstream_action::after::close:
-            peer->socket.close(ignored);
-            return;
-        }
+        upstream_action action = m_script(m_requests.size(), m_requests.back());
+        action.bytes.insert(0, std::exchange(peer->late_bytes, action.late_bytes));
+        act(peer, action);
       });
 }
 
+void scripted_upstream::act(const std::shared_ptr<connection>& peer, const upstream_action& action) {
+  std::error_code ignored;
+  asio::write(peer->socket, asio::buffer(action.bytes), ignored);
+  switch (action.then) {
+    case upstream_action::after::keep:
+      read(peer);
+      return;
+    case upstream_action::after::reset:
+      peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      peer->socket.close(ignored);
+      return;
+    case upstream_action::after::crash:
+      m_acceptor.close(ignored);
+      peer->socket.close(ignored);
+      return;
+    case upstream_action::after::close:
+      peer->socket.close(ignored);
+      return;
+  }
+}
+
 struct endless_upstream::state {
   explicit state(asio::io_context& context) : socket(context) {}
   asio::ip::tcp::socket socket;
@@ -215,7 +224,7 @@
   const std::string address = m_listener.address();
   const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
   socket.connect({asio::ip::address_v4::loopback(), port});
-  asio::write(socket, asio::buffer(bytes));
+  asio::async_write(socket, asio::buffer(bytes), [](std::error_code /*error*/, std::size_t /*size*/) {});
   exchange_result out;
   std::array<char, 4096> buffer{};
   std::function<void()> read = [&] {
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,8 @@
   void stop_accepting() { m_acceptor.close(); }
   // Sends further bytes on the connection of the last request.
   void send_to_last(const std::string& bytes);
+  // Acts once while the next request with a body is still incomplete.
+  void act_during_next(upstream_action action) { m_early_action = std::move(action); }
   [[nodiscard]] const std::vector<std::string>& requests() const { return m_requests; }
   // Number of connections that the proxy has closed.
   [[nodiscard]] std::size_t closed() const { return m_closed; }
@@ -49,11 +52,13 @@
   struct connection;
   void accept();
   void read(const std::shared_ptr<connection>& peer);
+  void act(const std::shared_ptr<connection>& peer, const upstream_action& action);
 
   asio::ip::tcp::acceptor m_acceptor;
   script m_script;
   std::vector<std::string> m_requests;
   std::shared_ptr<connection> m_last;  // The connection of the last request.
+  std::optional<upstream_action> m_early_action;
   std::size_t m_closed = 0;
   std::size_t m_resets = 0;
   std::size_t m_accepted = 0;
