proxy: a refusal must say that an at-most-once request has not run

Callers of requests that may run once got 408, 429 or 503 of an upstream, which they read as "not run, try again", although the upstream may have run them. Such a status was forwarded as the upstream's own failure, but an upstream states that it has not run a request only by 421 or by the header for it; a faulty one that writes the status line of another response without that header states nothing.

Change: for requests that may run once, these statuses without the statement end the attempt as a broken connection does, with 502. Requests that may run again get the upstream's status as before.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -43,7 +43,9 @@
 // Weight of the newest sample in the moving average of the service time.
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_max_urgency = 9;
+constexpr int k_request_timeout = 408;
 constexpr int k_misdirected_request = 421;
+constexpr int k_too_many_requests = 429;
 constexpr int k_service_unavailable = 503;
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
@@ -53,6 +55,12 @@
 constexpr milliseconds k_max_wait_for_other_gateway{50};
 constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
 
+// Callers read these statuses as the promise that the request has not run and will not run.
+bool promises_no_execution(int status) {
+  return status == k_request_timeout || status == k_misdirected_request || status == k_too_many_requests ||
+         status == k_service_unavailable;
+}
+
 std::optional<std::int64_t> parse_integer(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -555,6 +563,10 @@
     end_attempt(attempt_result::broken, fmt::format("answer {} is not the upstream's own", head.status));
     return;
   }
+  if (!m_route->repeatable() && promises_no_execution(head.status)) {
+    end_attempt(attempt_result::broken, fmt::format("upstream answered {} and may have run it", head.status));
+    return;
+  }
   if (head.status >= 500) {
     m_failure_response.emplace(head, m_attempt->body);
     end_attempt(attempt_result::failed, fmt::format("upstream answered {}", head.status));
--- a/source/unit_tests/proxy/late_response_test.cpp
+++ b/source/unit_tests/proxy/late_response_test.cpp
@@ -200,6 +200,9 @@
     for_each_refusal([&](const repeated_refusal& refusal, const std::string& response) {
       if (refusal.not_executed || refusal.status == k_misdirected_request) {
         EXPECT_TRUE(is_served(response) || m_arrivals == 0U) << m_arrivals;
+      } else if (!kind().repeatable) {
+        EXPECT_FALSE(promises_no_execution(response));
+        EXPECT_LE(m_arrivals, 1U);
       }
     });
     return;
