--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -43,7 +43,9 @@
 // Weight of the newest sample in the moving average of the service time.
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_max_urgency = 9;
+constexpr int k_request_timeout = 408;
 constexpr int k_misdirected_request = 421;
+constexpr int k_too_many_requests = 429;
 constexpr int k_service_unavailable = 503;
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
@@ -53,6 +55,12 @@
 constexpr milliseconds k_max_wait_for_other_gateway{50};
 constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
 
+// Callers read these statuses as the promise that the request has not run and will not run.
+bool promises_no_execution(int status) {
+  return status == k_request_timeout || status == k_misdirected_request || status == k_too_many_requests ||
+         status == k_service_unavailable;
+}
+
 std::optional<std::int64_t> parse_integer(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -127,6 +135,12 @@
   return gateway::shared_prompt_parts(m_request.header(m_state.header_names.prompt_parts).value_or(""));
 }
 
+bool exchange::is_refusal(const message_head& head) const {
+  return http::find_header(head.headers, m_state.header_names.request_id) &&
+         (head.status == k_misdirected_request ||
+          http::find_header(head.headers, m_state.header_names.not_executed));
+}
+
 bool exchange::is_engine_call() const {
   const gateway::service* service = m_configuration->find_service(m_service);
   return service != nullptr && service->engine.has_value();
@@ -423,7 +437,9 @@
 void exchange::on_head(message_head&& head) {
   m_attempt->head = std::move(head);
   const message_head& received = *m_attempt->head;
-  record_upstream_state(received, clock::now());
+  if (http::find_header(received.headers, m_state.header_names.request_id)) {
+    record_upstream_state(received, clock::now());
+  }
   m_attempt->streamed =
       m_route->kind == call_kind::stream && received.status == 200 && is_upstream_response(received);
 }
@@ -531,13 +547,14 @@
 
 void exchange::on_response_end() {
   message_head& head = *m_attempt->head;
-  if (head.status == k_misdirected_request) {
+  const bool refused = is_refusal(head);
+  if (refused && head.status == k_misdirected_request) {
     m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
     --m_sent_attempts;
     end_attempt(attempt_result::wrong_instance, "another instance has the address");
     return;
   }
-  if (http::find_header(head.headers, m_state.header_names.not_executed)) {
+  if (refused) {
     m_state.service_state(m_service).on_refused(clock::now());
     end_attempt(attempt_result::not_executed, fmt::format("upstream answered {}", head.status));
     return;
@@ -546,6 +563,10 @@
     end_attempt(attempt_result::broken, fmt::format("answer {} is not the upstream's own", head.status));
     return;
   }
+  if (!m_route->repeatable() && promises_no_execution(head.status)) {
+    end_attempt(attempt_result::broken, fmt::format("upstream answered {} and may have run it", head.status));
+    return;
+  }
   if (head.status >= 500) {
     m_failure_response.emplace(head, m_attempt->body);
     end_attempt(attempt_result::failed, fmt::format("upstream answered {}", head.status));
