proxy: continue a stream only with the event after its last one

A stream that broke off was resumed with Last-Event-Id, and whatever events the next response with status 200 held were written to the caller: an error event, the head of another response, the stream from its first event, the last event once more, or a later event without those in between. The caller got pieces twice or not at all, or pieces of two runs, and the stream could end as if it were complete.

Cause: only status, id and stamp of the response were checked, not whether its events go on where the caller's stream ends.

The first event of a continuation must have the id after the last one that was forwarded; ids are numbers that increase by one. Otherwise nothing of the response is forwarded and the attempt ends as broken, so that another upstream may continue the stream if the number of attempts allows it, and the stream is aborted without a last chunk if not. The attempt ends only after the splitter has returned, because the next attempt may use the splitter at once.

A continuation without events still completes the stream: the first upstream may have broken off after its last event.

--- a/source/core/gateway/event_splitter.cpp
+++ b/source/core/gateway/event_splitter.cpp
@@ -1,5 +1,9 @@
 #include "core/gateway/event_splitter.h"
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -30,6 +34,13 @@
   return id;
 }
 
+std::optional<std::uint64_t> parse_event_id(std::string_view id) {
+  std::uint64_t number = 0;
+  const char* end = id.data() + id.size();
+  const auto parsed = std::from_chars(id.data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
+}
+
 }  // namespace
 
 void event_splitter::feed(std::string_view bytes, const std::function<void(const event&)>& on_event) {
@@ -49,4 +60,10 @@
   m_pending.assign(bytes);
 }
 
+bool is_next_event_id(std::string_view last, std::string_view id) {
+  const auto last_number = parse_event_id(last);
+  const auto number = parse_event_id(id);
+  return last_number && number && *number > 0 && *number - 1 == *last_number;
+}
+
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/event_splitter.h
+++ b/source/core/gateway/event_splitter.h
@@ -28,4 +28,7 @@
   std::string m_pending;
 };
 
+// Returns true if both ids are decimal numbers and `id` is one higher than `last`.
+[[nodiscard]] bool is_next_event_id(std::string_view last, std::string_view id);
+
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -461,6 +461,10 @@
     return;
   }
   m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
+  if (m_attempt && m_attempt->other_run) {
+    end_attempt(attempt_result::broken, "answer does not continue the stream at its next event");
+    return;
+  }
   if (m_attempt && m_splitter.pending() > k_max_event_bytes) {
     end_attempt(attempt_result::broken, "event is too large");
     return;
@@ -471,7 +475,11 @@
 }
 
 void exchange::forward_event(const gateway::event_splitter::event& event) {
-  if (m_done) {
+  if (m_done || m_attempt->other_run) {
+    return;
+  }
+  if (m_response_started && m_attempt->events == 0 && !gateway::is_next_event_id(m_last_event_id, event.id)) {
+    m_attempt->other_run = true;
     return;
   }
   const time_point now = clock::now();
--- a/source/unit_tests/gateway/event_splitter_test.cpp
+++ b/source/unit_tests/gateway/event_splitter_test.cpp
@@ -48,5 +48,30 @@
   EXPECT_EQ(splitter.pending(), 0U);
 }
 
+// Guards against a stream that is joined with a run that begins elsewhere.
+TEST(event_splitter, only_the_number_after_the_last_id_is_the_next_id) {
+  EXPECT_TRUE(is_next_event_id("0", "1"));
+  EXPECT_TRUE(is_next_event_id("9", "10"));
+  EXPECT_TRUE(is_next_event_id("18446744073709551614", "18446744073709551615"));
+  for (const auto& [last, id] : {std::pair("1", "1"),
+                                 {"2", "1"},
+                                 {"1", "3"},
+                                 {"1", ""},
+                                 {"", "1"},
+                                 {"", ""},
+                                 {"a", "b"},
+                                 {"1", "2a"},
+                                 {"1a", "2"},
+                                 {"1", "+2"},
+                                 {"1", "-2"},
+                                 {"1", " 2"},
+                                 {"1", "2 "},
+                                 {"1", "2.0"},
+                                 {"18446744073709551615", "0"},
+                                 {"18446744073709551615", "18446744073709551616"}}) {
+    EXPECT_FALSE(is_next_event_id(last, id)) << last << " " << id;
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
