proxy: do not begin a stream again after an event without an id

A stream on a route that may be resumed, whose events have no ids, broke off or was silent for too long: the request was sent to another upstream without Last-Event-Id, and its whole run was joined to the events that the caller already had. If only the last event had no id, the stream was resumed after an earlier one and the caller got that event twice.

Cause: whether a request may run again depended on the route alone, and the id of an earlier event was kept.

Once events have been forwarded, the request may run again only if the last of them has a number as its id. Otherwise the stream is aborted if it breaks, and left alone if it is silent. Blocks without data, such as comments, are no events and don't change the id.

Without the change in exchange.cpp both new tests of broken_stream_test.cpp fail, and none with it.

--- a/source/core/gateway/event_splitter.cpp
+++ b/source/core/gateway/event_splitter.cpp
@@ -1,8 +1,6 @@
 #include "core/gateway/event_splitter.h"
 
 #include <charconv>
-#include <cstdint>
-#include <optional>
 
 namespace cuminpath::gateway {
 namespace {
@@ -17,28 +15,22 @@
   return lf < crlf ? lf + 2 : crlf + 3;
 }
 
-std::string_view find_event_id(std::string_view event) {
-  std::string_view id;
-  while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+event_splitter::event parse_event(std::string_view bytes) {
+  event_splitter::event event{.bytes = bytes};
+  while (!bytes.empty()) {
+    const auto end = bytes.find('\n');
+    std::string_view line = bytes.substr(0, end);
+    bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
     if (line.starts_with("id:")) {
-      id = line.substr(3);
-      id.remove_prefix(id.starts_with(' ') ? 1 : 0);
+      event.id = line.substr(3);
+      event.id.remove_prefix(event.id.starts_with(' ') ? 1 : 0);
     }
+    event.has_data = event.has_data || line == "data" || line.starts_with("data:");
   }
-  return id;
-}
-
-std::optional<std::uint64_t> parse_event_id(std::string_view id) {
-  std::uint64_t number = 0;
-  const char* end = id.data() + id.size();
-  const auto parsed = std::from_chars(id.data(), end, number);
-  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
+  return event;
 }
 
 }  // namespace
@@ -53,13 +45,19 @@
     m_pending.clear();
   }
   for (std::size_t end = find_event_end(bytes); end != std::string_view::npos; end = find_event_end(bytes)) {
-    const std::string_view complete = bytes.substr(0, end);
-    on_event({complete, find_event_id(complete)});
+    on_event(parse_event(bytes.substr(0, end)));
     bytes.remove_prefix(end);
   }
   m_pending.assign(bytes);
 }
 
+std::optional<std::uint64_t> parse_event_id(std::string_view id) {
+  std::uint64_t number = 0;
+  const char* end = id.data() + id.size();
+  const auto parsed = std::from_chars(id.data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
+}
+
 bool is_next_event_id(std::string_view last, std::string_view id) {
   const auto last_number = parse_event_id(last);
   const auto number = parse_event_id(id);
--- a/source/core/gateway/event_splitter.h
+++ b/source/core/gateway/event_splitter.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +16,7 @@
   struct event {
     std::string_view bytes;  // Including the empty line that ends the event.
     std::string_view id;     // Value of the last `id` line; empty if there is none.
+    bool has_data = false;   // Clients ignore an event without a `data` line, for example a comment.
   };
 
   // Calls `on_event` for each event that `bytes` completes, in order. The views are valid during the call
@@ -28,6 +31,9 @@
   std::string m_pending;
 };
 
+// Returns the number that an id consists of; absent if it is not a decimal number.
+[[nodiscard]] std::optional<std::uint64_t> parse_event_id(std::string_view id);
+
 // Returns true if both ids are decimal numbers and `id` is one higher than `last`.
 [[nodiscard]] bool is_next_event_id(std::string_view last, std::string_view id);
 
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -497,11 +497,15 @@
     record_output(now);
   }
   m_caller->write_chunk(event.bytes);
-  if (!event.id.empty()) {
+  if (event.has_data || !event.id.empty()) {
     m_last_event_id = event.id;
   }
 }
 
+bool exchange::may_run_again() const {
+  return m_route->repeatable() && (!m_response_started || gateway::parse_event_id(m_last_event_id));
+}
+
 void exchange::record_output(time_point now) {
   if (!std::exchange(m_attempt->output_recorded, true)) {
     m_state.prompt_quarantine.on_output(m_prompt_parts, now);
@@ -677,7 +681,7 @@
   release_attempt(connection_reusable);
   m_may_have_run = m_may_have_run || (sent && end != attempt_result::not_sent && !refused);
   const auto* target = choose_upstream(now);
-  gateway::attempt_facts facts{.repeatable = m_route->repeatable(),
+  gateway::attempt_facts facts{.repeatable = may_run_again(),
                                .caller_has_bytes = m_response_started,
                                .may_have_run = m_may_have_run,
                                .upstreams_sent_to = m_sent_attempts,
@@ -770,7 +774,7 @@
     arm_stall_timer();
     return;
   }
-  if (choose_upstream(now) != nullptr && m_state.budget(m_service).available()) {
+  if (may_run_again() && choose_upstream(now) != nullptr && m_state.budget(m_service).available()) {
     end_attempt(attempt_result::stalled, "no answer in time");
   }
 }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -82,6 +82,8 @@
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
+  // Returns true if another upstream may run the request, or the rest of the stream after its last event.
+  [[nodiscard]] bool may_run_again() const;
 
   // Refuses the request and returns true if a part of its prompt crashes upstreams.
   [[nodiscard]] bool refuse_quarantined(time_point now);
@@ -140,7 +142,7 @@
   bool m_may_have_run = false;
   std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
   gateway::event_splitter m_splitter;
-  std::string m_last_event_id;
+  std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
   bool m_response_started = false;
   std::optional<time_point> m_first_byte_time;
   time_point m_last_event_time;
--- a/source/unit_tests/gateway/event_splitter_test.cpp
+++ b/source/unit_tests/gateway/event_splitter_test.cpp
@@ -40,6 +40,21 @@
   EXPECT_EQ(out.bytes.front(), "id:7\r\ndata: a\r\n\r\n");
 }
 
+TEST(event_splitter, tells_events_from_comments) {
+  for (const auto& [text, has_data] : {std::pair("data: a\n\n", true),
+                                       {"id: 1\ndata:\n\n", true},
+                                       {"data\r\n\r\n", true},
+                                       {"id: 1\n\n", false},
+                                       {": data: a\n\n", false},
+                                       {"database: a\n\n", false},
+                                       {"\n\n", false}}) {
+    event_splitter splitter;
+    splitter.feed(text, [&, expected = has_data](const event_splitter::event& event) {
+      EXPECT_EQ(event.has_data, expected) << event.bytes;
+    });
+  }
+}
+
 TEST(event_splitter, buffers_an_incomplete_event) {
   event_splitter splitter;
   splitter.feed("data: a", [](const auto&) { FAIL(); });
--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -384,6 +384,31 @@
   }
 }
 
+// Where to go on is unknown, so that a further run would begin again.
+TEST_F(broken_stream, is_not_resumed_after_an_event_without_id) {
+  for (const std::string_view body : {"data: x\n\n", "id: 1\ndata: x\n\ndata: y\n\n", "id:\ndata: x\n\n",
+                                      "id: 1\ndata: x\n\nid: y\ndata: y\n\n", "id: 1\ndata: x\n\ndata\n\n"}) {
+    for (const framing how : {framing::cut_chunk, framing::broken_chunk, framing::reset}) {
+      const auto response =
+          stream({respond_with(200, own_headers(k_event_stream), body, how),
+                  respond_with(200, own_headers(k_event_stream), events(1, 4), framing::chunked)});
+      EXPECT_EQ(m_received.size(), 1U) << body;
+      EXPECT_EQ(response.body, body);
+      EXPECT_FALSE(response.whole) << body;
+    }
+  }
+}
+
+TEST_F(broken_stream, a_silent_stream_without_ids_is_not_begun_again) {
+  upstream_action silent = respond_with(200, own_headers(k_event_stream), "data: x\n\n", framing::cut_chunk);
+  silent.then = after::keep;
+  const auto cut =
+      stream({silent, respond_with(200, own_headers(k_event_stream), events(1, 4), framing::chunked)});
+  EXPECT_EQ(m_received.size(), 1U);
+  EXPECT_EQ(cut.body, "data: x\n\n");
+  EXPECT_FALSE(cut.whole);
+}
+
 TEST_F(broken_stream, is_resumed_after_a_comment) {
   const auto response =
       stream({respond_with(200, own_headers(k_event_stream), events(1, 2) + ": wait\n\n", framing::cut_chunk),
