proxy: do not forward events of a response that says it was not executed

If a response with status 200 to a stream carried the header that says that the upstream has not run the request, its events were written to the caller as they came, and at its end the attempt counted as not executed: the request went to another upstream, also on a route whose streams may not be resumed, and the caller had pieces of both responses or a broken stream in place of a refusal.

Cause: the header was looked at only at the end of the response, after its events had been forwarded.

Such a response is buffered like any other that is no stream, and refused at its end.

Without the change 3 of the 71 tests chosen by *broken_stream* fail, and none with it.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -424,8 +424,9 @@
   m_attempt->head = std::move(head);
   const message_head& received = *m_attempt->head;
   record_upstream_state(received, clock::now());
-  m_attempt->streamed =
-      m_route->kind == call_kind::stream && received.status == 200 && is_upstream_response(received);
+  m_attempt->streamed = m_route->kind == call_kind::stream && received.status == 200 &&
+                        is_upstream_response(received) &&
+                        !http::find_header(received.headers, m_state.header_names.not_executed);
 }
 
 void exchange::record_upstream_state(const message_head& head, time_point now) {
--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -342,6 +342,7 @@
         next_response{"head_of_a_response", own_headers(k_event_stream),
                       "HTTP/1.1 500 X\r\nX-Id: a\r\nX-Stamp: s\r\n\r\nbusy"},
         next_response{"json", own_headers("application/json"), R"({"error":"busy"})"},
+        next_response{"not_executed", own_headers(k_event_stream, "X-Not-Executed: 1\r\n"), events(3, 4)},
         next_response{"encoded", own_headers(k_event_stream, "Content-Encoding: gzip\r\n"), events(3, 4)},
         next_response{"without_stamp", "X-Id: a\r\nContent-Type: text/event-stream\r\n", events(3, 4)},
         next_response{"without_id", "X-Stamp: s\r\nContent-Type: text/event-stream\r\n", events(3, 4)}),
@@ -476,5 +477,15 @@
                          ::testing::Values(201, 204, 206, 301, 304, 400, 401, 404, 409, 413, 429, 500, 502,
                                            503, 504, 599));
 
+TEST_F(broken_stream, a_first_response_that_was_not_executed_is_refused) {
+  const upstream_action action =
+      respond_with(200, own_headers(k_event_stream, "X-Not-Executed: 1\r\n"), events(1, 2), framing::chunked);
+  for (const std::string_view path : {"/stream/x", "/fragile/x"}) {
+    const auto response = stream({action, action}, path);
+    EXPECT_THAT(response.head, StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(response.body, Not(HasSubstr("text 1")));
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
