proxy: stream only responses that are event streams

On routes with streams, each response with status 200 was read as a stream of events, whatever its Content-Type. After a stream broke off, an empty response of any type ended it as if it were complete, and text whose lines passed for events was joined to it. As the first response, a JSON or text body was answered with 502, or forwarded up to its last empty line and then broken off.

Cause: the Content-Type was not looked at.

A first response is streamed if it is text/event-stream or says nothing; with another type it is buffered and forwarded whole, like on other routes. A continuation must have the same media type as the response that the caller receives, without regard to case and parameters.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -47,6 +47,7 @@
 constexpr int k_service_unavailable = 503;
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
+constexpr std::string_view k_event_stream = "text/event-stream";
 constexpr std::string_view k_timed_out = "timeout of the route or the caller";
 constexpr std::string_view k_stopping = "the gateway is being stopped";
 // Another gateway can take a refused request at once; the spread keeps its callers from coming together.
@@ -63,6 +64,13 @@
   return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+// Returns the Content-Type without its parameters; empty if there is none.
+std::string_view media_type(const message_head& head) {
+  const std::string_view type = http::find_header(head.headers, "Content-Type").value_or("");
+  const std::string_view name = type.substr(0, type.find(';'));
+  return name.substr(0, name.find_last_not_of(" \t") + 1);
+}
+
 std::string_view call_kind_name(call_kind kind) {
   switch (kind) {
     case call_kind::repeatable:
@@ -123,6 +131,12 @@
          !http::find_header(head.headers, "Content-Encoding");
 }
 
+bool exchange::is_event_stream(const message_head& head) const {
+  const std::string_view type = media_type(head);
+  return m_response_started ? http::equal_ignoring_case(type, m_stream_media_type)
+                            : type.empty() || http::equal_ignoring_case(type, k_event_stream);
+}
+
 std::vector<std::string_view> exchange::shared_prompt_parts() const {
   return gateway::shared_prompt_parts(m_request.header(m_state.header_names.prompt_parts).value_or(""));
 }
@@ -425,7 +439,7 @@
   const message_head& received = *m_attempt->head;
   record_upstream_state(received, clock::now());
   m_attempt->streamed = m_route->kind == call_kind::stream && received.status == 200 &&
-                        is_upstream_response(received) &&
+                        is_upstream_response(received) && is_event_stream(received) &&
                         !http::find_header(received.headers, m_state.header_names.not_executed);
 }
 
@@ -491,6 +505,7 @@
   if (!m_response_started) {
     m_response_started = true;
     m_first_byte_time = m_last_event_time;
+    m_stream_media_type = media_type(*m_attempt->head);
     m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
   }
   ++m_attempt->events;
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -116,6 +116,9 @@
   // Returns true if the response was written by an upstream: it carries the headers that every upstream sets,
   // and no intermediary has encoded its body.
   [[nodiscard]] bool is_upstream_response(const message_head& head) const;
+  // Returns true if the body is a stream of events: of the same type as the one that the caller receives, if
+  // that has begun. A first response without a type is taken for one.
+  [[nodiscard]] bool is_event_stream(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
   // Ids of the parts of the prompt that other requests may share.
   [[nodiscard]] std::vector<std::string_view> shared_prompt_parts() const;
@@ -143,6 +146,7 @@
   std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
   gateway::event_splitter m_splitter;
   std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
+  std::string m_stream_media_type;
   bool m_response_started = false;
   std::optional<time_point> m_first_byte_time;
   time_point m_last_event_time;
--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -342,6 +342,13 @@
         next_response{"head_of_a_response", own_headers(k_event_stream),
                       "HTTP/1.1 500 X\r\nX-Id: a\r\nX-Stamp: s\r\n\r\nbusy"},
         next_response{"json", own_headers("application/json"), R"({"error":"busy"})"},
+        next_response{"empty_json", own_headers("application/json"), ""},
+        next_response{"empty_text", own_headers("text/plain"), ""},
+        next_response{"empty_without_type", own_headers(""), ""},
+        next_response{"html", own_headers("text/html"), "<html>\n\nbusy\n\n"},
+        next_response{"events_as_json", own_headers("application/json"), events(3, 4)},
+        next_response{"events_without_type", own_headers(""), events(3, 4)},
+        next_response{"events_of_another_type", own_headers("text/event-streams"), events(3, 4)},
         next_response{"not_executed", own_headers(k_event_stream, "X-Not-Executed: 1\r\n"), events(3, 4)},
         next_response{"encoded", own_headers(k_event_stream, "Content-Encoding: gzip\r\n"), events(3, 4)},
         next_response{"without_stamp", "X-Id: a\r\nContent-Type: text/event-stream\r\n", events(3, 4)},
@@ -477,6 +484,38 @@
                          ::testing::Values(201, 204, 206, 301, 304, 400, 401, 404, 409, 413, 429, 500, 502,
                                            503, 504, 599));
 
+TEST_F(broken_stream, a_response_of_another_type_is_forwarded_whole_or_not_at_all) {
+  for (const std::string_view path : {"/stream/x", "/fragile/x"}) {
+    for (const std::string_view type : {"application/json", "text/plain", "text/html"}) {
+      for (const std::string_view body : {"{\"error\":\"busy\"}", "a\n\nb\n\n", "a\n\nb", ""}) {
+        for (const framing how : k_framings) {
+          const upstream_action action = respond_with(200, own_headers(type), body, how);
+          SCOPED_TRACE(action.bytes);
+          const auto response = stream({action, action}, path);
+          EXPECT_TRUE(response.whole);
+          if (how == framing::length || how == framing::chunked || how == framing::until_close ||
+              how == framing::http_1_0) {
+            EXPECT_THAT(response.head, StartsWith("HTTP/1.1 200"));
+            EXPECT_EQ(response.body, body);
+          } else {
+            EXPECT_THAT(response.head, StartsWith("HTTP/1.1 502"));
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_F(broken_stream, without_a_content_type_is_continued_by_a_response_without_one) {
+  const upstream_action first = respond_with(200, own_headers(""), events(1, 2), framing::cut_chunk);
+  const auto continued = stream({first, respond_with(200, own_headers(""), events(3, 4), framing::chunked)});
+  EXPECT_EQ(continued.body, events(1, 4));
+  EXPECT_TRUE(continued.whole);
+  const auto failed = stream({first, respond_with(200, own_headers("text/plain"), "", framing::length)});
+  EXPECT_EQ(failed.body, events(1, 2));
+  EXPECT_FALSE(failed.whole);
+}
+
 TEST_F(broken_stream, a_first_response_that_was_not_executed_is_refused) {
   const upstream_action action =
       respond_with(200, own_headers(k_event_stream, "X-Not-Executed: 1\r\n"), events(1, 2), framing::chunked);
