--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -49,6 +49,7 @@
 constexpr int k_service_unavailable = 503;
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
+constexpr std::string_view k_event_stream = "text/event-stream";
 constexpr std::string_view k_timed_out = "timeout of the route or the caller";
 constexpr std::string_view k_stopping = "the gateway is being stopped";
 // Another gateway can take a refused request at once; the spread keeps its callers from coming together.
@@ -71,6 +72,13 @@
   return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+// Returns the Content-Type without its parameters; empty if there is none.
+std::string_view media_type(const message_head& head) {
+  const std::string_view type = http::find_header(head.headers, "Content-Type").value_or("");
+  const std::string_view name = type.substr(0, type.find(';'));
+  return name.substr(0, name.find_last_not_of(" \t") + 1);
+}
+
 std::string_view call_kind_name(call_kind kind) {
   switch (kind) {
     case call_kind::repeatable:
@@ -131,6 +139,12 @@
          !http::find_header(head.headers, "Content-Encoding");
 }
 
+bool exchange::is_event_stream(const message_head& head) const {
+  const std::string_view type = media_type(head);
+  return m_response_started ? http::equal_ignoring_case(type, m_stream_media_type)
+                            : type.empty() || http::equal_ignoring_case(type, k_event_stream);
+}
+
 std::vector<std::string_view> exchange::shared_prompt_parts() const {
   return gateway::shared_prompt_parts(m_request.header(m_state.header_names.prompt_parts).value_or(""));
 }
@@ -440,8 +454,8 @@
   if (http::find_header(received.headers, m_state.header_names.request_id)) {
     record_upstream_state(received, clock::now());
   }
-  m_attempt->streamed =
-      m_route->kind == call_kind::stream && received.status == 200 && is_upstream_response(received);
+  m_attempt->streamed = m_route->kind == call_kind::stream && received.status == 200 &&
+                        is_upstream_response(received) && is_event_stream(received) && !is_refusal(received);
 }
 
 void exchange::record_upstream_state(const message_head& head, time_point now) {
@@ -477,6 +491,10 @@
     return;
   }
   m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
+  if (m_attempt && m_attempt->other_run) {
+    end_attempt(attempt_result::broken, "answer does not continue the stream at its next event");
+    return;
+  }
   if (m_attempt && m_splitter.pending() > k_max_event_bytes) {
     end_attempt(attempt_result::broken, "event is too large");
     return;
@@ -487,7 +505,11 @@
 }
 
 void exchange::forward_event(const gateway::event_splitter::event& event) {
-  if (m_done) {
+  if (m_done || m_attempt->other_run) {
+    return;
+  }
+  if (m_response_started && m_attempt->events == 0 && !gateway::is_next_event_id(m_last_event_id, event.id)) {
+    m_attempt->other_run = true;
     return;
   }
   const time_point now = clock::now();
@@ -498,6 +520,7 @@
   if (!m_response_started) {
     m_response_started = true;
     m_first_byte_time = m_last_event_time;
+    m_stream_media_type = media_type(*m_attempt->head);
     m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
   }
   ++m_attempt->events;
@@ -505,11 +528,15 @@
     record_output(now);
   }
   m_caller->write_chunk(event.bytes);
-  if (!event.id.empty()) {
+  if (event.has_data || !event.id.empty()) {
     m_last_event_id = event.id;
   }
 }
 
+bool exchange::may_run_again() const {
+  return m_route->repeatable() && (!m_response_started || gateway::parse_event_id(m_last_event_id));
+}
+
 void exchange::record_output(time_point now) {
   if (!std::exchange(m_attempt->output_recorded, true)) {
     m_state.prompt_quarantine.on_output(m_prompt_parts, now);
@@ -690,7 +717,7 @@
   release_attempt(connection_reusable);
   m_may_have_run = m_may_have_run || (sent && end != attempt_result::not_sent && !refused);
   const auto* target = choose_upstream(now);
-  gateway::attempt_facts facts{.repeatable = m_route->repeatable(),
+  gateway::attempt_facts facts{.repeatable = may_run_again(),
                                .caller_has_bytes = m_response_started,
                                .may_have_run = m_may_have_run,
                                .upstreams_sent_to = m_sent_attempts,
@@ -783,7 +810,7 @@
     arm_stall_timer();
     return;
   }
-  if (choose_upstream(now) != nullptr && m_state.budget(m_service).available()) {
+  if (may_run_again() && choose_upstream(now) != nullptr && m_state.budget(m_service).available()) {
     end_attempt(attempt_result::stalled, "no answer in time");
   }
 }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -29,6 +29,7 @@
   std::string body;                // Of a response that is not streamed.
   std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
   bool streamed = false;
+  bool other_run = false;  // The first event is not the one after the last that the caller has received.
   std::uint32_t events = 0;
   bool output_recorded = false;
 };
@@ -81,6 +82,8 @@
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
+  // Returns true if another upstream may run the request, or the rest of the stream after its last event.
+  [[nodiscard]] bool may_run_again() const;
 
   // Refuses the request and returns true if a part of its prompt crashes upstreams.
   [[nodiscard]] bool refuse_quarantined(time_point now);
@@ -116,6 +119,9 @@
   // Returns true if the response states that the upstream has not run this request. A response without the
   // id of the request may belong to another one; those with another id do not get here.
   [[nodiscard]] bool is_refusal(const message_head& head) const;
+  // Returns true if the body is a stream of events: of the same type as the one that the caller receives, if
+  // that has begun. A first response without a type is taken for one.
+  [[nodiscard]] bool is_event_stream(const message_head& head) const;
   [[nodiscard]] bool is_engine_call() const;
   // Ids of the parts of the prompt that other requests may share.
   [[nodiscard]] std::vector<std::string_view> shared_prompt_parts() const;
@@ -142,7 +148,8 @@
   bool m_may_have_run = false;
   std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
   gateway::event_splitter m_splitter;
-  std::string m_last_event_id;
+  std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
+  std::string m_stream_media_type;
   bool m_response_started = false;
   std::optional<time_point> m_first_byte_time;
   time_point m_last_event_time;
--- a/source/unit_tests/gateway/event_splitter_test.cpp
+++ b/source/unit_tests/gateway/event_splitter_test.cpp
@@ -40,6 +40,21 @@
   EXPECT_EQ(out.bytes.front(), "id:7\r\ndata: a\r\n\r\n");
 }
 
+TEST(event_splitter, tells_events_from_comments) {
+  for (const auto& [text, has_data] : {std::pair("data: a\n\n", true),
+                                       {"id: 1\ndata:\n\n", true},
+                                       {"data\r\n\r\n", true},
+                                       {"id: 1\n\n", false},
+                                       {": data: a\n\n", false},
+                                       {"database: a\n\n", false},
+                                       {"\n\n", false}}) {
+    event_splitter splitter;
+    splitter.feed(text, [&, expected = has_data](const event_splitter::event& event) {
+      EXPECT_EQ(event.has_data, expected) << event.bytes;
+    });
+  }
+}
+
 TEST(event_splitter, buffers_an_incomplete_event) {
   event_splitter splitter;
   splitter.feed("data: a", [](const auto&) { FAIL(); });
@@ -48,5 +63,30 @@
   EXPECT_EQ(splitter.pending(), 0U);
 }
 
+// Guards against a stream that is joined with a run that begins elsewhere.
+TEST(event_splitter, only_the_number_after_the_last_id_is_the_next_id) {
+  EXPECT_TRUE(is_next_event_id("0", "1"));
+  EXPECT_TRUE(is_next_event_id("9", "10"));
+  EXPECT_TRUE(is_next_event_id("18446744073709551614", "18446744073709551615"));
+  for (const auto& [last, id] : {std::pair("1", "1"),
+                                 {"2", "1"},
+                                 {"1", "3"},
+                                 {"1", ""},
+                                 {"", "1"},
+                                 {"", ""},
+                                 {"a", "b"},
+                                 {"1", "2a"},
+                                 {"1a", "2"},
+                                 {"1", "+2"},
+                                 {"1", "-2"},
+                                 {"1", " 2"},
+                                 {"1", "2 "},
+                                 {"1", "2.0"},
+                                 {"18446744073709551615", "0"},
+                                 {"18446744073709551615", "18446744073709551616"}}) {
+    EXPECT_FALSE(is_next_event_id(last, id)) << last << " " << id;
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
