common, gateway, balancer: deeply nested MessagePack does not exhaust the stack

What callers saw: nothing yet. A gateway reads MessagePack from its peers (reports, crash reports, versions and changes of the mirror), a balancer reads it from other balancers. A document of nested arrays or maps ends the process with a segmentation fault.

Cause: json::from_msgpack recurses once per level and has no limit. JSON text was bounded by parse_json, whose parser keeps its levels on the heap; MessagePack was not bounded at all.

The recursion of the check is bounded by its own refusal.

--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -228,7 +228,11 @@
 }
 
 result<message> decode(std::string_view bytes) {
-  const json from = json::from_msgpack(bytes, true, false);
+  const auto parsed = parse_msgpack(bytes);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& from = parsed.value();
   try {
     if (!from.is_array() || from.size() < 2 || from[0] != k_format_version) {
       return make_error(error_code::invalid_input, "not a balancer message of a supported format");
--- a/source/core/common/json.cpp
+++ b/source/core/common/json.cpp
@@ -3,6 +3,49 @@
 #include <string>
 
 namespace cuminpath {
+namespace {
+
+error too_deep_error(std::string_view format) {
+  return make_error(error_code::invalid_input, std::string(format) + " is nested deeper than " +
+                                                   std::to_string(k_max_json_depth) + " levels");
+}
+
+// Reads a document without storing it, and stops at the first container that is nested too deeply.
+class depth_check final : public json::json_sax_t {
+public:
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+  bool start_object(std::size_t /*elements*/) override { return enter(); }
+  bool key(string_t& /*value*/) override { return true; }
+  bool end_object() override { return leave(); }
+  bool start_array(std::size_t /*elements*/) override { return enter(); }
+  bool end_array() override { return leave(); }
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
+                   const json::exception& /*failure*/) override {
+    return false;
+  }
+
+  [[nodiscard]] bool too_deep() const { return m_depth > k_max_json_depth; }
+
+private:
+  bool enter() {
+    ++m_depth;
+    return !too_deep();
+  }
+  bool leave() {
+    --m_depth;
+    return true;
+  }
+
+  int m_depth = 0;
+};
+
+}  // namespace
 
 result<json> parse_json(std::string_view text) {
   bool too_deep = false;
@@ -12,8 +55,7 @@
   };
   json document = json::parse(text, limit_depth, /*allow_exceptions=*/false);
   if (too_deep) {
-    return make_error(error_code::invalid_input,
-                      "JSON is nested deeper than " + std::to_string(k_max_json_depth) + " levels");
+    return too_deep_error("JSON");
   }
   if (document.is_discarded()) {
     return make_error(error_code::invalid_input, "malformed JSON");
@@ -21,4 +63,14 @@
   return document;
 }
 
+result<json> parse_msgpack(std::string_view bytes) {
+  // The parser recurses once per level, so the depth is checked before a document is built.
+  depth_check check;
+  if (!json::sax_parse(bytes, &check, json::input_format_t::msgpack)) {
+    return check.too_deep() ? too_deep_error("MessagePack")
+                            : make_error(error_code::invalid_input, "malformed MessagePack");
+  }
+  return json::from_msgpack(bytes, /*strict=*/true, /*allow_exceptions=*/false);
+}
+
 }  // namespace cuminpath
--- a/source/core/common/json.h
+++ b/source/core/common/json.h
@@ -1,4 +1,4 @@
-// JSON parsing for untrusted input.
+// Parsing of JSON and MessagePack for untrusted input.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -10,10 +10,12 @@
 
 using json = nlohmann::json;
 
-// Deeper input is refused because serializing and visiting a document recurse once per level.
+// Deeper input is refused because parsing MessagePack, and serializing and visiting a document, recurse once
+// per level.
 constexpr int k_max_json_depth = 64;
 
-// Parses a complete document. Errors: invalid_input for malformed or too deeply nested text.
+// Parse a complete document. Errors: invalid_input for malformed or too deeply nested input.
 result<json> parse_json(std::string_view text);
+result<json> parse_msgpack(std::string_view bytes);
 
 }  // namespace cuminpath
--- a/source/core/gateway/crash_report.cpp
+++ b/source/core/gateway/crash_report.cpp
@@ -50,7 +50,11 @@
 }
 
 result<crash_report> decode_crash_report(std::string_view bytes) {
-  const json document = json::from_msgpack(bytes, true, false);
+  const auto parsed = parse_msgpack(bytes);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& document = parsed.value();
   try {
     if (!document.is_array() || document.size() != 3 || document[0] != k_crash_report_format) {
       return make_error(error_code::invalid_input, "not a crash report");
--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -33,7 +33,11 @@
 }
 
 result<member_report> decode_report(std::string_view bytes) {
-  const json document = json::from_msgpack(bytes, true, false);
+  const auto parsed = parse_msgpack(bytes);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& document = parsed.value();
   try {
     if (!document.is_array() || document.size() != 14 || document[0] != k_report_format) {
       return make_error(error_code::invalid_input, "not a report of a gateway");
--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/nested_input.h"
+#include "unit_tests/support/small_stack.h"
+
 namespace cuminpath::balancer {
 namespace {
 
@@ -127,5 +130,15 @@
   }
 }
 
+TEST(messages, deeply_nested_messages_do_not_exhaust_the_stack) {
+  ASSERT_TRUE(support::run_on_small_stack([] {
+    for (const std::size_t depth : support::k_nesting_depths) {
+      for (const std::string& bytes : support::nested_msgpack(depth)) {
+        EXPECT_FALSE(decode(bytes)) << depth;
+      }
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace cuminpath::balancer
--- a/source/unit_tests/common/json_test.cpp
+++ b/source/unit_tests/common/json_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/nested_input.h"
+#include "unit_tests/support/small_stack.h"
+
 namespace cuminpath {
 namespace {
 
@@ -21,5 +24,48 @@
   EXPECT_FALSE(parse_json("").has_value());
 }
 
+// Guards against stack exhaustion while a document is parsed, discarded or destroyed.
+TEST(parse_json, deep_nesting_does_not_exhaust_the_stack) {
+  ASSERT_TRUE(support::run_on_small_stack([] {
+    for (const std::size_t depth : support::k_nesting_depths) {
+      for (const std::string& text : support::nested_json(depth)) {
+        EXPECT_FALSE(parse_json(text)) << depth;
+        EXPECT_FALSE(parse_json(R"({"a":1,"b":)" + text + R"(,"c":[1]})")) << depth;
+      }
+    }
+  }));
+}
+
+TEST(parse_msgpack, refuses_deep_nesting) {
+  const auto nested = [](int depth) { return std::string(static_cast<std::size_t>(depth), '\x91') + '\xc0'; };
+  ASSERT_TRUE(support::run_on_small_stack([&] {
+    EXPECT_TRUE(parse_msgpack(nested(k_max_json_depth)));
+    EXPECT_FALSE(parse_msgpack(nested(k_max_json_depth + 1)));
+    EXPECT_FALSE(parse_msgpack(nested(1'000'000)));
+  }));
+}
+
+// Guards against a depth that grows with the number of containers.
+TEST(parse_msgpack, accepts_many_containers_side_by_side) {
+  const std::string bytes = std::string("\xdc\x03\xe8", 3) + [] {
+    std::string items;
+    for (int i = 0; i < 500; ++i) {
+      items += "\x90\x80";
+    }
+    return items;
+  }();
+  const auto parsed = parse_msgpack(bytes);
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed.value().size(), 1000U);
+}
+
+// Guards against accepting bytes after the document or a truncated document.
+TEST(parse_msgpack, refuses_malformed_bytes) {
+  EXPECT_FALSE(parse_msgpack(""));
+  EXPECT_FALSE(parse_msgpack("\x01\x02"));
+  EXPECT_FALSE(parse_msgpack("\x92\x01"));
+  EXPECT_FALSE(parse_msgpack("\xc1"));
+}
+
 }  // namespace
 }  // namespace cuminpath
--- a/source/unit_tests/gateway/crash_report_test.cpp
+++ b/source/unit_tests/gateway/crash_report_test.cpp
@@ -4,6 +4,9 @@
 
 #include <string>
 
+#include "unit_tests/support/nested_input.h"
+#include "unit_tests/support/small_stack.h"
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -65,5 +68,15 @@
   }
 }
 
+TEST(crash_report, deeply_nested_reports_do_not_exhaust_the_stack) {
+  ASSERT_TRUE(support::run_on_small_stack([] {
+    for (const std::size_t depth : support::k_nesting_depths) {
+      for (const std::string& bytes : support::nested_msgpack(depth)) {
+        EXPECT_FALSE(decode_crash_report(bytes)) << depth;
+      }
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/nested_input.h"
+#include "unit_tests/support/small_stack.h"
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -95,5 +98,15 @@
   EXPECT_EQ(local_count, 50);
 }
 
+TEST(member_list, deeply_nested_reports_do_not_exhaust_the_stack) {
+  ASSERT_TRUE(support::run_on_small_stack([] {
+    for (const std::size_t depth : support::k_nesting_depths) {
+      for (const std::string& bytes : support::nested_msgpack(depth)) {
+        EXPECT_FALSE(decode_report(bytes)) << depth;
+      }
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/nested_input.h"
+#include "unit_tests/support/small_stack.h"
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -156,5 +159,17 @@
   EXPECT_FALSE(target.merge("\x81\xa1\x61\x01"));
 }
 
+TEST(mirror, deeply_nested_changes_do_not_exhaust_the_stack) {
+  ASSERT_TRUE(support::run_on_small_stack([] {
+    for (const std::size_t depth : support::k_nesting_depths) {
+      for (const std::string& bytes : support::nested_msgpack(depth)) {
+        mirror target;
+        EXPECT_FALSE(target.merge(bytes)) << depth;
+        EXPECT_FALSE(decode_versions(bytes)) << depth;
+      }
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
