platform, http: read on after a page that ends with any key

What callers saw: a gateway or balancer stopped to follow a table: its full read never ended, and it served from what it knew before, or never became ready after a start.

Cause: a full read of a long table continues at the last key of the page before, and the key was put into the target of the call as it was. Keys are texts of any bytes. A key with a space or a control character makes the call fail, always at the same place; one with & or % continues elsewhere.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -281,6 +281,16 @@
   std::vector<call_id> m_queued_cancellations;
 };
 
+std::string escape_query_value(std::string_view text) {
+  if (text.empty()) {
+    return {};  // libcurl takes the length 0 as that of a null-terminated string.
+  }
+  const std::unique_ptr<char, decltype(&curl_free)> escaped(
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())), &curl_free);
+  CUMINPATH_ASSERT(escaped != nullptr);
+  return escaped.get();
+}
+
 client::client(asio::io_context& context) : m_impl(std::make_unique<impl>(context)) {}
 client::~client() = default;
 
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -46,6 +46,9 @@
 // Identifies a call for client::cancel(). 0 is never used.
 using call_id = std::uint64_t;
 
+// Returns the text with all characters escaped that have a meaning in the query of a target.
+std::string escape_query_value(std::string_view text);
+
 // Starts calls and reports their responses on the io_context.
 class client {
 public:
