proxy: pause after a failed accept

A gateway without a free descriptor (or memory for a socket) was busy with failed accepts: accept() was repeated at once, failed at once, and so on, and nothing in the log said so. Requests that were running shared the event loop with this.

It now logs the error and waits 50 ms. A connection waits in the kernel meanwhile and is accepted when a descriptor is free.

--- a/source/core/proxy/caller_listener.cpp
+++ b/source/core/proxy/caller_listener.cpp
@@ -4,10 +4,18 @@
 
 #include "core/net/socket_options.h"
 #include "core/proxy/exchange.h"
+#include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
+namespace {
 
-caller_listener::caller_listener(proxy_state& state) : m_state(state), m_acceptor(state.context) {}
+// While no descriptor is free, each attempt to accept fails at once.
+constexpr milliseconds k_accept_pause{50};
+
+}  // namespace
+
+caller_listener::caller_listener(proxy_state& state)
+    : m_state(state), m_acceptor(state.context), m_accept_timer(state.context) {}
 caller_listener::~caller_listener() = default;
 
 result<void> caller_listener::listen(const std::string& address) {
@@ -42,13 +50,26 @@
     if (!m_acceptor.is_open() || error == asio::error::operation_aborted) {
       return;
     }
-    if (!error) {
-      add(std::move(socket), clock::now());
+    if (error) {
+      telemetry::log(telemetry::log_level::warning, "process", "connection not accepted",
+                     {{"reason", error.message()}});
+      accept_after_pause();
+      return;
     }
+    add(std::move(socket), clock::now());
     accept();
   });
 }
 
+void caller_listener::accept_after_pause() {
+  m_accept_timer.expires_after(k_accept_pause);
+  m_accept_timer.async_wait([this](std::error_code cancelled) {
+    if (!cancelled && m_acceptor.is_open()) {
+      accept();
+    }
+  });
+}
+
 void caller_listener::add(asio::ip::tcp::socket socket, time_point now) {
   caller_connection::handlers callbacks;
   callbacks.request = [this](const std::shared_ptr<caller_connection>& caller, http::request request,
--- a/source/core/proxy/caller_listener.h
+++ b/source/core/proxy/caller_listener.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -64,6 +65,7 @@
   };
 
   void accept();
+  void accept_after_pause();
   void add(asio::ip::tcp::socket socket, time_point now);
   void start_exchange(const std::shared_ptr<caller_connection>& caller, http::request request,
                       time_point arrived);
@@ -71,6 +73,7 @@
 
   proxy_state& m_state;
   asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_accept_timer;
   std::unordered_map<const caller_connection*, served_connection> m_connections;
   std::vector<const caller_connection*> m_closed_connections;  // Released in the next tick.
   std::size_t m_active_requests = 0;
