common, gateway: refuse deeply nested MessagePack

A request to the mirror address, or the answer of a seed, of nested arrays ended the gateway with SIGSEGV and with it all its requests: decoding MessagePack recurses once per level and a body of 1 MB has a million of them; the server takes 8 MB. JSON from outside was limited to 64 levels, MessagePack was not.

parse_msgpack() follows the events of a document first, without building it, and stops at the limit of parse_json(). The mirror uses it for versions and content.

--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -24,11 +24,11 @@
   if (bytes.empty()) {
     return versions;
   }
-  const json document = json::from_msgpack(bytes, true, false);
-  if (!document.is_object()) {
+  const auto document = parse_msgpack(bytes);
+  if (!document || !document.value().is_object()) {
     return make_error(error_code::invalid_input, "not versions of collections");
   }
-  for (const auto& [name, version] : document.items()) {
+  for (const auto& [name, version] : document.value().items()) {
     if (!version.is_number_unsigned()) {
       return make_error(error_code::invalid_input, "version of a collection is no number");
     }
@@ -206,13 +206,13 @@
 }
 
 result<bool> mirror::merge(std::string_view bytes) {
-  const json all = json::from_msgpack(bytes, true, false);
-  if (!all.is_object()) {
+  const auto all = parse_msgpack(bytes);
+  if (!all || !all.value().is_object()) {
     return make_error(error_code::invalid_input, "not a mirror");
   }
   bool changed = false;
   try {
-    for (const auto& [name, encoded] : all.items()) {
+    for (const auto& [name, encoded] : all.value().items()) {
       change_set newer{.version = encoded.at(0).get<std::uint64_t>(),
                        .last_change_version = encoded.at(1).get<std::uint64_t>(),
                        .base = encoded.at(2).get<std::uint64_t>()};
--- a/source/unit_tests/common/json_test.cpp
+++ b/source/unit_tests/common/json_test.cpp
@@ -21,5 +21,21 @@
   EXPECT_FALSE(parse_json("").has_value());
 }
 
+TEST(parse_msgpack, refuses_deep_nesting) {
+  const auto nested = [](int depth) { return std::string(depth, '\x91') + '\x01'; };
+  EXPECT_TRUE(parse_msgpack(nested(k_max_json_depth)).has_value());
+  EXPECT_FALSE(parse_msgpack(nested(k_max_json_depth + 1)).has_value());
+  EXPECT_FALSE(parse_msgpack(nested(1'000'000)).has_value());
+  EXPECT_FALSE(parse_msgpack(std::string(1'000'000, '\x91')).has_value());
+  EXPECT_TRUE(parse_msgpack("\x93\x90\x81\xa1k\x90\x90").has_value());
+}
+
+TEST(parse_msgpack, refuses_malformed_bytes) {
+  EXPECT_FALSE(parse_msgpack("").has_value());
+  EXPECT_FALSE(parse_msgpack("\x92\x01").has_value());
+  EXPECT_FALSE(parse_msgpack("\x01\x01").has_value());
+  EXPECT_FALSE(parse_msgpack("\xdf\xff\xff\xff\xff\xa1k").has_value());
+}
+
 }  // namespace
 }  // namespace cuminpath
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -149,6 +149,13 @@
   EXPECT_FALSE(decode_versions("\x81\xa1\x61\xa1\x62"));
 }
 
+// Decoding a body of a few hundred kilobytes exhausted the stack.
+TEST(mirror, rejects_deep_nesting) {
+  const std::string nested(1U << 20U, '\x91');
+  EXPECT_FALSE(mirror{}.merge(nested));
+  EXPECT_FALSE(decode_versions(nested));
+}
+
 TEST(mirror, rejects_malformed_mirrors) {
   mirror target;
   EXPECT_FALSE(target.merge(""));
