gateway, balancer: test datagrams of nested arrays

The code already kept this promise: reports come in datagrams, whose 64 KB are too few levels to exhaust the stack.

--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -118,6 +118,11 @@
   }
 }
 
+// Decoding recurses once a level; the bytes are as many as a datagram can have.
+TEST(messages, refuses_deep_nesting) {
+  EXPECT_FALSE(decode(std::string(65'507, '\x91')));
+}
+
 TEST(messages, refuses_malformed_messages) {
   EXPECT_FALSE(decode(""));
   EXPECT_FALSE(decode("\x92\x01\x09"));
--- a/source/unit_tests/gateway/crash_report_test.cpp
+++ b/source/unit_tests/gateway/crash_report_test.cpp
@@ -49,6 +49,11 @@
   EXPECT_FALSE(decode_crash_report(encode_crash_report(large)));
 }
 
+// Decoding recurses once a level; the bytes are as many as a datagram can have.
+TEST(crash_report, rejects_deep_nesting) {
+  EXPECT_FALSE(decode_crash_report(std::string(65'507, '\x91')));
+}
+
 TEST(crash_report, rejects_malformed_bytes) {
   EXPECT_FALSE(decode_crash_report(""));
   EXPECT_FALSE(decode_crash_report("\x91\x01"));
