config: read the grace period of a gateway in seconds

A gateway ended with code 2 at its start if the platform's grace period is no whole number of seconds: the template writes grace_ms = {{bounds.graceS}}000, and 7.5 becomes 7.5000, "grace_ms: expected integer, found float".

templates.become_valid_settings renders the templates with 8 and with 7.5; with the former template it fails with the error above. The tests of parse_gateway_settings failed before ("grace_s: unknown key").

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "core/config/gateway_settings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "core/config/addresses.h"
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr std::int64_t k_minute_ms = 60'000;
+constexpr std::int64_t k_min_grace_ms = 500;
+constexpr std::int64_t k_max_grace_ms = 60 * k_minute_ms;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
 
 // Skips malformed seeds: the list may be stale, and the remaining seeds are still useful.
@@ -44,7 +48,7 @@
     read_seeds(m_root, value.seeds);
     m_root.optional().read("directory_ttl_ms", value.directory_ttl, {100, k_minute_ms});
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
-    m_root.optional().read("grace_ms", value.shutdown_grace, {500, 60 * k_minute_ms});
+    read_grace(value.shutdown_grace);
     m_root.optional().read("retry_ratio", value.retry_ratio);
     if (value.retry_ratio < 0 || value.retry_ratio > 1) {
       m_root.add_error("retry_ratio", "must be from 0 to 1");
@@ -53,6 +57,27 @@
     read_log(value.log);
     m_root.report_unknown_keys();
   }
+
+private:
+  // Reads grace_s, which may have a fraction, or grace_ms, the key of earlier versions.
+  void read_grace(milliseconds& field) {
+    m_root.optional().read("grace_ms", field, {k_min_grace_ms, k_max_grace_ms});
+    if (!m_root.contains("grace_s")) {
+      return;
+    }
+    if (m_root.contains("grace_ms")) {
+      m_root.add_error("grace_s", "must not be given with grace_ms");
+    }
+    constexpr double k_ms_per_s = 1000;
+    double grace_s = static_cast<double>(field.count()) / k_ms_per_s;
+    m_root.read("grace_s", grace_s);
+    if (grace_s < k_min_grace_ms / k_ms_per_s || grace_s > k_max_grace_ms / k_ms_per_s) {
+      m_root.add_error("grace_s", fmt::format("must be from {} to {}", k_min_grace_ms / k_ms_per_s,
+                                              k_max_grace_ms / k_ms_per_s));
+      return;
+    }
+    field = std::chrono::floor<milliseconds>(std::chrono::duration<double>(grace_s));
+  }
 };
 
 class balancer_reader : private settings_reader {
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -34,7 +34,7 @@
 
   milliseconds directory_ttl{2000};   // Lifetime of a directory response. Key directory_ttl_ms.
   milliseconds report_interval{200};  // Time between reports to other gateways. Key report_interval_ms.
-  milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_ms.
+  milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_s.
   double retry_ratio = 0.2;           // Ratio of retries to requests of a service, over all gateways.
   std::uint32_t retry_burst = 100;    // Retries allowed beyond the ratio in one window, over all gateways.
 
--- a/source/core/config/toml_reader.cpp
+++ b/source/core/config/toml_reader.cpp
@@ -147,6 +147,10 @@
   }
 }
 
+bool table_reader::contains(std::string_view key) const {
+  return m_table.contains(key);
+}
+
 void table_reader::read(std::string_view key, double& field) {
   if (const toml::node* node = find(key)) {
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
--- a/source/core/config/toml_reader.h
+++ b/source/core/config/toml_reader.h
@@ -65,6 +65,7 @@
     field = static_cast<integer>(
         read_integer(key, static_cast<std::int64_t>(field), {static_cast<std::int64_t>(allowed.low), high}));
   }
+  [[nodiscard]] bool contains(std::string_view key) const;
   // Returns null if the key is absent or its value is not a table; the latter is reported as an error.
   const toml::table* table(std::string_view key);
   // Returns the tables of an array of tables; empty if the key is absent.
--- /dev/null
+++ b/source/unit_tests/config/gateway_settings_test.cpp
@@ -0,0 +1,61 @@
+#include "core/config/gateway_settings.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cuminpath::config {
+namespace {
+
+using ::testing::HasSubstr;
+
+parsed_gateway_settings parse(const std::string& further_lines) {
+  return parse_gateway_settings(R"(role = "gateway"
+name = "g"
+availability_zone = "z"
+address = "127.0.0.1:1"
+ready_address = "127.0.0.1:2"
+directory_address = "127.0.0.1:3"
+mirror_address = "127.0.0.1:4"
+report_address = "127.0.0.1:5"
+store_url = "http://127.0.0.1:6"
+)" + further_lines,
+                                "s.toml");
+}
+
+// A fraction made the text an invalid integer, and the gateway did not start.
+TEST(parse_gateway_settings, reads_a_grace_period_with_a_fraction) {
+  struct {
+    const char* line;
+    milliseconds expected;
+  } const cases[] = {{"", milliseconds{8000}},
+                     {"grace_s = 7.5", milliseconds{7500}},
+                     {"grace_s = 8", milliseconds{8000}},
+                     {"grace_s = 0.5", milliseconds{500}},
+                     {"grace_ms = 7500", milliseconds{7500}}};
+  for (const auto& [line, expected] : cases) {
+    const auto parsed = parse(line);
+    EXPECT_TRUE(parsed.errors.empty()) << line << ": " << to_string(parsed.errors.front());
+    EXPECT_EQ(parsed.value.shutdown_grace, expected) << line;
+  }
+}
+
+TEST(parse_gateway_settings, reports_an_impossible_grace_period) {
+  struct {
+    const char* lines;
+    const char* expected;
+  } const cases[] = {{"grace_s = 8\ngrace_ms = 8000", "s.toml:10: grace_s: must not be given with grace_ms"},
+                     {"grace_s = 0", "s.toml:10: grace_s: must be from 0.5 to 3600"},
+                     {"grace_s = 1e300", "s.toml:10: grace_s: must be from 0.5 to 3600"},
+                     {"grace_s = nan", "s.toml:10: grace_s: not a finite number"},
+                     {"grace_s = \"8\"", "s.toml:10: grace_s:"},
+                     {"grace_ms = 7.5", "s.toml:10: grace_ms:"},
+                     {"grace_ms = 0", "s.toml:10: grace_ms:"}};
+  for (const auto& [lines, expected] : cases) {
+    const auto errors = parse(lines).errors;
+    ASSERT_EQ(errors.size(), 1U) << lines;
+    EXPECT_THAT(to_string(errors.front()), HasSubstr(expected));
+  }
+}
+
+}  // namespace
+}  // namespace cuminpath::config
--- a/source/unit_tests/config/templates_test.cpp
+++ b/source/unit_tests/config/templates_test.cpp
@@ -19,8 +19,8 @@
 }
 
 // Replaces the placeholders with example values of the same form as those of the platform.
-std::string fill_placeholders(std::string text) {
-  const std::map<std::string, std::string> values = {{"bounds.graceS", "8"},
+std::string fill_placeholders(std::string text, const std::string& grace_s) {
+  const std::map<std::string, std::string> values = {{"bounds.graceS", grace_s},
                                                      {"bounds.retryBudgetRatio", "0.2"},
                                                      {"bounds.retryBudgetBurst", "207"},
                                                      {"internalPorts.0", "7340"},
@@ -49,11 +49,13 @@
 
 TEST(templates, become_valid_settings) {
   for (const char* name : {"gateway.toml.in", "balancer.toml.in"}) {
-    const std::string text =
-        fill_placeholders(read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name));
-    EXPECT_EQ(text.find("{{"), std::string::npos) << text;
-    for (const auto& error : check_settings(text, name)) {
-      ADD_FAILURE() << to_string(error);
+    for (const char* grace_s : {"8", "7.5"}) {
+      const std::string text =
+          fill_placeholders(read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name), grace_s);
+      EXPECT_EQ(text.find("{{"), std::string::npos) << text;
+      for (const auto& error : check_settings(text, name)) {
+        ADD_FAILURE() << to_string(error);
+      }
     }
   }
 }
