--- a/source/unit_tests/common/json_test.cpp
+++ b/source/unit_tests/common/json_test.cpp
@@ -42,6 +42,8 @@
     EXPECT_TRUE(parse_msgpack(nested(k_max_json_depth)));
     EXPECT_FALSE(parse_msgpack(nested(k_max_json_depth + 1)));
     EXPECT_FALSE(parse_msgpack(nested(1'000'000)));
+    EXPECT_FALSE(parse_msgpack(std::string(1'000'000, '\x91')));
+    EXPECT_TRUE(parse_msgpack("\x93\x90\x81\xa1k\x90\x90"));
   }));
 }
 
@@ -65,6 +67,7 @@
   EXPECT_FALSE(parse_msgpack("\x01\x02"));
   EXPECT_FALSE(parse_msgpack("\x92\x01"));
   EXPECT_FALSE(parse_msgpack("\xc1"));
+  EXPECT_FALSE(parse_msgpack("\xdf\xff\xff\xff\xff\xa1k"));
 }
 
 }  // namespace
