proxy: a success is no refusal whatever its headers say

A request that may run once was sent to a second upstream, and the events of both runs were joined in one stream, if an upstream wrote a response with status 200 and the header for requests that it has not executed; other callers got 503 "not run". Cause: the header was believed whatever the status; for a stream the events had then already been forwarded.

The new test failed for all four kinds of requests before the change. A response counts as refusal only from status 400 on, the statuses with which upstreams refuse; anything below is handled as if the header were not there.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -43,6 +43,7 @@
 // Weight of the newest sample in the moving average of the service time.
 constexpr double k_service_time_weight = 0.1;
 constexpr std::uint32_t k_max_urgency = 9;
+constexpr int k_bad_request = 400;
 constexpr int k_request_timeout = 408;
 constexpr int k_misdirected_request = 421;
 constexpr int k_too_many_requests = 429;
@@ -136,7 +137,7 @@
 }
 
 bool exchange::is_refusal(const message_head& head) const {
-  return http::find_header(head.headers, m_state.header_names.request_id) &&
+  return head.status >= k_bad_request && http::find_header(head.headers, m_state.header_names.request_id) &&
          (head.status == k_misdirected_request ||
           http::find_header(head.headers, m_state.header_names.not_executed));
 }
--- a/source/unit_tests/proxy/late_response_test.cpp
+++ b/source/unit_tests/proxy/late_response_test.cpp
@@ -234,6 +234,24 @@
   }
 }
 
+TEST_F(proxy_fixture, a_success_is_no_refusal_whatever_its_headers_say) {
+  for (const request_kind& kind : k_kinds) {
+    m_records.clear();
+    m_state.upstreams = {};
+    std::size_t arrivals = 0;
+    const auto respond = [&arrivals](auto, const auto&) {
+      ++arrivals;
+      return upstream_action{response_text("a", "id: 1\ndata: own\n\n", "X-Not-Executed: 1\r\n")};
+    };
+    add_upstream(fmt::format("first-{}", kind.name), respond);
+    add_upstream(fmt::format("second-{}", kind.name), respond);
+    const auto response = call(request("POST", kind.path, "a", "Content-Length: 0\r\n"), is_complete).bytes;
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+    EXPECT_EQ(response.find("own"), response.rfind("own")) << response;
+    EXPECT_EQ(arrivals, 1U) << kind.name;
+  }
+}
+
 std::string parameter_name(const ::testing::TestParamInfo<parameters>& info) {
   const auto& [when, kind, id] = info.param;
   return fmt::format("{}_{}_{}", when.name, kind.name, id.name);
