http, net: a call is not sent on a connection with unread bytes

A call got the response to an earlier call if the server wrote that response once more: libcurl reuses an idle connection on which bytes have arrived and takes them for the response to the next request. A balancer would take the state that its engine reported for the result of an order, a gateway an old page of rows for the one it asked for. Bytes that come in the same read as the end of a response were dropped before, and calls on a connection of their own are not concerned.

The test writes a response again, with and without a body, with a length and chunked, with the response and while the connection is idle; the four idle cases of eight failed before. The second test keeps what was right, that a call on a connection of its own gets no late response, and shows what is left: one that arrives after the next request was sent is taken for its response, since these responses have no id. Calls whose answer must be their own need never_reuse_connection.

Change: before a request is sent on a reused connection, the client looks for unread bytes, and if there are any, makes the call on a new connection.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -1,13 +1,16 @@
 #include "core/http/client.h"
 
 #include <curl/curl.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <atomic>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "core/common/assert.h"
 #include "core/net/socket_options.h"
@@ -36,6 +39,8 @@
   header_list response_headers;
   bool head_reported = false;
   std::size_t received = 0;
+  bool connection_has_unread_bytes = false;  // The call has been stopped before its request was sent.
+  std::unordered_set<curl_socket_t>* sockets = nullptr;  // Of all connections of the client.
   asio::io_context* context = nullptr;
   std::shared_ptr<std::atomic<bool>> cancelled;
 
@@ -94,11 +99,30 @@
 
 // Sets the socket options that end a dead connection within a few seconds, even while a call waits for a slow
 // response.
-int on_socket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
-  net::set_connection_options(static_cast<int>(socket));
+int on_socket(void* user, curl_socket_t socket, curlsocktype /*purpose*/) {
+  net::set_connection_options(socket);
+  static_cast<transfer*>(user)->sockets->insert(socket);
   return CURL_SOCKOPT_OK;
 }
 
+int on_socket_closed(void* user, curl_socket_t socket) {
+  static_cast<std::unordered_set<curl_socket_t>*>(user)->erase(socket);
+  return ::close(socket);
+}
+
+// Stops a call whose reused connection has bytes that no call has asked for: libcurl would take them for the
+// response.
+int on_request(void* user, char* /*remote_address*/, char* /*local_address*/, int remote_port,
+               int local_port) {
+  auto& target = *static_cast<transfer*>(user);
+  target.connection_has_unread_bytes =
+      std::any_of(target.sockets->begin(), target.sockets->end(), [&](curl_socket_t socket) {
+        return net::local_port(socket) == local_port && net::remote_port(socket) == remote_port &&
+               net::has_unread_bytes(socket);
+      });
+  return target.connection_has_unread_bytes ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 void configure(transfer& target) {
   CURL* easy = target.easy.get();
   curl_easy_setopt(easy, CURLOPT_URL, target.url.c_str());
@@ -108,6 +132,9 @@
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &on_socket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &target);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &on_socket_closed);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, target.sockets);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(target.options.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(target.options.connect_timeout.count()));
@@ -119,6 +146,9 @@
   if (target.options.never_reuse_connection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  } else {
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &on_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &target);
   }
   if (target.value.method == "HEAD") {
     curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
@@ -182,6 +212,7 @@
     added->options = options;
     added->handler = std::make_shared<stream_handler>(std::move(handler));
     added->context = &m_context;
+    added->sockets = &m_sockets;
     added->cancelled = std::make_shared<std::atomic<bool>>(false);
     const auto id = added->id;
     {
@@ -247,6 +278,13 @@
       }
       transfer* done = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &done);
+      if (std::exchange(done->connection_has_unread_bytes, false)) {
+        curl_multi_remove_handle(m_multi, done->easy.get());
+        curl_easy_setopt(done->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(done->easy.get(), CURLOPT_PREREQFUNCTION, nullptr);
+        curl_multi_add_handle(m_multi, done->easy.get());
+        continue;
+      }
       if (message->data.result == CURLE_OK) {
         done->report_head();
         done->post([](stream_handler& to) { to.end(); });
@@ -274,6 +312,7 @@
   std::thread m_thread;
   std::atomic<bool> m_stopping = false;
   std::atomic<call_id> m_last_id = 0;
+  std::unordered_set<curl_socket_t> m_sockets;                         // Used by the transfer thread only.
   std::unordered_map<call_id, std::unique_ptr<transfer>> m_transfers;  // Used by the transfer thread only.
   std::mutex m_mutex;                                                  // Guards the members below.
   std::unordered_map<call_id, std::weak_ptr<std::atomic<bool>>> m_cancel_flags;
--- a/source/core/net/socket_options.cpp
+++ b/source/core/net/socket_options.cpp
@@ -25,6 +25,13 @@
   static_cast<void>(::setsockopt(socket, level, name, &value, sizeof(value)));
 }
 
+template <class function>
+std::uint16_t port_of(int handle, function read_name) {
+  asio::ip::tcp::endpoint endpoint;
+  auto size = static_cast<socklen_t>(endpoint.capacity());
+  return read_name(handle, endpoint.data(), &size) == 0 ? endpoint.port() : std::uint16_t{0};
+}
+
 }  // namespace
 
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text) {
@@ -63,6 +70,19 @@
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
+std::uint16_t local_port(int handle) {
+  return port_of(handle, ::getsockname);
+}
+
+std::uint16_t remote_port(int handle) {
+  return port_of(handle, ::getpeername);
+}
+
+bool has_unread_bytes(int handle) {
+  char byte = 0;
+  return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::span<char> read_buffer() {
   thread_local std::array<char, k_read_buffer_bytes> s_buffer;
   return s_buffer;
--- a/source/core/net/socket_options.h
+++ b/source/core/net/socket_options.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -21,6 +22,12 @@
 // the connection then ends in an orderly way.
 void reset_on_close(asio::ip::tcp::socket& socket);
 
+// Return the port of either end of a connection, or 0 if the socket is not connected.
+std::uint16_t local_port(int handle);
+std::uint16_t remote_port(int handle);
+// Returns true if bytes have arrived that have not been read yet.
+bool has_unread_bytes(int handle);
+
 // Returns the read buffer of the calling thread. Its connections share it, so that idle connections need no
 // buffers of their own.
 std::span<char> read_buffer();
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -4,13 +4,25 @@
 
 #include "core/http/client.h"
 #include "core/http/server.h"
+#include "unit_tests/support/raw_server.h"
 #include "unit_tests/support/run_until.h"
 
 namespace cuminpath::http {
 namespace {
 
+using support::raw_server;
 using support::run_until;
 
+// A response with one header, which has no body unless a body is given.
+std::string response_text(std::string_view body, bool chunked = false) {
+  std::string text = "HTTP/1.1 200 OK\r\n";
+  if (chunked) {
+    return text + "Transfer-Encoding: chunked\r\n\r\n" + std::to_string(body.size()) + "\r\n" +
+           std::string(body) + "\r\n0\r\n\r\n";
+  }
+  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
 class http_test : public ::testing::Test {
 protected:
   void serve(request_handler handler, const server_options& options = {}) {
@@ -102,6 +114,46 @@
   EXPECT_FALSE(response.failure->sent);
 }
 
+// A second response that arrives before the next call must not be taken for the response to that call.
+TEST_F(http_test, a_repeated_response_is_no_response_to_the_next_call) {
+  for (const bool chunked : {false, true}) {
+    for (const std::string_view first : {"", "first"}) {
+      for (const bool idle : {false, true}) {
+        raw_server repeating(m_context, [&](const std::string& received) -> raw_server::response {
+          if (received.starts_with("GET /first")) {
+            const std::string text = response_text(first, chunked);
+            return {idle ? text : text + text};
+          }
+          return {response_text("second")};
+        });
+        m_url = "http://" + repeating.address();
+        EXPECT_EQ(call({.target = "/first"}).value.body, first);
+        if (idle) {
+          repeating.send_to_last(response_text(first, chunked));
+        }
+        EXPECT_EQ(call({.target = "/second"}).value.body, "second")
+            << "chunked: " << chunked << ", first: " << first << ", idle: " << idle;
+      }
+    }
+  }
+}
+
+// Responses carry no id, so a call that must not take that of an earlier one needs its own connection.
+TEST_F(http_test, a_call_on_its_own_connection_never_gets_a_late_response) {
+  raw_server late(m_context, [](const std::string& received) -> raw_server::response {
+    if (received.starts_with("GET /first")) {
+      return {.bytes = response_text("first"), .late_bytes = response_text("late")};
+    }
+    return {response_text("second")};
+  });
+  m_url = "http://" + late.address();
+  EXPECT_EQ(call({.target = "/first"}).value.body, "first");
+  EXPECT_EQ(call({.method = "POST", .target = "/second"}, {.never_reuse_connection = true}).value.body,
+            "second");
+  EXPECT_EQ(call({.target = "/second"}).value.body, "late");
+  EXPECT_EQ(late.accepted(), 2U);
+}
+
 TEST(retry_after, parses_seconds_and_nothing_else) {
   using std::chrono::milliseconds;
   EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
