proxy: a connection with unread bytes is not reused

A request that may be repeated could be sent on a connection on which bytes had arrived that the gateway had not read yet. With the id of another request they were skipped, but a repeated response without an id ended the attempt, and the request ran again at another upstream. Found by reading, in the same class as the fault of the HTTP client; the event loop usually reads such bytes first, so the test asks the pool before the loop runs. It failed without the change (the check of unread bytes taken out).

Change: the pool neither keeps nor gives out a connection with unread bytes.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -115,6 +115,11 @@
                     });
 }
 
+bool upstream_connection::reusable() const {
+  std::error_code failure;
+  return m_open && m_reusable && !m_request_active && m_socket.available(failure) == 0 && !failure;
+}
+
 void upstream_connection::resume_reading() {
   if (m_paused) {
     m_paused = false;
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -45,7 +45,7 @@
   void close();
 
   // Returns true if another request may be sent: the last response was complete, and no bytes followed it.
-  [[nodiscard]] bool reusable() const { return m_open && m_reusable && !m_request_active; }
+  [[nodiscard]] bool reusable() const;
   // Returns how long the upstream keeps an idle connection open according to the Keep-Alive header of its
   // last response; absent if it had none.
   [[nodiscard]] std::optional<seconds> advertised_idle_timeout() const { return m_advertised_idle_timeout; }
--- a/source/unit_tests/proxy/late_response_test.cpp
+++ b/source/unit_tests/proxy/late_response_test.cpp
@@ -234,6 +234,24 @@
   }
 }
 
+// Under load a request can be sent before the bytes that arrived earlier have been read.
+TEST_F(proxy_fixture, a_connection_with_unread_bytes_is_not_reused) {
+  auto& upstream = add_upstream(
+      "i-1", [](auto, const auto&) { return upstream_action{response_text("earlier", "before")}; });
+  for (const bool repeated : {false, true}) {
+    call(request("GET", "/safe/x", "earlier"), is_complete);
+    ASSERT_EQ(m_state.upstream_connections.idle_count(), 1U);
+    if (repeated) {
+      upstream.send_to_last(response_text("earlier", "before"));
+    }
+    const auto connection = m_state.upstream_connections.acquire("i-1", clock::now());
+    EXPECT_EQ(connection == nullptr, repeated);
+    if (connection) {
+      m_state.upstream_connections.release(connection, clock::now());
+    }
+  }
+}
+
 TEST_F(proxy_fixture, a_success_is_no_refusal_whatever_its_headers_say) {
   for (const request_kind& kind : k_kinds) {
     m_records.clear();
