agent: do not send a later run's response under an earlier run's head

A model request whose engine had answered with a head, but no token yet, was preempted and run again. If the engine then answered with another status, the entry got the body of the second response under the head of the first: after 200 then 400 with an empty body the caller had a complete, empty answer, and after 404 then 400 the error of one run under the status of the other.

Cause: once a head had been sent for an attempt, the status of a further run was not compared with it, and the body went on.

An attempt whose further run has another status ends as failed, and the entry may try another agent.

--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -108,8 +108,9 @@
   }
   on_upstream_health(true, actions);
   value->token_stream = is_model_request(*value) && status == k_status_ok;
-  if (is_model_request(*value) && !value->token_stream &&
-      (value->next_index > 0 || !is_request_error(status))) {
+  const bool other_response = value->head_sent && status != value->status;
+  const bool failed = !value->token_stream && (value->next_index > 0 || !is_request_error(status));
+  if (is_model_request(*value) && (failed || other_response)) {
     fail_attempt(now, *value, "the engine responded with status " + std::to_string(status), actions);
     return;
   }
@@ -117,9 +118,9 @@
     return;  // Sent for an earlier run of this attempt, which was preempted.
   }
   value->head_sent = true;
+  value->status = static_cast<std::uint16_t>(status);
   auto forwarded_headers = end_to_end_headers(headers);
   if (!value->request.repeatable) {
-    value->status = static_cast<std::uint16_t>(status);
     value->headers = forwarded_headers;
   }
   actions.emplace_back(
--- a/source/core/agent/attempt_table.h
+++ b/source/core/agent/attempt_table.h
@@ -43,8 +43,8 @@
   event_stream_parser events;
   std::uint64_t next_index = 0;               // Index of the next token or byte of the response.
   std::vector<std::string> generated_events;  // Token events of this attempt; empty unless preemptible.
-  std::uint16_t status = 0;                   // The response so far, only of a call that may not be repeated.
-  wire::header_list headers;
+  std::uint16_t status = 0;                   // That was sent to the entry.
+  wire::header_list headers;                  // The response so far, only of a call that may not be repeated.
   std::string body;
   bool response_too_large = false;
 };
