proxy: end a stream without a length at the head of another response

If an upstream sent a further response on the connection of a stream that has neither a length nor chunks, its head was written to the caller as an event in the middle of the stream. The rest of the stream was then taken from another upstream, so that the stream was complete around the head.

Cause: such a body ends with the connection, so the bytes passed for the body, and a head ends with an empty line as an event does.

A block between two empty lines that begins with a status line ends the attempt as broken, if the response has neither a length nor chunks. The stream goes on at another upstream or is aborted. In other responses the length tells which bytes belong to the body, and they are forwarded unchanged.

A head that begins inside an event is still taken for a part of it.

Without the change does_not_hold_the_head_of_another_response fails, and with it all tests of proxy_tests pass.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -71,6 +71,12 @@
   return name.substr(0, name.find_last_not_of(" \t") + 1);
 }
 
+// Returns true if the bytes between two empty lines are the head of a response.
+bool is_response_head(std::string_view bytes) {
+  bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+  return bytes.starts_with("HTTP/1.");
+}
+
 std::string_view call_kind_name(call_kind kind) {
   switch (kind) {
     case call_kind::repeatable:
@@ -476,8 +482,8 @@
     return;
   }
   m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
-  if (m_attempt && m_attempt->other_run) {
-    end_attempt(attempt_result::broken, "answer does not continue the stream at its next event");
+  if (m_attempt && m_attempt->has_foreign_bytes) {
+    end_attempt(attempt_result::broken, "answer has bytes that are not the next event of the stream");
     return;
   }
   if (m_attempt && m_splitter.pending() > k_max_event_bytes) {
@@ -490,11 +496,13 @@
 }
 
 void exchange::forward_event(const gateway::event_splitter::event& event) {
-  if (m_done || m_attempt->other_run) {
+  if (m_done || m_attempt->has_foreign_bytes) {
     return;
   }
-  if (m_response_started && m_attempt->events == 0 && !gateway::is_next_event_id(m_last_event_id, event.id)) {
-    m_attempt->other_run = true;
+  const bool other_run =
+      m_response_started && m_attempt->events == 0 && !gateway::is_next_event_id(m_last_event_id, event.id);
+  if (other_run || (!m_attempt->head->self_delimited && is_response_head(event.bytes))) {
+    m_attempt->has_foreign_bytes = true;
     return;
   }
   const time_point now = clock::now();
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -29,7 +29,7 @@
   std::string body;                // Of a response that is not streamed.
   std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
   bool streamed = false;
-  bool other_run = false;  // The first event is not the one after the last that the caller has received.
+  bool has_foreign_bytes = false;  // Those of another run or of another response follow.
   std::uint32_t events = 0;
   bool output_recorded = false;
 };
--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -526,5 +526,22 @@
   }
 }
 
+// Bytes of another response that follow a response without a length belong to no request.
+TEST_F(broken_stream, does_not_hold_the_head_of_another_response) {
+  const std::string other = respond_with(500, own_headers("text/plain"), "busy", framing::length).bytes;
+  for (const framing how : {framing::until_close, framing::http_1_0, framing::reset}) {
+    for (const std::string& extra : {other, "\r\n" + other, other + events(3, 4), other + "\n\n"}) {
+      const upstream_action first = respond_with(200, own_headers(k_event_stream), events(1, 2) + extra, how);
+      const auto resumed =
+          stream({first, respond_with(200, own_headers(k_event_stream), events(3, 4), framing::chunked)});
+      EXPECT_EQ(resumed.body, events(1, 4));
+      EXPECT_TRUE(resumed.whole);
+      const auto aborted = stream({first}, "/fragile/x");
+      EXPECT_EQ(aborted.body, events(1, 2));
+      EXPECT_FALSE(aborted.whole);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
