proxy: test a stream that is continued on connections that were kept

On a kept connection the next request is written at once, while the bytes of the response before it are still being read and split into events. The test shows that none of them reach the next attempt.

The code already keeps the promise.

--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -543,5 +543,38 @@
   }
 }
 
+// The next request is written at once, while the bytes of the response before it are still being read.
+TEST_F(broken_stream, continues_on_connections_that_were_kept) {
+  allow_attempts(3);
+  std::size_t reused = 0;
+  for (int i = 0; i < 20; ++i) {
+    m_responses.assign(30, upstream_action{response_text("a", "kept")});
+    m_received.clear();
+    while (m_received.size() < 30) {
+      call(request("GET", "/safe/x", "a"), is_complete);
+    }
+    const auto accepted = [&] {
+      return m_upstreams[0]->accepted() + m_upstreams[1]->accepted() + m_upstreams[2]->accepted();
+    };
+    const std::size_t before = accepted();
+    m_responses = {
+        respond_with(200, own_headers(k_event_stream), events(1, 2) + "id: 3\nda", framing::cut_chunk),
+        respond_with(200, own_headers(k_event_stream), events(1, 5) + "id: 6\nda", framing::cut_chunk),
+        respond_with(200, own_headers(k_event_stream), events(3, 4), framing::chunked)};
+    m_received.clear();
+    const auto response = read_response(
+        call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), [](const std::string& bytes) {
+          return read_response(bytes).whole;
+        }).bytes);
+    EXPECT_EQ(response.body, events(1, 4));
+    EXPECT_TRUE(response.whole);
+    reused += before + m_received.size() - accepted();
+    m_state.upstreams = {};
+    m_state.retry_budgets.clear();
+    m_state.upstreams.apply(m_records, clock::now(), false);
+  }
+  EXPECT_GT(reused, 0U);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
