proxy: send no last chunk after the response to a HEAD request

The response to a HEAD request on a route with streams ended with "0\r\n\r\n" after its head. A response to HEAD has no body, so a caller that keeps the connection read these bytes as the begin of its next response.

Cause: the response was passed on as a stream without events.

It is buffered now, like on other routes.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -444,8 +444,9 @@
   m_attempt->head = std::move(head);
   const message_head& received = *m_attempt->head;
   record_upstream_state(received, clock::now());
-  m_attempt->streamed = m_route->kind == call_kind::stream && received.status == 200 &&
-                        is_upstream_response(received) && is_event_stream(received) &&
+  m_attempt->streamed = m_route->kind == call_kind::stream && m_request.method != "HEAD" &&
+                        received.status == 200 && is_upstream_response(received) &&
+                        is_event_stream(received) &&
                         !http::find_header(received.headers, m_state.header_names.not_executed);
 }
 
--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -543,6 +543,19 @@
   }
 }
 
+TEST_F(broken_stream, has_no_chunks_in_the_response_to_a_head_request) {
+  for (const std::string_view path : {"/stream/x", "/fragile/x"}) {
+    m_responses = {respond_with(200, own_headers(k_event_stream), "", framing::length)};
+    m_received.clear();
+    const auto response = call(request("HEAD", path, "a"), [](const std::string& bytes) {
+      return bytes.find("\r\n\r\n") != std::string::npos;
+    });
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200"));
+    EXPECT_TRUE(response.bytes.ends_with("\r\n\r\n"));
+    EXPECT_EQ(response.bytes.find("\r\n\r\n"), response.bytes.size() - 4) << response.bytes;
+  }
+}
+
 // The next request is written at once, while the bytes of the response before it are still being read.
 TEST_F(broken_stream, continues_on_connections_that_were_kept) {
   allow_attempts(3);
