--- a/source/unit_tests/proxy/broken_stream_test.cpp
+++ b/source/unit_tests/proxy/broken_stream_test.cpp
@@ -534,5 +534,68 @@
   }
 }
 
+// Bytes of another response that follow a response without a length belong to no request.
+TEST_F(broken_stream, does_not_hold_the_head_of_another_response) {
+  const std::string other = respond_with(500, own_headers("text/plain"), "busy", framing::length).bytes;
+  for (const framing how : {framing::until_close, framing::http_1_0, framing::reset}) {
+    for (const std::string& extra : {other, "\r\n" + other, other + events(3, 4), other + "\n\n"}) {
+      const upstream_action first = respond_with(200, own_headers(k_event_stream), events(1, 2) + extra, how);
+      const auto resumed =
+          stream({first, respond_with(200, own_headers(k_event_stream), events(3, 4), framing::chunked)});
+      EXPECT_EQ(resumed.body, events(1, 4));
+      EXPECT_TRUE(resumed.whole);
+      const auto aborted = stream({first}, "/fragile/x");
+      EXPECT_EQ(aborted.body, events(1, 2));
+      EXPECT_FALSE(aborted.whole);
+    }
+  }
+}
+
+TEST_F(broken_stream, has_no_chunks_in_the_response_to_a_head_request) {
+  for (const std::string_view path : {"/stream/x", "/fragile/x"}) {
+    m_responses = {respond_with(200, own_headers(k_event_stream), "", framing::length)};
+    m_received.clear();
+    const auto response = call(request("HEAD", path, "a"), [](const std::string& bytes) {
+      return bytes.find("\r\n\r\n") != std::string::npos;
+    });
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200"));
+    EXPECT_TRUE(response.bytes.ends_with("\r\n\r\n"));
+    EXPECT_EQ(response.bytes.find("\r\n\r\n"), response.bytes.size() - 4) << response.bytes;
+  }
+}
+
+// The next request is written at once, while the bytes of the response before it are still being read.
+TEST_F(broken_stream, continues_on_connections_that_were_kept) {
+  allow_attempts(3);
+  std::size_t reused = 0;
+  for (int i = 0; i < 20; ++i) {
+    m_responses.assign(30, upstream_action{response_text("a", "kept")});
+    m_received.clear();
+    while (m_received.size() < 30) {
+      call(request("GET", "/safe/x", "a"), is_complete);
+    }
+    const auto accepted = [&] {
+      return m_upstreams[0]->accepted() + m_upstreams[1]->accepted() + m_upstreams[2]->accepted();
+    };
+    const std::size_t before = accepted();
+    m_responses = {
+        respond_with(200, own_headers(k_event_stream), events(1, 2) + "id: 3\nda", framing::cut_chunk),
+        respond_with(200, own_headers(k_event_stream), events(1, 5) + "id: 6\nda", framing::cut_chunk),
+        respond_with(200, own_headers(k_event_stream), events(3, 4), framing::chunked)};
+    m_received.clear();
+    const auto response = read_response(
+        call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), [](const std::string& bytes) {
+          return read_response(bytes).whole;
+        }).bytes);
+    EXPECT_EQ(response.body, events(1, 4));
+    EXPECT_TRUE(response.whole);
+    reused += before + m_received.size() - accepted();
+    m_state.upstreams = {};
+    m_state.retry_budgets.clear();
+    m_state.upstreams.apply(m_records, clock::now(), false);
+  }
+  EXPECT_GT(reused, 0U);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
