balancer: a stopped balancer ends its switch and tells its group

What callers saw: on SIGTERM a balancer ended at once. If it led a switch, or if its rank was to be armed, the group stood still until other balancers suspected it, and with it every stream of the group. Orders in flight to its engine were cut, so that a hold took effect after the leader had gone.

Cause: wait_signal() ended the event loop, and nothing told the group, which suspects a balancer after 0.7 s without a report.

Change: a stopped balancer starts no switch. Its leader's switch is given up while it is being prepared, since nothing is held or armed then; a later one takes its usual course to its end, or is disarmed with a higher token and released. A follower stays until its leader ends the directive, and every balancer until its orders have a result. Then the last report says that none follows (interval 0); it is sent three times, 20 ms apart, and the process ends. At half of the grace period (grace_ms) it leaves in any case. A second SIGTERM changes nothing, SIGINT ends a leaving balancer at once, SIGHUP is no stop.

Why it works: no step of the protocol is left out or shortened; the leader leaves between two switches, so the next one has nothing to recover. Receivers treat the sender of the last report like one that is suspected: the next rank leads and the leader drives the rank that has left.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -13,6 +13,7 @@
 #include "core/balancer/map_relay.h"
 #include "core/balancer/messages.h"
 #include "core/balancer/pass_time_estimator.h"
+#include "core/balancer/planned_stop.h"
 #include "core/balancer/rank_driver.h"
 #include "core/balancer/switch_coordinator.h"
 #include "core/http/server.h"
@@ -150,6 +151,9 @@
   // Messages.
 
   void on_datagram(std::string_view bytes, time_point now) {
+    if (m_leaving) {
+      return;
+    }
     auto read = decode(bytes);
     if (!read) {
       m_metrics.add("cuminpath_malformed_reports_total");
@@ -397,6 +401,9 @@
   }
 
   void on_counts(const engine_counts& read, time_point now) {
+    if (m_leaving) {
+      return;
+    }
     const auto& counts = read.counts;
     const bool continued = m_last_counts.size() == counts.size() && m_last_counts_epoch == read.epoch &&
                            std::equal(counts.begin(), counts.end(), m_last_counts.begin(),
@@ -575,7 +582,10 @@
       }
       auto& driver = m_remote_ranks[rank];
       if (!driver) {
-        log_balancer_state("balancer is silent, its rank is read from here", *member, now);
+        log_balancer_state(member->report.interval == milliseconds{0}
+                               ? "balancer leaves, its rank is read from here"
+                               : "balancer is silent, its rank is read from here",
+                           *member, now);
         driver = std::make_unique<rank_driver>(m_platform->engine(member->report.engine_address),
                                                member->report.engine_address, [](time_point) {});
         driver->apply_directive(m_coordinator.current_directive(), now);
@@ -688,6 +698,9 @@
   // Timers and signals.
 
   void on_local_status(time_point now) {
+    if (m_leaving) {
+      return;
+    }
     const engine_status& status = local_status();
     if (status.epoch != m_known_epoch || status.group != m_known_group) {
       telemetry::log(log_level::info, "engine", "group formed",
@@ -715,6 +728,13 @@
   }
 
   void tick(time_point now) {
+    if (m_stop && advance_stop(now)) {
+      return;
+    }
+    if (m_leaving) {
+      schedule_tick();
+      return;
+    }
     m_platform->tick(now, m_random);
     if (m_local_rank.has_directive() && m_coordinator.current_phase() == phase::idle &&
         now - m_directive_received_at >= k_directive_lifetime) {
@@ -729,6 +749,69 @@
     schedule_tick();
   }
 
+  // Planned stop.
+
+  void start_stop(time_point now) {
+    telemetry::log(
+        log_level::info, "process", "leaving",
+        {{"phase", phase_name(m_coordinator.current_phase())}, {"directive", m_local_rank.has_directive()}});
+    m_coordinator.stop_switching();
+    m_stop.emplace(now, m_settings.shutdown_grace);
+  }
+
+  // Whether a switch under way depends on this process, as the leader or for the local rank, or the result of
+  // an order is awaited.
+  [[nodiscard]] bool needed(time_point now) const {
+    const bool order_pending =
+        m_local_rank.has_pending_order() ||
+        std::any_of(m_remote_ranks.begin(), m_remote_ranks.end(),
+                    [](const auto& entry) { return entry.second->has_pending_order(); });
+    if (order_pending || !m_local_rank.known()) {
+      return order_pending;
+    }
+    return m_may_lead && is_leader(now)
+               ? m_coordinator.current_phase() == phase::preparing || m_coordinator.holds_group(rank_views())
+               : m_local_rank.has_directive();
+  }
+
+  // Returns true once the event loop has been told to end.
+  bool advance_stop(time_point now) {
+    switch (m_stop->advance(needed(now), now)) {
+      case stop_stage::finishing:
+        return false;
+      case stop_stage::leaving:
+        m_leaving = true;
+        send_last_report();
+        return false;
+      case stop_stage::ended:
+        end_process(now);
+        return true;
+    }
+    return false;
+  }
+
+  // Sent to all ranks of the group: the next leader takes over at once, and the leader drives the local rank.
+  void send_last_report() {
+    std::vector<std::string> receivers;
+    for (const auto* member : m_roster.members(position())) {
+      receivers.push_back(member->report.report_address);
+    }
+    m_may_lead = false;
+    rank_report report = make_report();
+    report.interval = milliseconds{0};
+    m_channel->send(encode(report), receivers);
+  }
+
+  void end_process(time_point now) {
+    telemetry::log(
+        log_level::info, "process", "stopping",
+        {{"after_signal_ms", std::chrono::duration_cast<milliseconds>(now - m_stop->signalled_at()).count()},
+         {"phase", phase_name(m_coordinator.current_phase())},
+         {"order_pending", m_local_rank.has_pending_order()},
+         {"held", local_status().held.has_value()}});
+    m_context.stop();
+  }
+
   void wait_signal() {
     m_signals.async_wait([this](std::error_code error, int signal) {
       if (error) {
@@ -736,10 +819,15 @@
       }
       if (signal == SIGHUP) {
         telemetry::log(log_level::info, "process", "settings of a running balancer are not reloaded", {});
-        wait_signal();
+      } else if (!m_stop) {
+        start_stop(clock::now());
+      } else if (signal == SIGINT) {
+        end_process(clock::now());
         return;
+      } else {
+        telemetry::log(log_level::info, "process", "already leaving", {});
       }
-      m_context.stop();
+      wait_signal();
     });
   }
 
@@ -776,6 +864,8 @@
   known_map m_newest_map;              // The last map that the group was ordered to prepare.
   std::uint64_t m_version_count = 0;   // Map versions issued with the token in use.
   bool m_may_lead = false;
+  std::optional<planned_stop> m_stop;
+  bool m_leaving = false;  // The group has been told that this process leaves.
   bool m_token_request_pending = false;
   bool m_reading_counts = false;
   time_point m_started_at{};
--- a/source/core/balancer/balancer_process.h
+++ b/source/core/balancer/balancer_process.h
@@ -14,8 +14,9 @@
 using platform_factory = std::function<std::unique_ptr<platform_port>(
     http::client& client, const config::balancer_settings& settings)>;
 
-// Runs a balancer until SIGTERM or SIGINT. Returns the exit code: 0 after a planned stop, 1 if an address
-// cannot be bound.
+// Runs a balancer until SIGTERM or SIGINT. It takes part in a switch under way until that has ended, for half
+// of the grace period at most, and tells its group that it leaves; SIGINT during that time ends it at once.
+// Returns the exit code: 0 after a planned stop, 1 if an address cannot be bound.
 int run_balancer(const config::balancer_settings& settings, const platform_factory& make_platform);
 
 }  // namespace cuminpath::balancer
--- a/source/core/balancer/group_roster.cpp
+++ b/source/core/balancer/group_roster.cpp
@@ -19,6 +19,9 @@
 }
 
 bool group_roster::alive(const peer& known, time_point now) const {
+  if (known.report.interval == milliseconds{0}) {
+    return false;
+  }
   const auto since_report = std::chrono::duration<double, std::milli>(now - known.received_at).count();
   return since_report <=
          m_options.suspect_after_intervals * static_cast<double>(known.report.interval.count());
--- a/source/core/balancer/group_roster.h
+++ b/source/core/balancer/group_roster.h
@@ -50,6 +50,7 @@
   bool on_report(rank_report report, time_point now);
 
   [[nodiscard]] const std::map<std::string, peer>& peers() const { return m_peers; }  // By host.
+  // Whether the peer reports as it announced. False at once for a peer that has announced that it leaves.
   [[nodiscard]] bool alive(const peer& known, time_point now) const;
   // Returns the peers of the group, one for each rank: the one that reported last.
   [[nodiscard]] std::vector<const peer*> members(const group_position& local) const;
--- a/source/core/balancer/messages.h
+++ b/source/core/balancer/messages.h
@@ -20,9 +20,10 @@
   std::uint64_t sequence = 0;     // Grows with each report of an incarnation.
   std::string report_address;     // IP:PORT of the balancer (UDP).
   std::string engine_address;     // IP:PORT of the engine, for a leader that suspects this balancer.
-  milliseconds interval{200};     // Maximum time until the receiver gets the next report.
-  bool may_lead = true;           // False until the sender knows the group well enough to lead it.
-  rank_view view;                 // Sent without `updated_at`.
+  // Maximum time until the receiver gets the next report. 0: the sender leaves, there is no next report.
+  milliseconds interval{200};
+  bool may_lead = true;  // False until the sender knows the group well enough to lead it.
+  rank_view view;        // Sent without `updated_at`.
   // Tokens for each expert since the last report with loads, summed over this rank and the ranks that send
   // their loads to it. Empty in reports to any process but group_roster::load_receiver().
   std::vector<std::uint64_t> loads;
--- a/source/core/balancer/rank_driver.h
+++ b/source/core/balancer/rank_driver.h
@@ -27,6 +27,7 @@
   // Whether a status has been read.
   [[nodiscard]] bool known() const { return m_known; }
   [[nodiscard]] bool has_directive() const { return m_worker.has_directive(); }
+  [[nodiscard]] bool has_pending_order() const { return m_worker.has_pending_order(); }
   [[nodiscard]] const rank_view& view() const { return m_view; }
 
 private:
--- a/source/core/balancer/rank_worker.h
+++ b/source/core/balancer/rank_worker.h
@@ -36,6 +36,8 @@
   [[nodiscard]] std::uint64_t disarmed_token() const { return m_disarmed_token; }
   [[nodiscard]] std::uint64_t disarmed_epoch() const { return m_disarmed_epoch; }
   [[nodiscard]] bool has_directive() const { return m_directive.has_value(); }
+  // Whether the result of an order is awaited.
+  [[nodiscard]] bool has_pending_order() const { return m_pending_order.has_value(); }
 
 private:
   [[nodiscard]] std::optional<order_body> needed_order(time_point now) const;
--- a/source/core/balancer/switch_coordinator.cpp
+++ b/source/core/balancer/switch_coordinator.cpp
@@ -96,10 +96,26 @@
                      [](const auto& view) { return view->status.held || view->status.armed; });
 }
 
+bool switch_coordinator::holds_group(views ranks) const {
+  switch (m_directive.kind) {
+    case phase::holding:
+    case phase::arming:
+    case phase::disarming:
+    case phase::releasing:
+      return true;
+    case phase::idle:
+    case phase::preparing:
+    case phase::going:
+      return std::any_of(ranks.begin(), ranks.end(),
+                         [](const auto& view) { return view && view->status.held.has_value(); });
+  }
+  return true;
+}
+
 bool switch_coordinator::start(views ranks, std::uint64_t token, std::uint64_t version, rank_map map,
                                time_point now) {
-  if (m_directive.kind != phase::idle || token <= m_outdated_token || !complete(ranks, now) ||
-      needs_recovery(ranks, now)) {
+  if (m_switching_stopped || m_directive.kind != phase::idle || token <= m_outdated_token ||
+      !complete(ranks, now) || needs_recovery(ranks, now)) {
     return false;
   }
   const std::uint64_t current = ranks.front()->status.map_version;
@@ -212,7 +228,7 @@
 }
 
 void switch_coordinator::step_preparing(views ranks, std::uint32_t local_rank, time_point now) {
-  if (now - m_entered_at > m_options.prepare_timeout) {
+  if (m_switching_stopped || now - m_entered_at > m_options.prepare_timeout) {
     enter(phase::idle, now);
     return;
   }
--- a/source/core/balancer/switch_coordinator.h
+++ b/source/core/balancer/switch_coordinator.h
@@ -72,6 +72,13 @@
   bool start(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, std::uint64_t version,
              rank_map map, time_point now);
 
+  // From now on, start() returns false and step() gives up a switch of which no rank is held or armed yet. A
+  // later phase is brought to its end.
+  void stop_switching() { m_switching_stopped = true; }
+  // Whether a rank is held, or may still be by an order of the switch under way. Without a leader the group
+  // does not go on.
+  [[nodiscard]] bool holds_group(std::span<const std::optional<rank_view>> ranks) const;
+
   // Sets the present duration of a forward pass.
   void set_pass_time(milliseconds time) { m_pass_time = time; }
 
@@ -115,6 +122,7 @@
   directive m_directive;
   time_point m_entered_at{};
   std::uint64_t m_outdated_token = 0;
+  bool m_switching_stopped = false;
 };
 
 }  // namespace cuminpath::balancer
--- a/source/core/config/balancer_settings.h
+++ b/source/core/config/balancer_settings.h
@@ -30,7 +30,8 @@
   milliseconds load_half_life{250};
   // Limit on the copy time of one plan at each rank. A plan may always copy one expert. Key max_copy_time_ms.
   milliseconds max_copy_time{160};
-  double min_saving = 0.12;  // Share of a forward pass's expert time that a map switch must save.
+  milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_ms.
+  double min_saving = 0.12;           // Share of a forward pass's expert time that a map switch must save.
 
   log_settings log;
 };
--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -75,6 +75,7 @@
     m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
     m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
     m_root.optional().read("max_copy_time_ms", value.max_copy_time, {1, k_minute_ms});
+    m_root.optional().read("grace_ms", value.shutdown_grace, {500, 60 * k_minute_ms});
     m_root.optional().read("min_saving", value.min_saving);
     if (value.min_saving < 0 || value.min_saving > 1) {
       m_root.add_error("min_saving", "must be from 0 to 1");
--- a/source/unit_tests/balancer/group_roster_test.cpp
+++ b/source/unit_tests/balancer/group_roster_test.cpp
@@ -229,6 +229,26 @@
   EXPECT_EQ(roster.leader(local, k_start + milliseconds{7001}), nullptr);
 }
 
+TEST(group_roster, a_leaving_rank_is_neither_followed_nor_awaited) {
+  group_roster roster;
+  const group_position local{.group = "g", .rank = 1, .ranks = 3};
+  for (const std::uint32_t rank : {0U, 2U}) {
+    roster.on_report(make_report(rank, 3, 1, milliseconds{200}), k_start);
+  }
+  EXPECT_NE(roster.leader(local, k_start), nullptr);
+  roster.on_report(make_report(0, 3, 2, milliseconds{0}), k_start);
+  EXPECT_EQ(roster.leader(local, k_start), nullptr);
+  EXPECT_FALSE(roster.alive(roster.peers().at(host_name(0)), k_start));
+  EXPECT_TRUE(roster.alive(roster.peers().at(host_name(2)), k_start));
+  // A report that the last one has overtaken does not bring it back; its next process does.
+  EXPECT_FALSE(roster.on_report(make_report(0, 3, 1, milliseconds{200}), k_start));
+  EXPECT_EQ(roster.leader(local, k_start), nullptr);
+  auto restarted = make_report(0, 3, 1, milliseconds{200});
+  restarted.incarnation = 2;
+  EXPECT_TRUE(roster.on_report(restarted, k_start));
+  EXPECT_NE(roster.leader(local, k_start), nullptr);
+}
+
 TEST(group_roster, ignores_late_reports_and_other_groups) {
   group_roster roster;
   EXPECT_TRUE(roster.on_report(make_report(1, 8, 2, milliseconds{200}), k_start));
--- a/source/unit_tests/balancer/switch_coordinator_test.cpp
+++ b/source/unit_tests/balancer/switch_coordinator_test.cpp
@@ -84,5 +84,69 @@
   EXPECT_EQ(m_coordinator.current_phase(), phase::releasing);
 }
 
+class stopping_leader : public leader_takeover {
+protected:
+  stopping_leader() {
+    EXPECT_TRUE(m_coordinator.start(m_views, k_token, 5, {}, k_now));
+    EXPECT_EQ(step(), phase::preparing);
+  }
+  void prepare_all() { status(0).prepared = status(1).prepared = 5; }
+  std::uint64_t step_of_switch() { return m_coordinator.current_directive()->step; }
+};
+
+TEST_F(stopping_leader, gives_up_a_switch_that_is_being_prepared_and_starts_no_other) {
+  prepare_all();
+  m_coordinator.stop_switching();
+  EXPECT_EQ(step(), phase::idle);
+  EXPECT_FALSE(m_coordinator.holds_group(m_views));
+  EXPECT_FALSE(m_coordinator.start(m_views, k_token, 6, {}, k_now));
+  EXPECT_EQ(step(), phase::idle);
+}
+
+TEST_F(stopping_leader, ends_a_switch_whose_hold_has_been_ordered) {
+  prepare_all();
+  EXPECT_EQ(step(), phase::holding);
+  m_coordinator.stop_switching();
+  EXPECT_EQ(step(), phase::holding);
+  EXPECT_TRUE(m_coordinator.holds_group(m_views));  // The order may be under way.
+  status(0).held = step_of_switch();
+  EXPECT_EQ(step(), phase::arming);
+  status(0).armed = status(1).armed = armed_switch{5, step_of_switch()};
+  EXPECT_EQ(step(), phase::going);
+  EXPECT_TRUE(m_coordinator.holds_group(m_views));
+  status(0).held.reset();
+  EXPECT_FALSE(m_coordinator.holds_group(m_views));  // The group goes on by itself.
+  EXPECT_EQ(step(), phase::going);
+}
+
+TEST_F(stopping_leader, disarms_and_releases_a_switch_that_cannot_be_ended) {
+  prepare_all();
+  EXPECT_EQ(step(), phase::holding);
+  status(0).held = step_of_switch();
+  EXPECT_EQ(step(), phase::arming);
+  status(0).armed = armed_switch{5, step_of_switch()};
+  status(1).prepared.reset();
+  m_coordinator.stop_switching();
+  EXPECT_EQ(step(), phase::idle);
+  EXPECT_EQ(m_coordinator.outdated_token(), k_token);
+  EXPECT_TRUE(m_coordinator.holds_group(m_views));
+  constexpr std::uint64_t k_new_token = k_token + 1;
+  const auto step_with_new_token = [this] {
+    m_coordinator.step(m_views, 0, k_new_token, k_now);
+    return m_coordinator.current_phase();
+  };
+  EXPECT_EQ(step_with_new_token(), phase::disarming);
+  status(0).armed.reset();
+  for (auto& view : m_views) {
+    view->disarmed_token = k_new_token;
+    view->disarmed_epoch = 1;
+  }
+  EXPECT_EQ(step_with_new_token(), phase::releasing);
+  EXPECT_TRUE(m_coordinator.holds_group(m_views));
+  status(0).held.reset();
+  EXPECT_EQ(step_with_new_token(), phase::idle);
+  EXPECT_FALSE(m_coordinator.holds_group(m_views));
+}
+
 }  // namespace
 }  // namespace cuminpath::balancer
--- a/source/unit_tests/balancer/switch_test.cpp
+++ b/source/unit_tests/balancer/switch_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "../support/property.h"
+#include "core/balancer/planned_stop.h"
 #include "core/balancer/rank_worker.h"
 #include "core/balancer/switch_coordinator.h"
 #include "engine_group.h"
@@ -18,6 +19,7 @@
 constexpr std::uint32_t k_ranks = 4;
 constexpr milliseconds k_tick{20};
 constexpr milliseconds k_suspect_timeout{700};
+constexpr milliseconds k_grace_period{8000};
 constexpr time_point k_start{seconds{100}};
 
 struct faults {
@@ -26,6 +28,7 @@
   double pauses = 0;             // Pauses of a balancer of up to 4 s, per second.
   double balancer_restarts = 0;  // Restarts of a balancer, per second.
   double rank_restarts = 0;      // Restarts of a rank, per second.
+  double planned_stops = 0;      // Planned stops of a balancer, per second.
   bool fencing = true;
 };
 
@@ -39,6 +42,9 @@
   std::uint64_t versions = 0;
   time_point running_since{};
   time_point paused_until{};
+  std::optional<planned_stop> stop;
+  bool leads = false;
+  bool leaving = false;
   // Orders that the balancer was about to send when it was paused.
   std::vector<std::pair<std::uint32_t, order>> pending_orders;
 };
@@ -74,6 +80,18 @@
 
   [[nodiscard]] const engine_group& group() const { return m_group; }
   [[nodiscard]] std::uint64_t switches() const { return m_switches; }
+  // Returns how many balancers have left although a rank was held.
+  [[nodiscard]] std::uint64_t departures_while_held() const { return m_departures_while_held; }
+  [[nodiscard]] std::uint64_t departures() const { return m_departures; }
+  // Starts a planned stop of the balancer that leads, or of one that does not.
+  void stop_balancer(bool leader) {
+    for (auto& each : m_balancers) {
+      if (each->leads == leader && !each->stop) {
+        start_stop(*each);
+        return;
+      }
+    }
+  }
 
 private:
   bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
@@ -88,13 +106,50 @@
       m_balancers[rank]->paused_until = m_now + random_time(200, 4000);
     }
     if (occurs(m_faults.balancer_restarts)) {
-      m_balancers[rank] = std::make_unique<balancer>();
-      m_balancers[rank]->running_since = m_now + random_time(100, 1500);
-      m_balancers[rank]->paused_until = m_balancers[rank]->running_since;
+      restart_balancer(rank);
     }
     if (occurs(m_faults.rank_restarts)) {
       m_group.restart();
     }
+    if (m_faults.planned_stops > 0 && occurs(m_faults.planned_stops) && !m_balancers[rank]->stop) {
+      start_stop(*m_balancers[rank]);
+    }
+  }
+
+  void restart_balancer(std::uint32_t rank) {
+    m_balancers[rank] = std::make_unique<balancer>();
+    m_balancers[rank]->running_since = m_now + random_time(100, 1500);
+    m_balancers[rank]->paused_until = m_balancers[rank]->running_since;
+  }
+
+  void start_stop(balancer& self) {
+    self.coordinator.stop_switching();
+    self.stop.emplace(m_now, k_grace_period);
+  }
+
+  // Returns true if the balancer has left its group.
+  bool advance_stop(balancer& self, std::uint32_t local, bool with_faults) {
+    const bool needed = self.leads ? self.coordinator.current_phase() == phase::preparing ||
+                                         self.coordinator.holds_group(self.views)
+                                   : self.worker.has_directive();
+    switch (self.stop->advance(needed, m_now)) {
+      case stop_stage::finishing:
+        return false;
+      case stop_stage::leaving:
+        m_departures_while_held += !self.leaving && m_group.held() ? 1 : 0;
+        m_departures += self.leaving ? 0 : 1;
+        self.leaving = true;
+        for (auto& peer : m_balancers) {
+          if (peer.get() != &self && !(with_faults && chance(m_faults.lost_reports))) {
+            peer->report_received_at[local] = {};
+          }
+        }
+        return true;
+      case stop_stage::ended:
+        restart_balancer(local);
+        return true;
+    }
+    return false;
   }
 
   void execute_order(rank_worker& worker, std::uint32_t rank, const order& value, bool with_faults) {
@@ -122,6 +177,9 @@
 
   void run_balancer(std::uint32_t local, bool with_faults) {
     balancer& self = *m_balancers[local];
+    if (self.stop && advance_stop(self, local, with_faults)) {
+      return;
+    }
     for (const auto& [rank, value] : std::exchange(self.pending_orders, {})) {
       m_group.apply(rank, value, m_now);
     }
@@ -155,6 +213,7 @@
     for (std::uint32_t rank = 0; rank < local; ++rank) {
       may_lead = may_lead && m_now - self.report_received_at[rank] > k_suspect_timeout;
     }
+    self.leads = may_lead;
     if (!may_lead) {
       self.token = 0;
       self.coordinator.step(self.views, local, 0, m_now);
@@ -218,6 +277,8 @@
   time_point m_now = k_start;
   std::uint64_t m_last_token = 0;
   std::uint64_t m_switches = 0;
+  std::uint64_t m_departures = 0;
+  std::uint64_t m_departures_while_held = 0;
 };
 
 TEST(map_switch, completes_within_a_few_passes_without_faults) {
@@ -267,5 +328,29 @@
   }));
 }
 
+TEST(map_switch, no_pass_uses_different_maps_when_balancers_stop_as_planned) {
+  EXPECT_TRUE(support::check_property(400, [](std::uint64_t seed) {
+    check_safety_and_progress(seed,
+                              {.lost_orders = 0.2, .lost_reports = 0.2, .pauses = 0.2, .planned_stops = 0.5});
+  }));
+}
+
+// Guards against a group that stands still until another balancer suspects the one that was stopped.
+TEST(map_switch, a_balancer_that_is_stopped_leaves_no_rank_held) {
+  for (const bool leader : {true, false}) {
+    EXPECT_TRUE(support::check_property(100, [leader](std::uint64_t seed) {
+      simulation simulated(seed, {});
+      simulated.run(seconds{3}, false);
+      for (int stop = 1; stop <= 10; ++stop) {
+        simulated.stop_balancer(leader);
+        simulated.run(seconds{4}, false);
+        RC_ASSERT(simulated.departures() == static_cast<std::uint64_t>(stop));
+      }
+      RC_ASSERT(simulated.departures_while_held() == 0U);
+      RC_ASSERT(!simulated.group().maps_differed());
+    }));
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::balancer
