--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -22,6 +22,26 @@
   std::erase_if(seeds, [](const std::string& seed) { return !is_address(seed); });
 }
 
+// Reads grace_s, which may have a fraction, or grace_ms, the key of earlier versions.
+void read_grace(table_reader& reader, milliseconds& field) {
+  reader.optional().read("grace_ms", field, {k_min_grace_ms, k_max_grace_ms});
+  if (!reader.contains("grace_s")) {
+    return;
+  }
+  if (reader.contains("grace_ms")) {
+    reader.add_error("grace_s", "must not be given with grace_ms");
+  }
+  constexpr double k_ms_per_s = 1000;
+  double grace_s = static_cast<double>(field.count()) / k_ms_per_s;
+  reader.read("grace_s", grace_s);
+  if (grace_s < k_min_grace_ms / k_ms_per_s || grace_s > k_max_grace_ms / k_ms_per_s) {
+    reader.add_error("grace_s", fmt::format("must be from {} to {}", k_min_grace_ms / k_ms_per_s,
+                                            k_max_grace_ms / k_ms_per_s));
+    return;
+  }
+  field = std::chrono::floor<milliseconds>(std::chrono::duration<double>(grace_s));
+}
+
 class gateway_reader : private settings_reader {
 public:
   gateway_reader(const toml::table& table, diagnostic_list& diagnostics)
@@ -48,7 +68,7 @@
     read_seeds(m_root, value.seeds);
     m_root.optional().read("directory_ttl_ms", value.directory_ttl, {100, k_minute_ms});
     m_root.optional().read("report_interval_ms", value.report_interval, {20, k_minute_ms});
-    read_grace(value.shutdown_grace);
+    read_grace(m_root, value.shutdown_grace);
     m_root.optional().read("retry_ratio", value.retry_ratio);
     if (value.retry_ratio < 0 || value.retry_ratio > 1) {
       m_root.add_error("retry_ratio", "must be from 0 to 1");
@@ -59,25 +79,6 @@
   }
 
 private:
-  // Reads grace_s, which may have a fraction, or grace_ms, the key of earlier versions.
-  void read_grace(milliseconds& field) {
-    m_root.optional().read("grace_ms", field, {k_min_grace_ms, k_max_grace_ms});
-    if (!m_root.contains("grace_s")) {
-      return;
-    }
-    if (m_root.contains("grace_ms")) {
-      m_root.add_error("grace_s", "must not be given with grace_ms");
-    }
-    constexpr double k_ms_per_s = 1000;
-    double grace_s = static_cast<double>(field.count()) / k_ms_per_s;
-    m_root.read("grace_s", grace_s);
-    if (grace_s < k_min_grace_ms / k_ms_per_s || grace_s > k_max_grace_ms / k_ms_per_s) {
-      m_root.add_error("grace_s", fmt::format("must be from {} to {}", k_min_grace_ms / k_ms_per_s,
-                                              k_max_grace_ms / k_ms_per_s));
-      return;
-    }
-    field = std::chrono::floor<milliseconds>(std::chrono::duration<double>(grace_s));
-  }
 };
 
 class balancer_reader : private settings_reader {
@@ -100,6 +101,7 @@
     m_root.optional().read("plan_interval_ms", value.plan_interval, {20, k_minute_ms});
     m_root.optional().read("load_half_life_ms", value.load_half_life, {20, 10 * k_minute_ms});
     m_root.optional().read("max_copy_time_ms", value.max_copy_time, {1, k_minute_ms});
+    read_grace(m_root, value.shutdown_grace);
     m_root.optional().read("min_saving", value.min_saving);
     if (value.min_saving < 0 || value.min_saving > 1) {
       m_root.add_error("min_saving", "must be from 0 to 1");
