--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -161,6 +161,8 @@
   ASSERT_TRUE(run_until(m_context, [&] { return ended; }));
   EXPECT_GT(received.size(), k_more_than_socket_buffers);
   EXPECT_TRUE(run_until(m_context, [&] { return m_server->connection_count() == 0; }));
+}
+
 // A second response that arrives before the next call must not be taken for the response to that call.
 TEST_F(http_test, a_repeated_response_is_no_response_to_the_next_call) {
   for (const bool chunked : {false, true}) {
