proxy: an empty continuation without a length does not complete a stream

After a stream had broken off at the end of an event, a continuation with status 200, without a length or chunks and without any event, ended it as if it were complete. An upstream that closes its connection early looks the same, so such an answer says nothing. The attempt is broken now, and the stream is continued elsewhere or cut. With a length or chunks, an empty continuation still means that nothing is left.

is_complete_if_the_next_upstream_has_no_further_events asked for the opposite for the two framings without a length and asks for a cut stream now.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -627,6 +627,11 @@
     end_attempt(attempt_result::broken, "stream ended inside an event");
     return;
   }
+  // A connection that is closed early looks the same.
+  if (m_response_started && m_attempt->events == 0 && !head.self_delimited) {
+    end_attempt(attempt_result::broken, "answer without a length has no event");
+    return;
+  }
   if (!m_response_started) {
     m_caller->begin_stream(head.status, end_to_end_headers(head.headers));
   }
