placement, balancer: plan nothing from inconsistent lists of experts

What callers saw: a balancer that led its group ended with signal 11, and again after each start, while a rank's engine listed an expert that its layers do not have. The balancer of any other rank passes such a list on.

Cause: plan_even_shares indexes its tables by the listed experts without a check. An expert listed twice on a rank was dropped twice, so that no rank held it.

Evidence: even_share_planner.plans_nothing_from_a_map_with_experts_that_have_no_load_or_occur_twice ends with signal 11 without the change. The balancer itself was not run with such an engine.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -662,6 +662,11 @@
                                                {.slots_per_rank = layout->slots_per_rank,
                                                 .max_new_per_rank_layer = layout->max_new_per_layer,
                                                 .max_copies_per_rank = max_copies_per_plan(*layout)});
+    if (planned.map.empty()) {
+      telemetry::log(log_level::info, "leader", "no plan, as the ranks report inconsistent experts",
+                     {{"group", local_status().group}});
+      return;
+    }
     m_metrics.set("cuminpath_expert_skew", planned.cost_before / planned.balanced_cost);
     if (planned.cost_after > (1 - m_settings.min_saving) * planned.cost_before) {
       return;
--- a/source/core/placement/even_share_planner.cpp
+++ b/source/core/placement/even_share_planner.cpp
@@ -191,12 +191,33 @@
   mutable std::vector<double> m_time_changes;         // By rank; zero between calls.
 };
 
+bool holds_known_experts(std::vector<std::uint32_t> experts, std::size_t count) {
+  std::sort(experts.begin(), experts.end());
+  return (experts.empty() || experts.back() < count) &&
+         std::adjacent_find(experts.begin(), experts.end()) == experts.end();
+}
+
+// Whether the tables of a layer can be filled from the map, which consists of what engines report.
+bool is_consistent(const rank_map& map, const layer_loads& loads) {
+  if (map.empty() || map.size() != loads.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < map.size(); ++i) {
+    if (map[i].size() != map.front().size() ||
+        !std::all_of(map[i].begin(), map[i].end(),
+                     [&](const auto& experts) { return holds_known_experts(experts, loads[i].size()); })) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 even_share_plan plan_even_shares(const rank_map& current, const layer_loads& loads,
                                  const even_share_options& options) {
   even_share_plan plan;
-  if (current.empty() || current.size() != loads.size()) {
+  if (!is_consistent(current, loads)) {
     return plan;
   }
   const auto ranks = current.front().size();
--- a/source/core/placement/even_share_planner.h
+++ b/source/core/placement/even_share_planner.h
@@ -32,8 +32,9 @@
   double balanced_cost = 0;  // The same if every layer were balanced.
 };
 
-// Plans a new map from the current one. `current` must have the same layers as `loads`, and every expert must
-// be held by at least one rank.
+// Plans a new map from the current one. Every expert must be held by at least one rank. The plan is empty if
+// `current` has other layers than `loads`, other ranks in one layer than in another, an expert without a
+// load, or an expert twice on a rank.
 even_share_plan plan_even_shares(const rank_map& current, const layer_loads& loads,
                                  const even_share_options& options);
 
--- a/source/unit_tests/placement/even_share_planner_test.cpp
+++ b/source/unit_tests/placement/even_share_planner_test.cpp
@@ -115,5 +115,18 @@
   }
 }
 
+// Guards against writes outside of the tables by expert: the lists of experts come from engines.
+TEST(even_share_planner, plans_nothing_from_a_map_with_experts_that_have_no_load_or_occur_twice) {
+  const layer_loads loads(k_layers, std::vector<double>(k_experts, 10.0));
+  for (const std::uint32_t expert : {k_experts, 4'294'967'295U, 0U}) {
+    rank_map map = interleaved_map(k_layers, k_ranks, k_experts);
+    map[1][0].push_back(expert);
+    EXPECT_TRUE(plan_even_shares(map, loads, k_options).map.empty()) << expert;
+  }
+  rank_map uneven = interleaved_map(k_layers, k_ranks, k_experts);
+  uneven[1].pop_back();
+  EXPECT_TRUE(plan_even_shares(uneven, loads, k_options).map.empty());
+}
+
 }  // namespace
 }  // namespace cuminpath::placement
