gateway: refuse member reports whose name is not printable

A report (datagram) with a name that is not UTF-8 became a member. When it was removed for silence, its name went into the JSON of a write to the platform, which throws on such text; the exception would have ended the process. Read in the code, not run to its end: the decoder accepted such reports.

Names must be printable ASCII without spaces now. The new test fails for the five odd names without the change (the empty one was refused before).

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -14,6 +14,12 @@
 constexpr milliseconds k_min_report_interval{50};
 constexpr milliseconds k_max_report_interval{20000};
 
+// Names are written to the platform as JSON, which holds no other bytes than UTF-8.
+bool is_host_name(std::string_view name) {
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [](unsigned char c) { return c > ' ' && c < '\x7f'; });
+}
+
 }  // namespace
 
 std::string encode_report(const member_report& report) {
@@ -51,8 +57,8 @@
     report.mirror_address = document[6].get<std::string>();
     report.availability_zone = document[7].get<std::string>();
     const int state = document[8].get<int>();
-    if (state < 0 || state > static_cast<int>(member_state::leaving) || report.name.empty()) {
-      return make_error(error_code::invalid_input, "report of a gateway with an unknown state");
+    if (state < 0 || state > static_cast<int>(member_state::leaving) || !is_host_name(report.name)) {
+      return make_error(error_code::invalid_input, "report of a gateway with an unknown state or no name");
     }
     report.state = static_cast<member_state>(state);
     report.mirror_version = document[9].get<std::uint64_t>();
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -55,6 +55,14 @@
   }
 }
 
+// The platform is told which members have gone, and a name that is no JSON text ended the process.
+TEST(member_list, rejects_reports_whose_name_is_not_printable) {
+  EXPECT_TRUE(decode_report(encode_report(report("front-surat-3", 1))));
+  for (const std::string name : {"", "\xff", "front\xc3", "front surat", "front\n", "front\x7f"}) {
+    EXPECT_FALSE(decode_report(encode_report(report(name, 1)))) << name;
+  }
+}
+
 TEST(member_list, lists_ready_members_that_are_alive) {
   member_list members({.suspicion_timeout = milliseconds{800}});
   members.on_report(report("ready", 1), k_start);
