proxy: a success with the header of a refusal is neither

Forwarded, a caller could get the events of an upstream that has not run its request; refused, a request that may run once could run twice.

The attempt counts as broken now: the request may have run, and nothing of the answer reaches the caller. A request that may be repeated goes to another upstream, others get 502.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -162,6 +162,10 @@
           http::find_header(head.headers, m_state.header_names.not_executed));
 }
 
+bool exchange::contradicts_itself(const message_head& head) const {
+  return head.status < k_bad_request && http::find_header(head.headers, m_state.header_names.not_executed);
+}
+
 bool exchange::is_engine_call() const {
   const gateway::service* service = m_configuration->find_service(m_service);
   return service != nullptr && service->engine.has_value();
@@ -463,7 +467,7 @@
   }
   m_attempt->streamed = m_route->kind == call_kind::stream && m_request.method != "HEAD" &&
                         received.status == 200 && is_upstream_response(received) &&
-                        is_event_stream(received) && !is_refusal(received);
+                        is_event_stream(received) && !contradicts_itself(received);
 }
 
 void exchange::record_upstream_state(const message_head& head, time_point now) {
@@ -596,6 +600,10 @@
     end_attempt(attempt_result::not_executed, fmt::format("upstream answered {}", head.status));
     return;
   }
+  if (contradicts_itself(head)) {
+    end_attempt(attempt_result::broken, "answer says that the request has run and that it has not");
+    return;
+  }
   if (!is_upstream_response(head)) {
     end_attempt(attempt_result::broken, fmt::format("answer {} is not the upstream's own", head.status));
     return;
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -119,6 +119,8 @@
   // Returns true if the response states that the upstream has not run this request. A response without the
   // id of the request may belong to another one; those with another id do not get here.
   [[nodiscard]] bool is_refusal(const message_head& head) const;
+  // Returns true if the response is a success and states that the upstream has not run the request.
+  [[nodiscard]] bool contradicts_itself(const message_head& head) const;
   // Returns true if the body is a stream of events: of the same type as the one that the caller receives, if
   // that has begun. A first response without a type is taken for one.
   [[nodiscard]] bool is_event_stream(const message_head& head) const;
