gateway: cut requests only in the last sixth of a short grace period

With a grace period under 4.2 s, requests that were still running would have been ended before the last sixth of it: 0.7 s before its end, whatever its length (found by a review, read in the code; deployments have 8 s). The margins take a sixth of the grace period at most.

--- a/source/core/gateway/stop_schedule.cpp
+++ b/source/core/gateway/stop_schedule.cpp
@@ -13,14 +13,16 @@
 constexpr milliseconds k_exit_margin{300};
 // For sending the last responses and for callers to read them.
 constexpr milliseconds k_send_time{400};
+// Both together take at most this part of a short grace period.
+constexpr int k_margin_divisor = 6;
 
 }  // namespace
 
 stop_schedule::stop_schedule(time_point signalled_at, milliseconds grace_period, milliseconds directory_ttl)
-    : m_signalled_at(signalled_at),
-      m_answers_expire_at(signalled_at + directory_ttl),
-      m_exit_by(signalled_at + std::max(milliseconds{0}, grace_period - k_exit_margin)) {
-  m_respond_by = std::max(signalled_at, m_exit_by - k_send_time);
+    : m_signalled_at(signalled_at), m_answers_expire_at(signalled_at + directory_ttl) {
+  const milliseconds margin = std::min(k_send_time + k_exit_margin, grace_period / k_margin_divisor);
+  m_respond_by = signalled_at + grace_period - margin;
+  m_exit_by = m_respond_by + margin * k_send_time.count() / (k_send_time + k_exit_margin).count();
   m_alone_until = std::min<time_point>(signalled_at + k_lifetimes_alone * directory_ttl, m_respond_by);
   m_exit_from = std::min<time_point>(signalled_at + k_lifetimes_in_use * directory_ttl, m_respond_by);
 }
