proxy: the idle timeout does not cut a response that is still being sent

A connection counts as idle as soon as its response has been handed over, so a caller that read a large response for longer than the idle timeout lost its end (found by a review). It is closed as idle only if nothing is unsent, pipelined or unread, as at the end of a planned stop. The time that a caller has to read its last response begins with the last write, no longer with the hand-over.

the_idle_timeout_does_not_cut_a_response_that_a_slow_caller_still_reads fails without the change.

--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -271,6 +271,7 @@
 }
 
 void caller_connection::shutdown_send() {
+  m_phase_start = clock::now();
   std::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
@@ -278,9 +279,7 @@
 void caller_connection::enforce_limits(time_point now) {
   switch (m_phase) {
     case connection_phase::idle:
-      if (now - m_phase_start >= m_limits.idle_timeout) {
-        close();
-      }
+      close_if_idle_since(now - m_limits.idle_timeout);
       return;
     case connection_phase::reading:
       // The timeout limits the whole head, but for a body only the time between two reads.
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -17,7 +17,6 @@
 using ::testing::StartsWith;
 
 constexpr milliseconds k_directory_ttl{100};
-constexpr milliseconds k_long_grace_period{60'000};
 
 constexpr std::string_view k_stream_head =
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
@@ -68,10 +67,12 @@
 protected:
   // Begins a planned stop that has `time_left` until every request must have its response.
   void begin_stop(milliseconds time_left) {
-    const gateway::stop_schedule probe(time_point{}, k_long_grace_period, k_directory_ttl);
-    const auto margin = std::chrono::duration_cast<milliseconds>(k_long_grace_period -
-                                                                 (probe.respond_by() - probe.signalled_at()));
-    m_state.stop.emplace(clock::now(), time_left + margin, k_directory_ttl);
+    const time_point now = clock::now();
+    milliseconds grace_period = time_left;
+    while (gateway::stop_schedule(now, grace_period, k_directory_ttl).respond_by() < now + time_left) {
+      ++grace_period;
+    }
+    m_state.stop.emplace(now, grace_period, k_directory_ttl);
     m_listener.on_stop_scheduled();
   }
   bool run_until_received(raw_caller& caller, std::string_view text) {
@@ -84,6 +85,17 @@
       return caller.ended();
     });
   }
+  // Sends the body in pieces that fit in the buffers of the sockets, until the gateway has all of it.
+  void send_in_pieces(scripted_upstream& upstream, const std::string& body) {
+    constexpr std::size_t k_piece_bytes = 64U << 10U;
+    for (std::size_t sent = 0; sent < body.size(); sent += k_piece_bytes) {
+      upstream.send_to_last(body.substr(sent, k_piece_bytes));
+      ASSERT_TRUE(run_until([&] {
+        return m_state.buffered_response_bytes >= sent + k_piece_bytes ||
+               m_listener.active_request_count() == 0;
+      }));
+    }
+  }
   scripted_upstream& add_upstream_that_serves() {
     return add_upstream("i-1", [](auto, const auto&) { return upstream_action{response_text("a", "body")}; });
   }
@@ -187,14 +199,7 @@
   caller.send(request("GET", "/safe/x", "a"));
   ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
   begin_stop(milliseconds{4000});
-  constexpr std::size_t k_piece_bytes = 64U << 10U;  // Fits in the buffers of the socket.
-  for (std::size_t sent = 0; sent < body.size(); sent += k_piece_bytes) {
-    upstream.send_to_last(body.substr(sent, k_piece_bytes));
-    ASSERT_TRUE(run_until([&] {
-      return m_state.buffered_response_bytes >= sent + k_piece_bytes ||
-             m_listener.active_request_count() == 0;
-    }));
-  }
+  send_in_pieces(upstream, body);
   ASSERT_TRUE(run_until([this] {
     return m_listener.active_request_count() == 0 && m_listener.count_connections().unsent_bytes > 0;
   }));
@@ -223,7 +228,7 @@
   raw_caller caller(m_context, m_listener.address());
   caller.send(request("GET", "/safe/x", "a"));
   ASSERT_TRUE(run_until_received(caller, "body"));
-  begin_stop(k_long_grace_period);
+  begin_stop(seconds{60});
   m_listener.tick(clock::now());
   static_cast<void>(caller.received());
   EXPECT_FALSE(caller.ended());
@@ -264,5 +269,26 @@
   EXPECT_TRUE(run_until_ended(caller));
 }
 
+TEST_F(planned_stop_test, the_idle_timeout_does_not_cut_a_response_that_a_slow_caller_still_reads) {
+  auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
+  configuration->limits.idle_timeout = milliseconds{50};
+  m_state.configuration = std::move(configuration);
+  const std::string body(12U << 20U, 'x');
+  const std::string response = response_text("a", body);
+  const std::string head = response.substr(0, response.size() - body.size());
+  auto& upstream = add_upstream("i-1", [&head](auto, const auto&) { return upstream_action{head}; });
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("GET", "/safe/x", "a"));
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  send_in_pieces(upstream, body);
+  const time_point later = clock::now() + milliseconds{200};
+  ASSERT_TRUE(run_until([&] {
+    m_listener.tick(clock::now());
+    return clock::now() > later;
+  }));
+  ASSERT_TRUE(run_until_ended(caller));
+  EXPECT_TRUE(caller.received().ends_with(body));
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
