proxy: answer pipelined requests before a connection closes

During a planned stop a response that closed its connection made a pipelined request that had already arrived unanswered: it had been read and was thrown away (found by a review). A response announces the end of the connection only if no further request has arrived.

a_pipelined_request_that_has_arrived_is_answered_too fails without the change.

--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -143,7 +143,8 @@
   for (const auto& [name, value] : headers) {
     text += fmt::format("{}: {}\r\n", name, value);
   }
-  m_close_announced = m_close_after_response || !m_keep_alive;
+  // A pipelined request that has arrived still gets its response.
+  m_close_announced = (m_close_after_response && m_pipelined.empty()) || !m_keep_alive;
   if (m_close_announced) {
     text += "Connection: close\r\n";
   }
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -269,6 +269,22 @@
   EXPECT_TRUE(run_until_ended(caller));
 }
 
+TEST_F(planned_stop_test, a_pipelined_request_that_has_arrived_is_answered_too) {
+  auto& upstream = add_upstream("i-1", [](std::size_t number, const auto&) {
+    return upstream_action{number == 1 ? "" : response_text("b", "second")};
+  });
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request("GET", "/safe/x", "a") + request("GET", "/safe/x", "b"));
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  begin_stop(milliseconds{4000});
+  upstream.send_to_last(response_text("a", "first"));
+  ASSERT_TRUE(run_until_received(caller, "second"));
+  const std::string first = caller.received().substr(0, caller.received().find("first"));
+  EXPECT_THAT(first, Not(HasSubstr("Connection: close")));
+  EXPECT_THAT(caller.received().substr(first.size()), HasSubstr("Connection: close"));
+  EXPECT_TRUE(run_until_ended(caller));
+}
+
 TEST_F(planned_stop_test, the_idle_timeout_does_not_cut_a_response_that_a_slow_caller_still_reads) {
   auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
   configuration->limits.idle_timeout = milliseconds{50};
