gateway: leave room for a late signal while a leaving gateway is alone

A gateway that serves alone accepted requests by their usual length until 3.0 s after it had handled the signal. The platform counts from the moment in which it sent the signal, and streams that were sent later than 3 s after that must not be cut; a busy process handles a signal some time later (found by a review). It is 1.75 lifetimes of the directory's answers now, 2.6 s with those of the deployment.

--- a/source/core/gateway/stop_schedule.cpp
+++ b/source/core/gateway/stop_schedule.cpp
@@ -7,8 +7,9 @@
 
 // Some callers use an answer of the directory for this many of its lifetimes.
 constexpr int k_lifetimes_in_use = 3;
-// Lifetimes for which a gateway accepts longer requests if no other gateway is ready.
-constexpr int k_lifetimes_alone = 2;
+// Lifetimes for which a gateway accepts longer requests if no other gateway is ready. Less than two, since a
+// busy process handles the signal late.
+constexpr double k_lifetimes_alone = 1.75;
 // Left of the grace period when the process ends, since the platform counts from before the signal arrived.
 constexpr milliseconds k_exit_margin{300};
 // For sending the last responses and for callers to read them.
@@ -23,7 +24,8 @@
   const milliseconds margin = std::min(k_send_time + k_exit_margin, grace_period / k_margin_divisor);
   m_respond_by = signalled_at + grace_period - margin;
   m_exit_by = m_respond_by + margin * k_send_time.count() / (k_send_time + k_exit_margin).count();
-  m_alone_until = std::min<time_point>(signalled_at + k_lifetimes_alone * directory_ttl, m_respond_by);
+  const auto time_alone = std::chrono::floor<milliseconds>(k_lifetimes_alone * directory_ttl);
+  m_alone_until = std::min<time_point>(signalled_at + time_alone, m_respond_by);
   m_exit_from = std::min<time_point>(signalled_at + k_lifetimes_in_use * directory_ttl, m_respond_by);
 }
 
--- a/source/unit_tests/gateway/stop_schedule_test.cpp
+++ b/source/unit_tests/gateway/stop_schedule_test.cpp
@@ -20,7 +20,9 @@
   // Requests that are still running may be cut in the last sixth of the grace period only.
   EXPECT_GE(stop.respond_by(), k_signal + k_grace_period * 5 / 6);
   EXPECT_EQ(stop.exit_from(true), k_signal + 3 * k_ttl);
-  EXPECT_EQ(stop.exit_from(false), k_signal + 2 * k_ttl);
+  EXPECT_EQ(stop.exit_from(false), k_signal + milliseconds{2625});
+  // Requests that the platform counts as sent late must not be accepted by their usual length.
+  EXPECT_LT(stop.exit_from(false), k_signal + seconds{3} - milliseconds{300});
 }
 
 TEST(stop_schedule, accepts_a_request_whose_deadline_is_in_time_at_any_moment) {
@@ -42,8 +44,8 @@
 TEST(stop_schedule, accepts_such_a_request_for_longer_if_no_other_gateway_is_ready) {
   const auto stop = make_schedule();
   const time_point deadline = k_signal + seconds{9};
-  EXPECT_TRUE(stop.accepts(deadline, seconds{2}, false, k_signal + 2 * k_ttl - milliseconds{1}));
-  EXPECT_FALSE(stop.accepts(deadline, seconds{2}, false, k_signal + 2 * k_ttl));
+  EXPECT_TRUE(stop.accepts(deadline, seconds{2}, false, stop.exit_from(false) - milliseconds{1}));
+  EXPECT_FALSE(stop.accepts(deadline, seconds{2}, false, stop.exit_from(false)));
   EXPECT_FALSE(stop.accepts(deadline, seconds{6}, false, k_signal + k_ttl));
 }
 
