gateway: the cost of a route look-up does not grow with the path

One request could occupy a gateway: its path was looked up once for each of its slashes, each time with all bytes before it, so that a path of slashes as long as a head may be costs their square.

Only the part of a path that is as long as the longest prefix of a route can match, so only that part is looked up.

--- a/source/core/gateway/configuration.cpp
+++ b/source/core/gateway/configuration.cpp
@@ -18,8 +18,10 @@
 void configuration::build_index() {
   m_route_of_prefix.clear();
   m_service_of_name.clear();
+  m_longest_prefix = 0;
   for (std::uint32_t i = 0; i < routes.size(); ++i) {
     m_route_of_prefix.try_emplace(normalize_host(routes[i].host) + routes[i].path_prefix, i);
+    m_longest_prefix = std::max(m_longest_prefix, routes[i].path_prefix.size());
   }
   for (std::uint32_t i = 0; i < services.size(); ++i) {
     m_service_of_name.try_emplace(services[i].name, i);
@@ -34,7 +36,8 @@
   }
   std::string key = normalize_host(host);
   const std::size_t host_size = key.size();
-  key.append(path);
+  // A path of slashes only would otherwise cost one look-up of its whole rest for each of them.
+  key.append(path.substr(0, m_longest_prefix));
   // Prefixes end with a slash, so only positions of slashes can match.
   for (std::size_t end = key.rfind('/'); end != std::string::npos && end >= host_size;) {
     key.resize(end + 1);
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -100,6 +100,7 @@
 
 private:
   std::unordered_map<std::string, std::uint32_t> m_route_of_prefix;  // Key: host and prefix.
+  std::size_t m_longest_prefix = 0;
   std::unordered_map<std::string, std::uint32_t> m_service_of_name;
 };
 
--- a/source/unit_tests/gateway/configuration_test.cpp
+++ b/source/unit_tests/gateway/configuration_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/cost.h"
+
 namespace cuminpath::gateway {
 namespace {
 
@@ -33,6 +35,22 @@
   EXPECT_EQ(route_name(value, "c.example", "/x/"), "");
 }
 
+// Guards against a request that occupies the gateway: each slash of its path took a look-up of all before it.
+TEST(configuration, the_cost_of_a_look_up_does_not_grow_faster_than_the_path) {
+  constexpr std::size_t k_slashes = 2000;
+  configuration value = sample();
+  for (int i = 0; i < 100; ++i) {
+    value.routes.push_back(
+        {.name = "more", .host = "c.example", .path_prefix = "/" + std::to_string(i) + "/"});
+  }
+  value.build_index();
+  const std::string small(k_slashes, '/');
+  const std::string large(support::k_growth * k_slashes, '/');
+  EXPECT_EQ(route_name(value, "a.example", large), "root");
+  const auto look_up = [&](const std::string& path) { return [&] { route_name(value, "b.example", path); }; };
+  EXPECT_LE(support::cost_ratio(look_up(small), look_up(large)), support::k_max_growth);
+}
+
 TEST(configuration, ignores_case_and_port_of_the_host) {
   EXPECT_EQ(route_name(sample(), "A.Example:8080", "/x/"), "short");
 }
