--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -19,6 +19,11 @@
                     [](char a, char b) { return to_lower(a) == to_lower(b); });
 }
 
+bool less_ignoring_case(std::string_view left, std::string_view right) {
+  return std::lexicographical_compare(left.begin(), left.end(), right.begin(), right.end(),
+                                      [](char a, char b) { return to_lower(a) < to_lower(b); });
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
     case 200:
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -15,6 +15,9 @@
 // Returns true if the strings are equal apart from the case of ASCII letters.
 bool equal_ignoring_case(std::string_view left, std::string_view right);
 
+// Orders strings by their bytes, with upper-case ASCII letters taken as lower-case ones.
+bool less_ignoring_case(std::string_view left, std::string_view right);
+
 // Returns the reason phrase for a status line; "Status" for unknown status codes.
 std::string_view reason_phrase(int status);
 
