proxy: give up a stream that goes on without data

An upstream that sent comments, empty lines or ids without end kept a request until its timeout and the gateway busy with it: each of these counted as an event, so it renewed the stall timer, and the first one began the response, after which no other upstream could run the request. Callers left after two seconds without a piece.

Progress is now an event with data. Comments before the first event wait for it, so that another upstream may still run the request, and are then forwarded with it: they are part of the upstream's body. After 64 KB without data the attempt ends; events hold a few tokens each.

Tests: endless empty lines, comments and ids, in large and in small chunks, before and after the first event; the cases before the first event and the test with a second upstream fail on the old code (it answers 200 with comments only).

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t k_max_buffered_response_bytes = 32U << 20U;
 // Events hold a few tokens each. More bytes than this without the end of an event are not an event stream.
 constexpr std::size_t k_max_event_bytes = 1U << 20U;
+// Comments, empty lines and ids between two events with data. An upstream that sends more has nothing to say.
+constexpr std::size_t k_max_bytes_without_data = 64U << 10U;
 // Reading from the upstream is paused while more bytes than this wait to be written to the caller.
 constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
 constexpr milliseconds k_default_service_time{500};
@@ -515,6 +517,11 @@
     end_attempt(attempt_result::broken, "event is too large");
     return;
   }
+  const std::size_t empty_lines = m_splitter.inside_event() ? 0 : m_splitter.pending().size();
+  if (m_attempt && m_attempt->bytes_without_data + empty_lines > k_max_bytes_without_data) {
+    end_attempt(attempt_result::broken, "answer goes on without events");
+    return;
+  }
   if (m_attempt && m_caller->unsent_bytes() > k_max_unsent_bytes) {
     m_attempt->connection->pause_reading();
   }
@@ -531,27 +538,46 @@
     m_attempt->has_foreign_bytes = true;
     return;
   }
+  m_attempt->bytes_without_data = event.has_data ? 0 : m_attempt->bytes_without_data + event.bytes.size();
+  if (!event.has_data && event.id.empty()) {
+    forward_comment(event.bytes);
+    return;
+  }
   const time_point now = clock::now();
-  if (m_attempt->events > 0) {
-    record_forward_pass(now - m_last_event_time, now);
+  if (event.has_data) {
+    if (m_attempt->events > 0) {
+      record_forward_pass(now - m_last_event_time, now);
+    }
+    m_last_event_time = now;
   }
-  m_last_event_time = now;
   if (!m_response_started) {
-    m_response_started = true;
-    m_first_byte_time = m_last_event_time;
-    m_stream_media_type = media_type(*m_attempt->head);
-    m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
+    begin_stream(now);
   }
   ++m_attempt->events;
   if (m_attempt->events == k_events_of_sound_request) {
     record_output(now);
   }
   m_caller->write_chunk(event.bytes);
-  if (event.has_data || !event.id.empty()) {
-    m_last_event_id = event.id;
+  m_last_event_id = event.id;
+}
+
+void exchange::forward_comment(std::string_view bytes) {
+  if (m_response_started) {
+    m_caller->write_chunk(bytes);
+  } else {
+    // Another upstream may still run the request if no event follows.
+    m_attempt->held_bytes.append(bytes);
   }
 }
 
+void exchange::begin_stream(time_point now) {
+  m_response_started = true;
+  m_first_byte_time = now;
+  m_stream_media_type = media_type(*m_attempt->head);
+  m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
+  m_caller->write_chunk(std::exchange(m_attempt->held_bytes, {}));
+}
+
 bool exchange::may_run_again() const {
   return m_route->repeatable() && (!m_response_started || gateway::parse_event_id(m_last_event_id));
 }
@@ -646,7 +672,7 @@
     return;
   }
   if (!m_response_started) {
-    m_caller->begin_stream(head.status, end_to_end_headers(head.headers));
+    begin_stream(clock::now());
   }
   m_caller->write_chunk(m_splitter.pending());
   release_attempt(true);
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -31,6 +31,8 @@
   bool streamed = false;
   bool has_foreign_bytes = false;  // Those of another run or of another response follow.
   std::uint32_t events = 0;
+  std::string held_bytes;              // Comments and empty lines before the first event of the response.
+  std::size_t bytes_without_data = 0;  // Since the last event with data.
   bool output_recorded = false;
 };
 
@@ -82,6 +84,10 @@
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
   void forward_event(const gateway::event_splitter::event& event);
+  // Forwards bytes of a stream that clients ignore.
+  void forward_comment(std::string_view bytes);
+  // Sends the head of the response to the caller.
+  void begin_stream(time_point now);
   // Returns true if another upstream may run the request, or the rest of the stream after its last event.
   [[nodiscard]] bool may_run_again() const;
 
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -319,6 +319,13 @@
 TEST_F(proxy_fixture, aborts_endless_responses) {
   const std::string upstream_headers = "X-Id: a\r\nX-Stamp: s\r\n";
   const std::string late = response_text("z", std::string(8192, 'z'));
+  const std::string stream_head = "HTTP/1.1 200 OK\r\n" + upstream_headers + "\r\n";
+  const std::string chunked_head =
+      "HTTP/1.1 200 OK\r\n" + upstream_headers + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string small_chunks;
+  while (small_chunks.size() < 8192) {
+    small_chunks += chunk("\n");
+  }
   struct endless_response {
     std::string path;
     std::string prefix;
@@ -336,6 +343,10 @@
                             std::string(8192, 'b')},
            endless_response{"/fragile/x",
                             "HTTP/1.1 200 OK\r\n" + upstream_headers + "\r\ndata: ", std::string(8192, 'e')},
+           endless_response{"/fragile/x", stream_head, std::string(8192, '\n')},
+           endless_response{"/fragile/x", stream_head, ":\n\n"},
+           endless_response{"/fragile/x", chunked_head, small_chunks},
+           endless_response{"/fragile/x", chunked_head, chunk(": wait\r\n\r\n")},
        }) {
     m_records.clear();
     m_state.upstreams = {};
@@ -351,6 +362,54 @@
   }
 }
 
+// Bytes that are no events with data do not keep a stream alive, neither before nor after its first event.
+TEST_F(proxy_fixture, gives_up_a_begun_stream_that_goes_on_without_data) {
+  constexpr std::size_t k_socket_buffers = 16U << 20U;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\n\r\n";
+  for (const auto& [first, repeated] : {std::pair("id: 1\ndata: x\n\n", std::string(8192, '\n')),
+                                        {"id: 1\ndata: x\n\n", std::string(":\n\n")},
+                                        {"id: 1\ndata: x\n\n", std::string("id: 1\n\n")},
+                                        {"id: 1\n\n", std::string("id: 1\n\n")}}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    endless_upstream upstream(m_context, head + first, repeated);
+    m_records.push_back(
+        {.id = "i-1", .service = "s", .address = upstream.address(), .availability_zone = "z"});
+    m_state.upstreams.apply(m_records, clock::now(), false);
+    const auto response =
+        call(request("POST", "/fragile/x", "a", "Content-Length: 0\r\n"), [](const auto&) { return false; });
+    EXPECT_THAT(response.bytes, HasSubstr(first)) << repeated.substr(0, 20);
+    EXPECT_FALSE(is_complete(response.bytes)) << repeated.substr(0, 20);
+    EXPECT_TRUE(run_until([&] { return upstream.ended(); })) << repeated.substr(0, 20);
+    EXPECT_LE(upstream.sent(), k_socket_buffers) << repeated.substr(0, 20);
+  }
+}
+
+// An upstream that sends comments only has not begun to answer, so that another one may.
+TEST_F(proxy_fixture, a_stream_that_has_sent_comments_only_is_left_to_another_upstream) {
+  for (const bool silent : {false, true}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    for (const char* id : {"i-1", "i-2"}) {
+      add_upstream(id, [this, silent](auto, const auto&) {
+        const bool first = m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size() == 1;
+        return first ? upstream_action{std::string(k_stream_head) + chunk(": wait\n\n\n"),
+                                       silent ? upstream_action::after::keep : upstream_action::after::close}
+                     : upstream_action{std::string(k_stream_head) +
+                                       chunk("\n: sound\n\nid: 1\ndata: x\n\n: more\n\n\n") + "0\r\n\r\n"};
+      });
+    }
+    const auto response = call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), is_complete);
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200")) << silent;
+    EXPECT_THAT(response.bytes, Not(HasSubstr("wait"))) << silent;
+    // Comments and empty lines of the response itself are part of it.
+    EXPECT_TRUE(response.bytes.ends_with(chunk("\n: sound\n\n") + chunk("id: 1\ndata: x\n\n") +
+                                         chunk(": more\n\n") + chunk("\n") + "0\r\n\r\n"))
+        << response.bytes;
+    m_upstreams.clear();
+  }
+}
+
 TEST_F(proxy_fixture, refuses_requests_that_prolong_forward_passes_except_resumed_streams) {
   constexpr milliseconds k_event_gap{150};
   auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
