net: receive a bounded number of datagrams in one turn

A peer that sends datagrams faster than a gateway or balancer decodes them kept the process in one turn of its event loop: it read until the socket was empty. Callers, timers and readiness waited meanwhile.

At most 64 datagrams are received in one turn. The wait for the socket reports those that are left at once.

--- a/source/core/net/datagram_channel.cpp
+++ b/source/core/net/datagram_channel.cpp
@@ -3,6 +3,12 @@
 #include "core/net/socket_options.h"
 
 namespace cuminpath::net {
+namespace {
+
+// Received in one turn of the event loop. A sender without pause would otherwise keep all other work waiting.
+constexpr int k_max_datagrams_per_turn = 64;
+
+}  // namespace
 
 datagram_channel::datagram_channel(asio::io_context& context, std::function<void(std::string_view)> receive)
     : m_socket(context), m_receive(std::move(receive)) {}
@@ -56,7 +62,7 @@
 
 void datagram_channel::on_readable() {
   const auto buffer = read_buffer();
-  for (;;) {
+  for (int received = 0; received < k_max_datagrams_per_turn; ++received) {
     std::error_code error;
     asio::ip::udp::endpoint sender;
     const std::size_t size =
