http: a response whose head is cut off is a failure

Another operator reported answers with an empty or short body that were framed as whole, after an upstream had stopped in the middle of a head. Here it happens in all calls of core/http: orders and questions to engines, calls to the store, and the calls of an agent to its upstream.

Cause: libcurl reports success, with the status of the status line, if the connection ends in an orderly way behind any part of a head, and the client passed this on as a whole response with an empty body. A balancer took an order for accepted that its engine may not have seen as a whole answer; an agent would forward an empty success.

The client now notes the empty line that ends the head of the final response; a call that ends without it has failed, with the request taken for sent.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int k_max_poll_ms = 1000;
+constexpr int k_informational_status_class = 1;  // 1xx, interim responses.
 
 struct easy_deleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
@@ -37,8 +38,9 @@
   std::unique_ptr<CURL, easy_deleter> easy;
   std::unique_ptr<curl_slist, slist_deleter> headers;
   header_list response_headers;
+  bool head_complete = false;  // Of the response, other than an interim one.
   bool head_reported = false;
-  std::size_t received = 0;
+  std::size_t received = 0;                  // Bytes of the body, of heads and of trailers.
   bool connection_has_unread_bytes = false;  // The call has been stopped before its request was sent.
   std::unordered_set<curl_socket_t>* sockets = nullptr;  // Of all connections of the client.
   asio::io_context* context = nullptr;
@@ -53,15 +55,25 @@
     });
   }
 
+  [[nodiscard]] int status() const {
+    long code = 0;
+    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
+    return static_cast<int>(code);
+  }
+
+  // Returns false if the response exceeds its limit.
+  bool count_received(std::size_t bytes) {
+    received += bytes;
+    return received <= options.max_response_bytes;
+  }
+
   void report_head() {
     if (head_reported) {
       return;
     }
     head_reported = true;
-    long status = 0;
-    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    post([status, headers = std::move(response_headers)](stream_handler& target) mutable {
-      target.head(static_cast<int>(status), std::move(headers));
+    post([status = status(), headers = std::move(response_headers)](stream_handler& target) mutable {
+      target.head(status, std::move(headers));
     });
   }
 };
@@ -77,8 +89,13 @@
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user) {
   auto& target = *static_cast<transfer*>(user);
   const std::string_view line(data, size * count);
+  if (!target.count_received(line.size())) {
+    return 0;  // Makes libcurl fail the transfer with CURLE_WRITE_ERROR.
+  }
   if (line.starts_with("HTTP/")) {
     target.response_headers.clear();  // A new status line replaces the headers of an interim response.
+  } else if (trim(line).empty()) {
+    target.head_complete = target.status() / 100 != k_informational_status_class;
   } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
     target.response_headers.emplace_back(trim(line.substr(0, colon)), trim(line.substr(colon + 1)));
   }
@@ -88,9 +105,8 @@
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
   auto& target = *static_cast<transfer*>(user);
   const auto bytes = size * count;
-  target.received += bytes;
-  if (target.received > target.options.max_response_bytes) {
-    return 0;  // Makes libcurl fail the transfer with CURLE_WRITE_ERROR.
+  if (!target.count_received(bytes)) {
+    return 0;
   }
   target.report_head();
   target.post([text = std::string(data, bytes)](stream_handler& to) mutable { to.data(std::move(text)); });
@@ -285,7 +301,10 @@
         curl_multi_add_handle(m_multi, done->easy.get());
         continue;
       }
-      if (message->data.result == CURLE_OK) {
+      if (message->data.result == CURLE_OK && !done->head_complete) {
+        // libcurl takes the end of the connection inside a head for the end of a response without a body.
+        done->post([](stream_handler& to) { to.failure({.message = "connection ended inside a head"}); });
+      } else if (message->data.result == CURLE_OK) {
         done->report_head();
         done->post([](stream_handler& to) { to.end(); });
       } else {
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -24,7 +24,7 @@
   // When a reused connection fails before the first response byte, libcurl sends the request again on a new
   // connection, whatever the method. Must be set for calls that may not be repeated.
   bool never_reuse_connection = false;
-  std::size_t max_response_bytes = 64U << 20U;
+  std::size_t max_response_bytes = 64U << 20U;  // Body, heads and trailers together.
 };
 
 // Why a call has failed.
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -203,6 +203,67 @@
   EXPECT_EQ(late.accepted(), 2U);
 }
 
+// A server that stops in the middle of the head of its response has not answered: an order whose response is
+// cut off must not count as accepted, and no caller may get its empty body as a whole one.
+TEST_F(http_test, a_response_that_ends_early_is_a_failure_wherever_it_ends) {
+  using after = raw_server::response::after;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Id: 1\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  struct framed_response {
+    std::string bytes;
+    bool whole_at_close = false;  // The body has neither a length nor chunks.
+  };
+  for (const framed_response& whole :
+       {framed_response{head + "Content-Length: 4\r\n\r\nbody"},
+        framed_response{head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+        framed_response{head + "\r\nbody", true},
+        framed_response{interim + head + "Content-Length: 4\r\n\r\nbody"}}) {
+    for (const after then : {after::close, after::reset}) {
+      for (std::size_t size = 0; size <= whole.bytes.size(); ++size) {
+        raw_server cut(m_context, [&](const std::string&) -> raw_server::response {
+          return {.bytes = whole.bytes.substr(0, size), .then = then};
+        });
+        m_url = "http://" + cut.address();
+        const auto response = call({.method = "POST"}, {.never_reuse_connection = true});
+        const bool head_complete = size >= whole.bytes.rfind("\r\n\r\n", whole.bytes.find("body")) + 4;
+        // The last line feed of the last chunk says nothing more.
+        const std::size_t missing = whole.bytes.size() - size;
+        const bool whole_arrived = missing == 0 || (missing == 1 && whole.bytes.ends_with("0\r\n\r\n")) ||
+                                   (whole.whole_at_close && then == after::close && head_complete);
+        if (then == after::close || !whole_arrived) {
+          EXPECT_EQ(response.failure.has_value(), !whole_arrived) << whole.bytes.substr(0, size) << "<-";
+        }
+        if (!response.failure) {
+          EXPECT_EQ(response.value.status, 200);
+          EXPECT_EQ(find_header(response.value.headers, "X-Id"), "1");
+        }
+      }
+    }
+  }
+}
+
+// The memory for one response is limited, whatever it consists of.
+TEST_F(http_test, a_response_without_end_is_given_up_after_a_bounded_number_of_bytes) {
+  constexpr std::size_t k_max_bytes = 64U << 10U;
+  constexpr std::size_t k_socket_buffers = 16U << 20U;  // Of both ends, at their largest.
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const auto& [start, repeated] :
+       {std::pair(head + "\r\n", std::string(8192, 'b')),
+        {head + "Transfer-Encoding: chunked\r\n\r\n", std::string("1\r\nb\r\n")},
+        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: " + std::string(8000, 't') + "\r\n"},
+        {head, "X-More: " + std::string(8000, 'm') + "\r\n"},
+        {head, std::string("a:\r\n")},
+        {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}}) {
+    raw_server endless(m_context, [&, start = start, repeated = repeated](const std::string&) {
+      return raw_server::response{.bytes = start, .repeated = repeated};
+    });
+    m_url = "http://" + endless.address();
+    EXPECT_TRUE(call({}, {.max_response_bytes = k_max_bytes}).failure) << repeated.substr(0, 20);
+    EXPECT_TRUE(run_until(m_context, [&] { return endless.ended(); })) << repeated.substr(0, 20);
+    EXPECT_LE(endless.repeated_bytes(), k_max_bytes + k_socket_buffers) << repeated.substr(0, 20);
+  }
+}
+
 TEST(retry_after, parses_seconds_and_nothing_else) {
   using std::chrono::milliseconds;
   EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
--- a/source/unit_tests/support/raw_server.h
+++ b/source/unit_tests/support/raw_server.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +20,8 @@
     std::string bytes;
     std::string late_bytes =
         {};  // Sent when the next request arrives on the connection, before its response.
+    enum class after : std::uint8_t { keep, close, reset } then = after::keep;  // Of the connection.
+    std::string repeated = {};  // If not empty, sent again and again until the client closes the connection.
   };
   using script = std::function<response(const std::string& request)>;
 
@@ -31,6 +34,10 @@
     return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
   }
   [[nodiscard]] std::size_t accepted() const { return m_accepted; }
+  // Number of bytes of response::repeated that have been sent, and whether the client has ended such a
+  // response.
+  [[nodiscard]] std::size_t repeated_bytes() const { return m_repeated_bytes; }
+  [[nodiscard]] bool ended() const { return m_ended; }
   // Sends further bytes on the connection of the last request.
   void send_to_last(const std::string& bytes) {
     std::error_code ignored;
@@ -59,21 +66,42 @@
   }
 
   void read(const std::shared_ptr<connection>& peer) {
-    peer->socket.async_read_some(
-        asio::buffer(peer->buffer), [this, peer](std::error_code error, std::size_t size) {
-          if (error) {
-            return;
-          }
-          peer->received.append(peer->buffer.data(), size);
-          if (is_complete(peer->received)) {
-            m_last = peer;
-            const response next = m_script(std::exchange(peer->received, {}));
-            std::error_code ignored;
-            asio::write(peer->socket,
-                        asio::buffer(std::exchange(peer->late_bytes, next.late_bytes) + next.bytes), ignored);
-          }
-          read(peer);
-        });
+    peer->socket.async_read_some(asio::buffer(peer->buffer), [this, peer](std::error_code error,
+                                                                          std::size_t size) {
+      if (error) {
+        return;
+      }
+      peer->received.append(peer->buffer.data(), size);
+      if (is_complete(peer->received)) {
+        m_last = peer;
+        const response next = m_script(std::exchange(peer->received, {}));
+        std::error_code ignored;
+        asio::write(peer->socket, asio::buffer(std::exchange(peer->late_bytes, next.late_bytes) + next.bytes),
+                    ignored);
+        if (!next.repeated.empty()) {
+          repeat(peer, std::make_shared<std::string>(next.repeated));
+          return;
+        }
+        if (next.then != response::after::keep) {
+          peer->socket.set_option(asio::socket_base::linger(next.then == response::after::reset, 0), ignored);
+          peer->socket.close(ignored);
+          return;
+        }
+      }
+      read(peer);
+    });
+  }
+
+  void repeat(const std::shared_ptr<connection>& peer, const std::shared_ptr<std::string>& bytes) {
+    asio::async_write(peer->socket, asio::buffer(*bytes),
+                      [this, peer, bytes](std::error_code error, std::size_t size) {
+                        m_repeated_bytes += size;
+                        if (error) {
+                          m_ended = true;
+                        } else {
+                          repeat(peer, bytes);
+                        }
+                      });
   }
 
   static bool is_complete(const std::string& request) {
@@ -90,6 +118,8 @@
   script m_script;
   std::shared_ptr<connection> m_last;
   std::size_t m_accepted = 0;
+  std::size_t m_repeated_bytes = 0;
+  bool m_ended = false;
 };
 
 }  // namespace cuminpath::support
