proxy: events of one read are not taken for forward passes

For each event of a stream a gateway recorded the time since the one before as the length of a forward pass, which adds up the loads of all upstreams. One read of 32 KB can hold 5,000 events, and the list 12,000 upstreams: the cost of a byte was not constant. The samples of events that arrived together were wrong, too: they are no passes, but lowered the mean that admission goes by.

An event now has the time at which its bytes were read, and times below a millisecond are not recorded; a pass takes several.

The new test fails without the change: two events of one read were recorded.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -27,6 +27,9 @@
 constexpr int k_stall_timeout_targets = 3;
 constexpr milliseconds k_min_stall_timeout{500};
 constexpr milliseconds k_max_stall_timeout{1300};
+// Events of one read say nothing about the time of a pass, which is several milliseconds. Its record reads
+// the whole list of upstreams.
+constexpr milliseconds k_min_forward_pass{1};
 // Time between two events of a stream after which it is resumed at another upstream, in multiples of the
 // longest gap that is still on time.
 constexpr int k_stall_timeout_gaps = 9;
@@ -543,7 +546,7 @@
     forward_comment(event.bytes);
     return;
   }
-  const time_point now = clock::now();
+  const time_point now = m_attempt->connection->last_read();
   if (event.has_data) {
     if (m_attempt->events > 0) {
       record_forward_pass(now - m_last_event_time, now);
@@ -589,6 +592,9 @@
 }
 
 void exchange::record_forward_pass(duration gap, time_point now) {
+  if (gap < k_min_forward_pass) {
+    return;
+  }
   const gateway::service* service = m_configuration->find_service(m_service);
   const auto totals = m_state.upstreams.totals(m_service, now);
   if (service != nullptr && service->engine && totals.upstreams > 0) {
--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -153,6 +153,7 @@
     on_connection_end(error != asio::error::eof, error.message());
     return;
   }
+  m_last_read = clock::now();
   consume({buffer.data(), size});
   wait_readable();
 }
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -50,6 +50,8 @@
   // last response; absent if it had none.
   [[nodiscard]] std::optional<seconds> advertised_idle_timeout() const { return m_advertised_idle_timeout; }
   [[nodiscard]] const std::string& upstream_id() const { return m_upstream_id; }
+  // Returns the time at which the bytes that are being handled were read.
+  [[nodiscard]] time_point last_read() const { return m_last_read; }
 
   // Called once when the upstream or an error ends an idle connection.
   std::function<void()> on_idle_close;
@@ -73,6 +75,7 @@
   std::string m_request_id;
   response_handlers m_events;
   std::optional<seconds> m_advertised_idle_timeout;
+  time_point m_last_read{};
   bool m_no_body = false;
   bool m_open = false;
   bool m_request_active = false;   // A request has been sent and its response is incomplete.
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -410,6 +410,29 @@
   }
 }
 
+// Each record of a pass reads the whole list of upstreams, and one read can hold thousands of events.
+TEST_F(proxy_fixture, events_of_one_read_are_not_taken_for_forward_passes) {
+  use_engine();
+  auto& upstream = add_upstream("i-1", [](auto, const auto&) {
+    return upstream_action{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\nid: 2\ndata: y\n\n")};
+  });
+  time_point third_event_at;
+  call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"), [&](const std::string& bytes) {
+    if (bytes.find("id: 2") == std::string::npos) {
+      return false;
+    }
+    if (third_event_at == time_point{}) {
+      EXPECT_FALSE(m_state.concurrency_limiters.contains("s"));
+      third_event_at = clock::now() + milliseconds{5};
+    } else if (clock::now() >= third_event_at) {
+      upstream.send_to_last(chunk("id: 3\ndata: z\n\n"));
+      third_event_at = time_point::max();
+    }
+    return bytes.find("id: 3") != std::string::npos;
+  });
+  EXPECT_TRUE(m_state.concurrency_limiters.contains("s"));
+}
+
 TEST_F(proxy_fixture, refuses_requests_that_prolong_forward_passes_except_resumed_streams) {
   constexpr milliseconds k_event_gap{150};
   auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
