--- a/source/core/gateway/event_splitter.cpp
+++ b/source/core/gateway/event_splitter.cpp
@@ -19,17 +19,23 @@
   }
   m_work += bytes.size();
   std::size_t event_start = 0;
-  for (std::size_t position = text.size() - bytes.size(); position < text.size();) {
-    if (text[position++] != '\n') {
+  for (std::size_t position = text.size() - bytes.size(); position < text.size(); ++position) {
+    if (text[position] != '\n') {
       continue;
     }
-    const std::string_view event_bytes = text.substr(event_start, position - event_start);
-    if (read_line(event_bytes)) {
+    const std::size_t line_start = event_start + m_summary.line_start;
+    const std::size_t line_end =
+        position > line_start && text[position - 1] == '\r' ? position - 1 : position;
+    m_summary.line_start = position + 1 - event_start;
+    if (line_end > line_start) {
+      read_line(text.substr(line_start, line_end - line_start), line_start - event_start);
+    } else if (m_summary.has_lines) {
+      const std::string_view event_bytes = text.substr(event_start, m_summary.line_start);
       on_event({.bytes = event_bytes,
                 .id = event_bytes.substr(m_summary.id_start, m_summary.id_size),
                 .has_data = m_summary.has_data});
       m_summary = {};
-      event_start = position;
+      event_start = position + 1;
     }
   }
   const std::size_t rest = text.size() - event_start;
@@ -42,21 +48,14 @@
   }
 }
 
-bool event_splitter::read_line(std::string_view event_bytes) {
-  std::string_view line = event_bytes.substr(m_summary.line_start);
-  line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
-  if (line.empty() && m_summary.has_lines) {
-    return true;
-  }
-  m_summary.has_lines = !line.empty();
+void event_splitter::read_line(std::string_view line, std::size_t start) {
+  m_summary.has_lines = true;
   if (line.starts_with(k_id_field)) {
     const bool has_space = line.substr(k_id_field.size()).starts_with(' ');
-    m_summary.id_start = m_summary.line_start + k_id_field.size() + (has_space ? 1 : 0);
-    m_summary.id_size = m_summary.line_start + line.size() - m_summary.id_start;
+    m_summary.id_start = start + k_id_field.size() + (has_space ? 1 : 0);
+    m_summary.id_size = start + line.size() - m_summary.id_start;
   }
   m_summary.has_data = m_summary.has_data || line == "data" || line.starts_with("data:");
-  m_summary.line_start = event_bytes.size();
-  return false;
 }
 
 bool event_splitter::inside_event() const {
--- a/source/core/gateway/event_splitter.h
+++ b/source/core/gateway/event_splitter.h
@@ -43,8 +43,8 @@
     bool has_data = false;
   };
 
-  // Records the last line of `event_bytes`, which has just been completed. Returns true if it ends the event.
-  bool read_line(std::string_view event_bytes);
+  // Records what a line that is not empty says. `start` is its position in the event.
+  void read_line(std::string_view line, std::size_t start);
 
   std::string m_pending;  // Start of an incomplete event.
   event_summary m_summary;
