gateway: a leaving gateway accepts short calls for longer

Callers of a leaving gateway were refused calls of 0.1 s from 1.5 s after the signal on, 5.8 s before the last response, if their deadline was beyond the grace period. Callers that use an address for three lifetimes came back to be refused again.

Cause: the schedule treated all requests like streams, which can only be cut at the end. A response that is sent whole can always be replaced by an error.

A request that is not streamed is now accepted until callers have left, if four times the longest recent one of its route would end in time.

The test of the early part of a stop asked a route that is not streamed; what it checked now holds for streams, so it asks a stream, and a new test has the bounds for other requests: the old one, which passed, expected a refusal there.

--- a/source/core/gateway/stop_schedule.cpp
+++ b/source/core/gateway/stop_schedule.cpp
@@ -10,6 +10,9 @@
 // Lifetimes for which a gateway accepts longer requests if no other gateway is ready. Less than two, since a
 // busy process handles the signal late.
 constexpr double k_lifetimes_alone = 1.75;
+// Time left for a late request, in multiples of the longest service time: it may meet an upstream that
+// stalls.
+constexpr int k_late_service_margin = 4;
 // Left of the grace period when the process ends, since the platform counts from before the signal arrived.
 constexpr milliseconds k_exit_margin{300};
 // For sending the last responses and for callers to read them.
@@ -29,13 +32,20 @@
   m_exit_from = std::min<time_point>(signalled_at + k_lifetimes_in_use * directory_ttl, m_respond_by);
 }
 
-bool stop_schedule::accepts(time_point deadline, std::optional<duration> longest_service_time,
-                            bool other_gateway_ready, time_point now) const {
-  if (deadline <= m_respond_by) {
+bool stop_schedule::accepts(const late_request& request, bool other_gateway_ready, time_point now) const {
+  if (request.deadline <= m_respond_by) {
     return true;
   }
+  if (!request.longest_service_time) {
+    return false;
+  }
+  const duration longest = *request.longest_service_time;
   const time_point end_of_early_part = other_gateway_ready ? m_answers_expire_at : m_alone_until;
-  return longest_service_time && now < end_of_early_part && now + *longest_service_time <= m_respond_by;
+  if (now < end_of_early_part && now + longest <= m_respond_by) {
+    return true;
+  }
+  return !request.streamed && now < exit_from(other_gateway_ready) &&
+         now + k_late_service_margin * longest <= m_respond_by;
 }
 
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/stop_schedule.h
+++ b/source/core/gateway/stop_schedule.h
@@ -7,6 +7,14 @@
 
 namespace cuminpath::gateway {
 
+// What a gateway knows of a request that arrives during its planned stop.
+struct late_request {
+  time_point deadline;
+  // Of the requests of its route that have ended recently; absent if there were none.
+  std::optional<duration> longest_service_time;
+  bool streamed = false;
+};
+
 // Times of a planned stop.
 class stop_schedule {
 public:
@@ -29,9 +37,9 @@
   // Whether a request that arrives now may be sent to an upstream. It must end by respond_by(): at its
   // deadline in any case or, early in the stop, within the longest time that requests of its route have taken
   // recently, if that is known. Early means while callers cannot know of the stop, and longer while no other
-  // gateway could serve them.
-  [[nodiscard]] bool accepts(time_point deadline, std::optional<duration> longest_service_time,
-                             bool other_gateway_ready, time_point now) const;
+  // gateway could serve them. A request that is not streamed and much shorter than the time that is left is
+  // accepted until exit_from(): should it take longer, it still gets a response, while a stream would be cut.
+  [[nodiscard]] bool accepts(const late_request& request, bool other_gateway_ready, time_point now) const;
 
 private:
   time_point m_signalled_at;
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -279,7 +279,10 @@
   const auto service_time = m_state.service_times.find(m_route->name);
   const auto longest =
       service_time == m_state.service_times.end() ? std::nullopt : service_time->second.value(now);
-  if (m_state.stop->accepts(m_deadline, longest, m_state.other_gateway_ready, now)) {
+  const gateway::late_request request{.deadline = m_deadline,
+                                      .longest_service_time = longest,
+                                      .streamed = m_route->kind == call_kind::stream};
+  if (m_state.stop->accepts(request, m_state.other_gateway_ready, now)) {
     return true;
   }
   refuse_for_stop();
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -134,13 +134,28 @@
   EXPECT_THAT(response.bytes, HasSubstr("Connection: close"));
 }
 
-TEST_F(planned_stop_test, early_in_the_stop_a_request_is_accepted_if_others_of_its_route_have_been_short) {
+TEST_F(planned_stop_test, early_in_the_stop_a_stream_is_accepted_if_others_of_its_route_have_been_short) {
+  add_upstream("i-1", [](auto, const auto&) {
+    return upstream_action{std::string(k_stream_head) + chunk("id: 1\ndata: x\n\n") + "0\r\n\r\n"};
+  });
+  const std::string stream = request("POST", "/stream/x", "a", "Content-Length: 0\r\n");
+  EXPECT_THAT(call(stream, is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  begin_stop(milliseconds{1000});
+  m_state.other_gateway_ready = true;
+  EXPECT_THAT(call(stream, is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  ASSERT_TRUE(run_until([this] { return clock::now() > m_state.stop->answers_expire_at(); }));
+  EXPECT_THAT(call(stream, is_complete).bytes, StartsWith("HTTP/1.1 503"));
+}
+
+// Guards against short calls that are refused seconds before the end of the stop.
+TEST_F(planned_stop_test, a_request_that_is_not_streamed_is_accepted_until_callers_have_left) {
   add_upstream_that_serves();
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
   begin_stop(milliseconds{1000});
   m_state.other_gateway_ready = true;
-  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
   ASSERT_TRUE(run_until([this] { return clock::now() > m_state.stop->answers_expire_at(); }));
+  EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  ASSERT_TRUE(run_until([this] { return clock::now() > m_state.stop->exit_from(true); }));
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 503"));
 }
 
