proxy: test planned stops for each kind of call

Another operator reported requests that came late in the grace period of a leaving gateway, were passed on and cut at its end without an answer, among them requests that may not be repeated.

For safe, at-most-once, streamed and resumed calls: a late request is refused and not sent, on a new connection and on a kept one, beside a ready gateway and alone; one that an upstream has at the end gets 504; half a response, with a length, chunks or neither, gets 504, or looks incomplete if it is a stream that has begun; a request that ends in time is served with each framing.

--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -227,6 +227,122 @@
   }));
 }
 
+struct call_kind_case {
+  std::string_view name;
+  std::string_view path;
+  bool streamed;
+  std::string_view headers = "";
+};
+constexpr call_kind_case k_call_kinds[] = {{"safe", "/safe/x", false},
+                                           {"once", "/once/x", false},
+                                           {"resumable_stream", "/stream/x", true},
+                                           {"stream", "/fragile/x", true},
+                                           {"resumed_stream", "/stream/x", true, "Last-Event-Id: 0\r\n"}};
+
+class planned_stop_of_each_kind : public planned_stop_test,
+                                  public ::testing::WithParamInterface<call_kind_case> {
+protected:
+  static std::string request_bytes(std::string_view id = "a") {
+    return request("POST", GetParam().path, id, fmt::format("{}Content-Length: 0\r\n", GetParam().headers));
+  }
+  static std::string response_head(std::string_view framing) {
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: {}\r\n{}\r\n",
+                       GetParam().streamed ? "text/event-stream" : "text/plain", framing);
+  }
+  static constexpr std::string_view k_event = "id: 1\ndata: x\n\n";
+};
+
+// Guards against requests that are taken late in the grace period and cut at its end.
+TEST_P(planned_stop_of_each_kind, a_request_that_comes_late_is_refused_and_not_sent) {
+  auto& upstream = add_upstream("i-1", [](auto, const auto&) {
+    return upstream_action{response_head(fmt::format("Content-Length: {}\r\n", k_event.size())) +
+                           std::string(k_event)};
+  });
+  raw_caller kept(m_context, m_listener.address());
+  kept.send(request_bytes());
+  ASSERT_TRUE(run_until_received(kept, k_event));
+  const std::size_t before = kept.received().size();
+  for (const bool other_gateway_ready : {true, false}) {
+    begin_stop(milliseconds{900});
+    m_state.other_gateway_ready = other_gateway_ready;
+    ASSERT_TRUE(run_until([&] { return clock::now() > m_state.stop->exit_from(other_gateway_ready); }));
+    const auto refused = call(request_bytes(), is_complete);
+    EXPECT_THAT(refused.bytes, StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(refused.bytes, HasSubstr("not_run"));
+    EXPECT_THAT(refused.bytes, HasSubstr("Retry-After: "));
+    EXPECT_THAT(refused.bytes, HasSubstr("Connection: close"));
+  }
+  kept.send(request_bytes());
+  ASSERT_TRUE(run_until([&] { return is_complete(kept.received().substr(before)); }));
+  EXPECT_THAT(kept.received().substr(before), StartsWith("HTTP/1.1 503"));
+  EXPECT_TRUE(run_until_ended(kept));
+  EXPECT_EQ(upstream.requests().size(), 1U);
+}
+
+TEST_P(planned_stop_of_each_kind, a_request_that_an_upstream_has_at_the_end_is_answered) {
+  const auto& upstream = add_upstream_that_is_silent();
+  raw_caller caller(m_context, m_listener.address());
+  caller.send(request_bytes());
+  ASSERT_TRUE(run_until([&] { return upstream.requests().size() == 1; }));
+  begin_stop(milliseconds{100});
+  ASSERT_TRUE(run_until_received(caller, "\r\n\r\n"));
+  EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 504"));
+  EXPECT_THAT(caller.received(), HasSubstr(R"("execution":"unknown")"));
+  EXPECT_TRUE(run_until_ended(caller));
+  EXPECT_EQ(upstream.requests().size(), 1U);
+}
+
+// Only a stream whose first event the caller has can end without an answer, and then it looks incomplete.
+TEST_P(planned_stop_of_each_kind, a_response_that_is_incomplete_at_the_end_is_answered_or_looks_incomplete) {
+  for (const std::string_view framing : {"Content-Length: 100\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string body = framing.starts_with("T") ? chunk(k_event) : std::string(k_event);
+    m_records.clear();
+    m_state.upstreams = {};
+    const auto& upstream = add_upstream(
+        "i-1", [&](auto, const auto&) { return upstream_action{response_head(framing) + body}; });
+    m_state.stop.reset();
+    raw_caller caller(m_context, m_listener.address());
+    caller.send(request_bytes());
+    ASSERT_TRUE(run_until([&] {
+      return upstream.requests().size() == 1 &&
+             (GetParam().streamed ? caller.received().find(k_event) != std::string::npos
+                                  : m_state.buffered_response_bytes == k_event.size());
+    }));
+    begin_stop(milliseconds{100});
+    ASSERT_TRUE(run_until_ended(caller));
+    if (GetParam().streamed) {
+      EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 200"));
+      EXPECT_THAT(caller.received(), Not(HasSubstr("\r\n0\r\n\r\n"))) << framing;
+    } else {
+      EXPECT_THAT(caller.received(), StartsWith("HTTP/1.1 504")) << framing;
+      EXPECT_TRUE(is_complete(caller.received())) << framing;
+    }
+  }
+}
+
+TEST_P(planned_stop_of_each_kind, a_request_that_ends_in_time_is_served) {
+  const std::string length = fmt::format("Content-Length: {}\r\n", k_event.size());
+  for (const std::string& framing : {length, std::string("Transfer-Encoding: chunked\r\n"), std::string()}) {
+    m_records.clear();
+    m_state.upstreams = {};
+    m_state.upstream_connections = {};
+    add_upstream("i-1", [&](auto, const auto&) {
+      const std::string body = framing.starts_with("T") ? chunk(k_event) + "0\r\n\r\n" : std::string(k_event);
+      return upstream_action{response_head(framing) + body,
+                             framing.empty() ? upstream_action::after::close : upstream_action::after::keep};
+    });
+    begin_stop(milliseconds{4000});
+    const auto response = call(request_bytes(), is_complete);
+    EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 200")) << framing;
+    EXPECT_THAT(response.bytes, HasSubstr(k_event)) << framing;
+    EXPECT_TRUE(is_complete(response.bytes)) << framing;
+    EXPECT_THAT(response.bytes, HasSubstr("Connection: close")) << framing;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, planned_stop_of_each_kind, ::testing::ValuesIn(k_call_kinds),
+                         [](const auto& named) { return std::string(named.param.name); });
+
 TEST_F(planned_stop_test, a_half_read_request_is_refused_at_the_end_of_the_stop) {
   raw_caller caller(m_context, m_listener.address());
   caller.send("POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
