--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -231,7 +231,7 @@
   std::string_view name;
   std::string_view path;
   bool streamed;
-  std::string_view headers = "";
+  std::string_view headers = {};
 };
 constexpr call_kind_case k_call_kinds[] = {{"safe", "/safe/x", false},
                                            {"once", "/once/x", false},
