proxy, tests: one reader of responses for all tests of the proxy

Two tests read responses of the gateway with functions of the same form, and four wrote chunks. They share response_text.h now.

--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "proxy_fixture.h"
+#include "response_text.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -23,10 +24,6 @@
 // Limit on what a gateway reads of an endless response: the largest response and the socket buffers.
 constexpr std::size_t k_max_endless_response_bytes = 32U << 20U;
 
-std::string chunk(std::string_view text) {
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
-
 TEST_F(proxy_fixture, forwards_a_request_without_forged_and_hop_by_hop_headers) {
   const auto& upstream =
       add_upstream("i-1", [](auto, const auto&) { return upstream_action{response_text("a", "body")}; });
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 
 #include "proxy_fixture.h"
+#include "response_text.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -22,10 +23,6 @@
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
     "chunked\r\n\r\n";
 
-std::string chunk(std::string_view text) {
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
-
 // A caller that keeps its connection and reads on demand.
 class raw_caller {
 public:
--- a/source/unit_tests/proxy/truncated_response_test.cpp
+++ b/source/unit_tests/proxy/truncated_response_test.cpp
@@ -8,6 +8,7 @@
 #include <tuple>
 
 #include "proxy_fixture.h"
+#include "response_text.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -50,10 +51,6 @@
 
 constexpr std::uint32_t k_max_attempts = 3;
 
-std::string chunk(std::string_view text) {
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
-
 std::string event(int number) {
   return fmt::format("id: {0}\ndata: {0}\n\n", number);
 }
@@ -72,33 +69,10 @@
   return {};
 }
 
-// Returns the body of a response with a length or with chunks; absent if it is not whole.
+// Returns the body of a whole response; absent if it is not whole.
 std::optional<std::string> whole_body(std::string_view bytes) {
-  const std::size_t head_end = bytes.find("\r\n\r\n");
-  if (head_end == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::string_view head = bytes.substr(0, head_end + 4);
-  bytes.remove_prefix(head.size());
-  if (head.find("Transfer-Encoding: chunked\r\n") == std::string_view::npos) {
-    const bool whole =
-        head.find(fmt::format("Content-Length: {}\r\n", bytes.size())) != std::string_view::npos;
-    return whole ? std::optional<std::string>(bytes) : std::nullopt;
-  }
-  std::string body;
-  while (true) {
-    const std::size_t line_end = bytes.find("\r\n");
-    if (line_end == std::string_view::npos) {
-      return std::nullopt;
-    }
-    const std::size_t size = std::stoul(std::string(bytes.substr(0, line_end)), nullptr, 16);
-    bytes.remove_prefix(line_end + 2);
-    if (size == 0) {
-      return bytes == "\r\n" ? std::optional(body) : std::nullopt;
-    }
-    body += bytes.substr(0, size);
-    bytes.remove_prefix(std::min(size + 2, bytes.size()));
-  }
+  const caller_view view = read_response(bytes);
+  return view.whole ? std::optional(view.body) : std::nullopt;
 }
 
 using parameters = std::tuple<call_form, framing_name, ending>;
