--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -38,7 +38,8 @@
 constexpr std::size_t k_max_buffered_response_bytes = 32U << 20U;
 // Events hold a few tokens each. More bytes than this without the end of an event are not an event stream.
 constexpr std::size_t k_max_event_bytes = 1U << 20U;
-// Comments, empty lines and ids between two events with data. An upstream that sends more has nothing to say.
+// Limit on comments, empty lines and ids between two events with data: a peer that sends them without end
+// makes no progress.
 constexpr std::size_t k_max_bytes_without_data = 64U << 10U;
 // Reading from the upstream is paused while more bytes than this wait to be written to the caller.
 constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
