proxy: log why a response is cut, with the time left and the planned work before it

The logs could not decide from a request's id whether the gateway, the upstream, the deadline or a planned stop had cut a response: `ended` gave the reason of the last attempt only. `attempt ended` gets the silence and the time left. New metric: cuminpath_cut_responses_total{cause}. No decision changes.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -781,6 +781,7 @@
   }
   release_attempt(connection_reusable);
   m_may_have_run = m_may_have_run || (sent && end != attempt_result::not_sent && !refused);
+  m_given_up_for_silence = m_given_up_for_silence || end == attempt_result::stalled;
   const auto* target = choose_upstream(now);
   gateway::attempt_facts facts{.repeatable = may_run_again(),
                                .caller_has_bytes = m_response_started,
@@ -800,6 +801,8 @@
                   {"end", attempt_result_name(end)},
                   {"reason", std::string_view(reason)},
                   {"events", static_cast<std::int64_t>(events)},
+                  {"silent_ms", sent ? ms_between(m_last_event_time, now) : std::int64_t{-1}},
+                  {"time_left_ms", facts.time_left.count()},
                   {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
                   {"may_have_run", m_may_have_run},
                   {"sent", static_cast<std::int64_t>(m_sent_attempts)},
@@ -993,6 +996,9 @@
         m_state.stop ? ms_between(m_state.stop->signalled_at(), m_arrived) : std::int64_t{0}},
        {"first_byte_ms", m_first_byte_time ? ms_between(m_arrived, *m_first_byte_time) : std::int64_t{-1}},
        {"total_ms", ms_between(m_arrived, now)}});
+  if (m_route != nullptr && (outcome == "broken_off" || outcome == "cut")) {
+    log_cut_response(outcome, reason, now);
+  }
   m_state.metrics.add("cuminpath_requests_total",
                       {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
   m_state.metrics.observe("cuminpath_request_seconds", std::chrono::duration<double>(now - m_arrived).count(),
@@ -1010,4 +1016,33 @@
   }
 }
 
+std::string_view exchange::cut_cause(std::string_view outcome, std::string_view reason) const {
+  if (outcome == "cut") {
+    return "planned_stop";
+  }
+  if (reason == k_timed_out) {
+    return "timeout";
+  }
+  return m_given_up_for_silence ? "silence" : "upstream";
+}
+
+void exchange::log_cut_response(std::string_view outcome, std::string_view reason, time_point now) {
+  const std::string_view cause = cut_cause(outcome, reason);
+  const auto ms_since = [now](const std::optional<time_point>& at) {
+    return at ? ms_between(*at, now) : std::int64_t{-1};
+  };
+  telemetry::log(log_level::warning, "request", "response cut",
+                 {{"request", m_request_id},
+                  {"route", m_route->name},
+                  {"cause", cause},
+                  {"reason", reason},
+                  {"last_event", std::string_view(m_last_event_id)},
+                  {"silent_ms", m_sent_attempts > 0 ? ms_between(m_last_event_time, now) : -1},
+                  {"time_left_ms", std::max<std::int64_t>(0, ms_between(now, m_deadline))},
+                  {"after_stop_signal_ms", m_state.stop ? ms_between(m_state.stop->signalled_at(), now) : -1},
+                  {"after_reload_ms", ms_since(m_state.reloaded_at)},
+                  {"after_configuration_ms", ms_since(m_state.configured_at)}});
+  m_state.metrics.add("cuminpath_cut_responses_total", {{"cause", std::string(cause)}});
+}
+
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -115,6 +115,9 @@
   void respond_with_problem(int status, std::string_view reason, std::string_view execution,
                             milliseconds retry_after);
   void finish(std::string_view outcome, int status, std::string_view reason);
+  // Logs why the caller did not receive a whole response, and what happened to the gateway before.
+  void log_cut_response(std::string_view outcome, std::string_view reason, time_point now);
+  [[nodiscard]] std::string_view cut_cause(std::string_view outcome, std::string_view reason) const;
 
   // The deadline, or the end of the planned stop if that is earlier.
   [[nodiscard]] time_point end_of_time() const;
@@ -154,6 +157,7 @@
   std::vector<std::string> m_tried_upstreams;  // Ids.
   std::uint32_t m_sent_attempts = 0;
   bool m_may_have_run = false;
+  bool m_given_up_for_silence = false;  // An attempt was, although its connection was sound.
   std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
   gateway::event_splitter m_splitter;
   std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -307,6 +307,7 @@
          {"routes", static_cast<std::int64_t>(next->routes.size())},
          {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())}});
     m_state.configuration = next;
+    m_state.configured_at = clock::now();
   }
 
   void apply_upstreams(bool disturbed, time_point now) {
@@ -543,6 +544,7 @@
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
     update_retry_limits();
+    m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
     }
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -32,6 +32,8 @@
   gateway::header_names header_names;
   std::string availability_zone;
   std::shared_ptr<const gateway::configuration> configuration;  // Null until the first version has been read.
+  std::optional<time_point> configured_at;                      // When the version came into force here.
+  std::optional<time_point> reloaded_at;                        // When the settings were last reloaded.
   gateway::upstream_table upstreams;
   upstream_connection_pool upstream_connections;
   std::unique_ptr<upstream_check> upstream_checks;  // Null if the platform has no status to ask for.
