proxy, gateway: let a running answer go only when its successor is in hand

What callers saw: streams cut with seconds of their time left while every engine was sound (LOST). A full group that stands still for a moment hits all of its streams within a second.

Cause: after about a second without an event the gateway closed the run first and looked for another upstream then. If that one was full, the refusal used up the attempts and the caller was cut; if no other was free or the retry budget was empty after a real break, the caller was cut, too. The class: something that is held is let go before what replaces it is in hand.

Now the silent run goes on while another upstream gets the request or the rest of the stream. The first that has the next event or the whole answer ends the other. An attempt that fails beside a running one changes nothing. A begun stream whose runs are all lost waits for a place until its deadline; refusals use no attempt, since they have not run, and new requests leave the places free that streams wait for. Policy: gateway::after_attempt() (await_other_attempt, await_upstream); one owner of the caller's bytes: end_other_attempts().

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -53,6 +53,9 @@
   if (!request.engine) {
     return k_max_service_utilization;
   }
+  if (request.resumes) {
+    return k_max_engine_utilization.front();
+  }
   const double utilization = k_max_engine_utilization.at(
       std::min<std::size_t>(request.priority, k_max_engine_utilization.size() - 1));
   // `max_pass_utilization` limits the mean. All ranks of a group wait for the one with the most requests,
@@ -74,6 +77,10 @@
   return utilization < std::max(k_min_engine_utilization, share * *request.max_pass_utilization);
 }
 
+bool leaves_places(const upstream_table::service_totals& totals, std::uint32_t waiting) {
+  return totals.outstanding + waiting < totals.slots;
+}
+
 milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
                          const admission_request& request, random_source& random) {
   const double capacity = std::max(1.0, max_utilization(request) * totals.slots);
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -19,6 +19,8 @@
   // Utilization of the engines at which their forward passes just meet the event gap target; absent if that
   // is not known. See concurrency_limiter.
   std::optional<double> max_pass_utilization = std::nullopt;
+  // The rest of a stream that has begun may use the places that are kept for more urgent requests.
+  bool resumes = false;
   bool is_retry = false;  // The caller has been refused before and retries; see retry_detector.
   double slot_share = 0;  // Share of an engine's slots that one request uses.
   // No upstream of the service serves requests now; see service_availability.
@@ -60,6 +62,10 @@
 // requests.
 bool keeps_passes_on_time(const upstream_table::service_totals& totals, const admission_request& request);
 
+// Returns false if all free places of the service's upstreams are needed for `waiting` streams that have lost
+// their upstream.
+bool leaves_places(const upstream_table::service_totals& totals, std::uint32_t waiting);
+
 // Returns the time after which a refused caller finds a free slot if requests keep ending at the present
 // rate. `mean_service` is the mean duration of a request at an upstream of the service.
 milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
--- a/source/core/gateway/attempt_policy.h
+++ b/source/core/gateway/attempt_policy.h
@@ -14,13 +14,14 @@
   broken,          // The connection was closed or the response was malformed; the request may have run.
   crashed,         // The upstream ended before it sent output, and the request may be the cause.
   failed,          // The upstream returned a complete error response (5xx).
-  stalled,         // No progress within the time limit.
+  stalled,         // No progress within the time limit, and another attempt has answered.
 };
 
 struct attempt_facts {
   bool repeatable = false;              // The request may also be run by a second upstream.
   bool caller_has_bytes = false;        // Part of a response has been sent to the caller.
   bool may_have_run = false;            // An attempt of this request, including this one, may have run.
+  bool other_attempt_running = false;   // Another upstream is still working on the request.
   std::uint32_t upstreams_sent_to = 0;  // Number of upstreams that have received the request so far.
   std::uint32_t max_attempts = 1;
   bool retry_budget_available = false;
@@ -29,7 +30,9 @@
 };
 
 enum class next_step : std::uint8_t {
+  await_other_attempt,  // Another upstream is still working on the request.
   try_another,
+  await_upstream,   // Wait until an upstream can continue the response.
   forward_failure,  // Forward the error response of the upstream.
   refuse,           // The request has not run; the caller may retry.
   fail,             // The request may have run.
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -35,7 +35,8 @@
       m_on_finished(std::move(finished)),
       m_arrived(arrived),
       m_deadline_timer(state.context),
-      m_stall_timer(state.context) {}
+      m_stall_timer(state.context),
+      m_wait_timer(state.context) {}
 
 exchange::~exchange() = default;
 
@@ -75,7 +76,7 @@
     refuse(503, "passes would get too long", now);
     return;
   }
-  const auto* target = choose_upstream(now);
+  const auto* target = leaves_places_to_waiting_streams(now) ? choose_upstream(now) : nullptr;
   if (target == nullptr) {
     refuse(503, "no upstream has a free place", now);
     return;
@@ -198,8 +199,8 @@
                                      .is_retry = m_is_retry};
   const auto limiter = m_state.concurrency_limiters.find(m_service);
   // The rest of a partly served stream is not subject to the forward-pass limit and goes before new requests.
-  const bool resumes = m_response_started || m_request.header(m_state.header_names.resume_after).has_value();
-  if (request.engine && !resumes && limiter != m_state.concurrency_limiters.end()) {
+  request.resumes = m_response_started || m_request.header(m_state.header_names.resume_after).has_value();
+  if (request.engine && !request.resumes && limiter != m_state.concurrency_limiters.end()) {
     const auto totals = m_state.upstreams.totals(m_service, now);
     const auto capacity = limiter->second.max_requests(
         m_route->max_event_gap, *m_configuration->find_service(m_service)->engine, now);
@@ -211,6 +212,12 @@
   return request;
 }
 
+bool exchange::leaves_places_to_waiting_streams(time_point now) const {
+  const std::uint32_t waiting = m_state.waiting(m_service);
+  return waiting == 0 || m_request.header(m_state.header_names.resume_after) ||
+         gateway::leaves_places(m_state.upstreams.totals(m_service, now), waiting);
+}
+
 const gateway::upstream_table::upstream* exchange::choose_upstream(time_point now) const {
   const double max_utilization = gateway::max_utilization(make_admission_request(now));
   return m_state.upstreams.choose(m_service,
@@ -239,10 +246,7 @@
   if (m_done) {
     return;
   }
-  if (m_attempt) {
-    m_may_have_run = m_may_have_run || m_attempt->sent;
-    release_attempt(false);
-  }
+  release_all_attempts();
   const time_point now = clock::now();
   const bool stopping = now < m_deadline;
   const std::string_view reason = stopping ? k_stopping : k_timed_out;
@@ -262,9 +266,7 @@
   if (m_done) {
     return;
   }
-  if (m_attempt) {
-    release_attempt(false);
-  }
+  release_all_attempts();
   finish("caller_gone", 0, "the caller closed the connection");
 }
 
@@ -275,8 +277,10 @@
 }
 
 void exchange::on_caller_drained() {
-  if (m_attempt && m_attempt->connection) {
-    m_attempt->connection->resume_reading();
+  for (const auto& attempt : m_attempts) {
+    if (attempt->connection) {
+      attempt->connection->resume_reading();
+    }
   }
 }
 
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -30,14 +30,20 @@
   std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
   bool streamed = false;
   bool has_foreign_bytes = false;  // Those of another run or of another response follow.
-  std::uint32_t events = 0;
-  std::string held_bytes;              // Comments and empty lines before the first event of the response.
+  std::uint32_t events = 0;        // That the caller has received.
+  gateway::event_splitter splitter;
+  time_point last_progress;            // When it was sent, or when its last event with data arrived.
+  bool silent = false;                 // Another attempt was begun because it made no progress.
+  std::string held_bytes;              // Comments and empty lines before its first event.
   std::size_t bytes_without_data = 0;  // Since the last event with data.
   bool output_recorded = false;
 };
 
 // Authorizes and routes a request, dispatches it to upstreams, retries where that is allowed, and writes the
 // response to the caller.
+//
+// A request that may run again has more than one attempt while its upstream is silent: the attempt goes on
+// until another one has the next event or the whole response. The first that has it ends the others.
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
   // Calls `finished` once, when the final response has been handed to the connection.
@@ -69,47 +75,63 @@
 
   [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream(time_point now) const;
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
+  // Returns true if the places that are free are owed to streams that wait for one.
+  [[nodiscard]] bool leaves_places_to_waiting_streams(time_point now) const;
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
-  void on_connected(std::string_view failure);
-  void send_request(time_point now);
+  void on_connected(upstream_attempt& attempt, std::string_view failure);
+  void send_request(upstream_attempt& attempt, time_point now);
   [[nodiscard]] std::string serialize_request(const gateway::upstream_table::upstream& target,
                                               time_point now) const;
+  [[nodiscard]] bool is_running(const upstream_attempt& attempt) const;
+  // Returns a callback that passes its arguments on to `method` as long as the attempt is running.
+  template <typename method_type>
+  [[nodiscard]] auto while_running(const std::shared_ptr<upstream_attempt>& attempt, method_type method);
 
-  void on_head(message_head&& head);
+  void on_head(upstream_attempt& attempt, message_head&& head);
   // Records what a response says about the upstream itself: that it is leaving, or that it rejects requests
   // for a while.
-  void record_upstream_state(const message_head& head, time_point now);
-  void on_body(std::string_view bytes);
-  void on_response_end();
+  void record_upstream_state(const std::string& upstream_id, const message_head& head, time_point now);
+  void on_body(upstream_attempt& attempt, std::string_view bytes);
+  void on_response_end(upstream_attempt& attempt);
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
-  void forward_event(const gateway::event_splitter::event& event);
+  void forward_event(upstream_attempt& attempt, const gateway::event_splitter::event& event);
   // Forwards bytes of a stream that clients ignore.
-  void forward_comment(std::string_view bytes);
+  void forward_comment(upstream_attempt& attempt, std::string_view bytes);
   // Sends the head of the response to the caller.
-  void begin_stream(time_point now);
+  void begin_stream(upstream_attempt& attempt, time_point now);
   // Returns true if another upstream may run the request, or the rest of the stream after its last event.
   [[nodiscard]] bool may_run_again() const;
 
   // Refuses the request and returns true if a part of its prompt crashes upstreams.
   [[nodiscard]] bool refuse_quarantined(time_point now);
   // Records that the parts of the prompt have produced output at an upstream.
-  void record_output(time_point now);
-  // Called if the connection of the current attempt breaks. Before the next step, checks whether the upstream
-  // has ended if the request may be the cause.
-  void on_broken_connection(const std::string& reason);
-  void on_upstream_crash(time_point crashed_at);
-
-  // Ends the current attempt and takes the step that the attempt policy decides on.
-  void end_attempt(gateway::attempt_result end, std::string_view reason);
-  void release_attempt(bool keep_connection);
+  void record_output(upstream_attempt& attempt, time_point now);
+  // Called if the connection of an attempt breaks. Before the next step, checks whether the upstream has
+  // ended if the request may be the cause.
+  void on_broken_connection(upstream_attempt& attempt, std::string_view reason);
+  void on_upstream_crash(const std::string& upstream_id, time_point crashed_at);
+
+  // Ends an attempt and takes the step that the attempt policy decides on.
+  void end_attempt(upstream_attempt& attempt, gateway::attempt_result end, std::string_view reason);
+  // Ends all attempts but the one whose response the caller receives.
+  void end_other_attempts(const upstream_attempt& kept);
+  void release_attempt(upstream_attempt& attempt, bool keep_connection);
+  void release_all_attempts();
   void arm_deadline_timer();
-  void arm_stall_timer();
+  [[nodiscard]] milliseconds stall_timeout() const;
+  // Has on_stall() called once no attempt has made progress for the stall timeout, but not before a time.
+  void arm_stall_timer(time_point not_before);
   void on_stall();
   // Called at the deadline, or earlier at the end of the planned stop.
   void on_deadline();
 
-  void deliver_buffered_response();
+  // Waits for an upstream that continues the stream. All attempts have ended.
+  void await_upstream(milliseconds wait, time_point now);
+  void try_again(time_point now);
+  void stop_waiting();
+
+  void deliver_buffered_response(upstream_attempt& attempt);
   void refuse(int status, std::string_view reason, time_point now);
   void fail(int status, std::string_view reason);
   void respond_with_problem(int status, std::string_view reason, std::string_view execution,
@@ -153,18 +175,22 @@
   time_point m_deadline;
   asio::steady_timer m_deadline_timer;
   asio::steady_timer m_stall_timer;
-  std::optional<upstream_attempt> m_attempt;
+  asio::steady_timer m_wait_timer;
+  std::vector<std::shared_ptr<upstream_attempt>>
+      m_attempts;                              // That are running, in the order of their start.
   std::vector<std::string> m_tried_upstreams;  // Ids.
-  std::uint32_t m_sent_attempts = 0;
+  std::vector<std::string> m_full_upstreams;   // Ids of those that have refused the rest of the stream.
+  std::uint32_t m_started_attempts = 0;
+  std::uint32_t m_sent_attempts = 0;  // Without those that were refused after the response had begun.
+  std::uint32_t m_refusals = 0;       // Of the rest of the stream, in a row.
+  bool m_waiting = false;             // Counted in proxy_state::waiting_streams.
   bool m_may_have_run = false;
-  bool m_given_up_for_silence = false;  // An attempt was, although its connection was sound.
   std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
-  gateway::event_splitter m_splitter;
   std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
   std::string m_stream_media_type;
   bool m_response_started = false;
   std::optional<time_point> m_first_byte_time;
-  time_point m_last_event_time;
+  time_point m_last_progress;  // The latest of all attempts.
   bool m_done = false;
 };
 
--- a/source/core/proxy/exchange_outcome.cpp
+++ b/source/core/proxy/exchange_outcome.cpp
@@ -86,6 +86,7 @@
   m_done = true;
   m_deadline_timer.cancel();
   m_stall_timer.cancel();
+  stop_waiting();
   const time_point now = clock::now();
   const std::string_view kind = m_route == nullptr ? std::string_view("none") : call_kind_name(m_route->kind);
   telemetry::log(
@@ -95,7 +96,7 @@
        {"outcome", outcome},
        {"status", static_cast<std::int64_t>(status)},
        {"reason", reason},
-       {"attempts", static_cast<std::int64_t>(m_tried_upstreams.size())},
+       {"attempts", static_cast<std::int64_t>(m_started_attempts)},
        {"stopping", m_state.stop.has_value()},
        {"after_stop_signal_ms",
         m_state.stop ? ms_between(m_state.stop->signalled_at(), m_arrived) : std::int64_t{0}},
@@ -128,7 +129,7 @@
   if (reason == k_timed_out) {
     return "timeout";
   }
-  return m_given_up_for_silence ? "silence" : "upstream";
+  return "upstream";
 }
 
 void exchange::log_cut_response(std::string_view outcome, std::string_view reason, time_point now) {
@@ -142,7 +143,7 @@
                   {"cause", cause},
                   {"reason", reason},
                   {"last_event", std::string_view(m_last_event_id)},
-                  {"silent_ms", m_sent_attempts > 0 ? ms_between(m_last_event_time, now) : -1},
+                  {"silent_ms", m_last_progress == time_point{} ? -1 : ms_between(m_last_progress, now)},
                   {"time_left_ms", std::max<std::int64_t>(0, ms_between(now, m_deadline))},
                   {"after_stop_signal_ms", m_state.stop ? ms_between(m_state.stop->signalled_at(), now) : -1},
                   {"after_reload_ms", ms_since(m_state.reloaded_at)},
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -83,19 +83,18 @@
   return head.status < k_bad_request && http::find_header(head.headers, m_state.header_names.not_executed);
 }
 
-void exchange::on_head(message_head&& head) {
-  m_attempt->head = std::move(head);
-  const message_head& received = *m_attempt->head;
+void exchange::on_head(upstream_attempt& attempt, message_head&& head) {
+  attempt.head = std::move(head);
+  const message_head& received = *attempt.head;
   if (http::find_header(received.headers, m_state.header_names.request_id)) {
-    record_upstream_state(received, clock::now());
+    record_upstream_state(attempt.upstream_id, received, clock::now());
   }
-  m_attempt->streamed = m_route->kind == call_kind::stream && m_request.method != "HEAD" &&
-                        received.status == 200 && is_upstream_response(received) &&
-                        is_event_stream(received) && !contradicts_itself(received);
+  attempt.streamed = m_route->kind == call_kind::stream && m_request.method != "HEAD" &&
+                     received.status == 200 && is_upstream_response(received) && is_event_stream(received) &&
+                     !contradicts_itself(received);
 }
 
-void exchange::record_upstream_state(const message_head& head, time_point now) {
-  const std::string& id = m_attempt->upstream_id;
+void exchange::record_upstream_state(const std::string& id, const message_head& head, time_point now) {
   // A 421 response comes from another instance than the one that the request was sent to.
   if (head.status != k_misdirected_request &&
       http::find_header(head.headers, m_state.header_names.leaving) == "1" &&
@@ -115,89 +114,99 @@
   }
 }
 
-void exchange::on_body(std::string_view bytes) {
-  if (!m_attempt->streamed) {
-    m_attempt->body.append(bytes);
-    m_attempt->buffered_bytes += bytes.size();
+void exchange::on_body(upstream_attempt& attempt, std::string_view bytes) {
+  if (!attempt.streamed) {
+    attempt.body.append(bytes);
+    attempt.buffered_bytes += bytes.size();
     m_state.buffered_response_bytes += bytes.size();
-    if (m_attempt->body.size() > k_max_response_bytes ||
+    if (attempt.body.size() > k_max_response_bytes ||
         m_state.buffered_response_bytes > k_max_buffered_response_bytes) {
-      end_attempt(attempt_result::broken, "answer is too large");
+      end_attempt(attempt, attempt_result::broken, "answer is too large");
     }
     return;
   }
-  m_splitter.feed(bytes, [this](const gateway::event_splitter::event& event) { forward_event(event); });
-  if (m_attempt && m_attempt->has_foreign_bytes) {
-    end_attempt(attempt_result::broken, "answer has bytes that are not the next event of the stream");
+  attempt.splitter.feed(bytes, [this, &attempt](const gateway::event_splitter::event& event) {
+    forward_event(attempt, event);
+  });
+  if (!is_running(attempt)) {
     return;
   }
-  if (m_attempt && m_splitter.pending().size() > k_max_event_bytes) {
-    end_attempt(attempt_result::broken, "event is too large");
+  if (attempt.has_foreign_bytes) {
+    end_attempt(attempt, attempt_result::broken,
+                "answer has bytes that are not the next event of the stream");
     return;
   }
-  const std::size_t empty_lines = m_splitter.inside_event() ? 0 : m_splitter.pending().size();
-  if (m_attempt && m_attempt->bytes_without_data + empty_lines > k_max_bytes_without_data) {
-    end_attempt(attempt_result::broken, "answer goes on without events");
+  if (attempt.splitter.pending().size() > k_max_event_bytes) {
+    end_attempt(attempt, attempt_result::broken, "event is too large");
     return;
   }
-  if (m_attempt && m_caller->unsent_bytes() > k_max_unsent_bytes) {
-    m_attempt->connection->pause_reading();
+  const std::size_t empty_lines = attempt.splitter.inside_event() ? 0 : attempt.splitter.pending().size();
+  if (attempt.bytes_without_data + empty_lines > k_max_bytes_without_data) {
+    end_attempt(attempt, attempt_result::broken, "answer goes on without events");
+    return;
+  }
+  if (m_caller->unsent_bytes() > k_max_unsent_bytes) {
+    attempt.connection->pause_reading();
   }
 }
 
-void exchange::forward_event(const gateway::event_splitter::event& event) {
-  if (m_done || m_attempt->has_foreign_bytes) {
+void exchange::forward_event(upstream_attempt& attempt, const gateway::event_splitter::event& event) {
+  if (m_done || attempt.has_foreign_bytes) {
     return;
   }
-  const bool continues = m_response_started && m_attempt->events == 0;
+  const bool continues = m_response_started && attempt.events == 0;
   const bool other_run = continues && (starts_with_empty_line(event.bytes) ||
                                        !gateway::is_next_event_id(m_last_event_id, event.id));
-  if (other_run || (!m_attempt->head->self_delimited && is_response_head(event.bytes))) {
-    m_attempt->has_foreign_bytes = true;
+  if (other_run || (!attempt.head->self_delimited && is_response_head(event.bytes))) {
+    attempt.has_foreign_bytes = true;
     return;
   }
-  m_attempt->bytes_without_data = event.has_data ? 0 : m_attempt->bytes_without_data + event.bytes.size();
+  attempt.bytes_without_data = event.has_data ? 0 : attempt.bytes_without_data + event.bytes.size();
   if (!event.has_data && event.id.empty()) {
-    forward_comment(event.bytes);
+    forward_comment(attempt, event.bytes);
     return;
   }
-  const time_point now = m_attempt->connection->last_read();
+  const time_point now = attempt.connection->last_read();
   if (event.has_data) {
-    if (m_attempt->events > 0) {
-      record_forward_pass(now - m_last_event_time, now);
+    if (attempt.events > 0) {
+      record_forward_pass(now - attempt.last_progress, now);
     }
-    m_last_event_time = now;
+    attempt.last_progress = m_last_progress = now;
   }
+  end_other_attempts(attempt);
   if (!m_response_started) {
-    begin_stream(now);
+    begin_stream(attempt, now);
+  }
+  if (attempt.events == 0) {
+    m_caller->write_chunk(std::exchange(attempt.held_bytes, {}));
   }
-  ++m_attempt->events;
-  if (m_attempt->events == k_events_of_sound_request) {
-    record_output(now);
+  ++attempt.events;
+  m_refusals = 0;
+  if (attempt.events == k_events_of_sound_request) {
+    record_output(attempt, now);
   }
   m_caller->write_chunk(event.bytes);
   m_last_event_id = event.id;
 }
 
-void exchange::forward_comment(std::string_view bytes) {
-  if (m_response_started) {
+void exchange::forward_comment(upstream_attempt& attempt, std::string_view bytes) {
+  if (attempt.events > 0) {
     m_caller->write_chunk(bytes);
   } else {
     // Another upstream may still run the request if no event follows.
-    m_attempt->held_bytes.append(bytes);
+    attempt.held_bytes.append(bytes);
   }
 }
 
-void exchange::begin_stream(time_point now) {
+void exchange::begin_stream(upstream_attempt& attempt, time_point now) {
   m_response_started = true;
   m_first_byte_time = now;
-  m_stream_media_type = media_type(*m_attempt->head);
-  m_caller->begin_stream(m_attempt->head->status, end_to_end_headers(m_attempt->head->headers));
-  m_caller->write_chunk(std::exchange(m_attempt->held_bytes, {}));
+  m_stream_media_type = media_type(*attempt.head);
+  m_caller->begin_stream(attempt.head->status, end_to_end_headers(attempt.head->headers));
 }
 
-void exchange::record_output(time_point now) {
-  if (!std::exchange(m_attempt->output_recorded, true)) {
+void exchange::record_output(upstream_attempt& attempt, time_point now) {
+  if (!std::exchange(attempt.output_recorded, true)) {
     m_state.prompt_quarantine.on_output(m_prompt_parts, now);
   }
 }
@@ -214,73 +223,78 @@
   }
 }
 
-void exchange::on_response_end() {
-  message_head& head = *m_attempt->head;
+void exchange::on_response_end(upstream_attempt& attempt) {
+  const message_head& head = *attempt.head;
   const bool refused = is_refusal(head);
   if (refused && head.status == k_misdirected_request) {
-    m_state.upstreams.on_wrong_instance(m_attempt->upstream_id);
+    m_state.upstreams.on_wrong_instance(attempt.upstream_id);
     --m_sent_attempts;
-    end_attempt(attempt_result::wrong_instance, "another instance has the address");
+    end_attempt(attempt, attempt_result::wrong_instance, "another instance has the address");
     return;
   }
   if (refused) {
     m_state.service_state(m_service).on_refused(clock::now());
-    end_attempt(attempt_result::not_executed, fmt::format("upstream answered {}", head.status));
+    end_attempt(attempt, attempt_result::not_executed, fmt::format("upstream answered {}", head.status));
     return;
   }
   if (contradicts_itself(head)) {
-    end_attempt(attempt_result::broken, "answer says that the request has run and that it has not");
+    end_attempt(attempt, attempt_result::broken, "answer says that the request has run and that it has not");
     return;
   }
   if (!is_upstream_response(head)) {
-    end_attempt(attempt_result::broken, fmt::format("answer {} is not the upstream's own", head.status));
+    end_attempt(attempt, attempt_result::broken,
+                fmt::format("answer {} is not the upstream's own", head.status));
     return;
   }
   if (!m_route->repeatable() && promises_no_execution(head.status)) {
-    end_attempt(attempt_result::broken, fmt::format("upstream answered {} and may have run it", head.status));
+    end_attempt(attempt, attempt_result::broken,
+                fmt::format("upstream answered {} and may have run it", head.status));
     return;
   }
   if (head.status >= 500) {
-    m_failure_response.emplace(head, m_attempt->body);
-    end_attempt(attempt_result::failed, fmt::format("upstream answered {}", head.status));
+    m_failure_response.emplace(head, attempt.body);
+    end_attempt(attempt, attempt_result::failed, fmt::format("upstream answered {}", head.status));
     return;
   }
-  if (m_response_started && !m_attempt->streamed) {
-    end_attempt(attempt_result::broken,
+  if (m_response_started && !attempt.streamed) {
+    end_attempt(attempt, attempt_result::broken,
                 fmt::format("upstream answered {} to the rest of a stream", head.status));
     return;
   }
   if (head.status == 200) {
-    record_output(clock::now());
+    record_output(attempt, clock::now());
   }
-  m_state.upstreams.on_success(m_attempt->upstream_id, clock::now());
+  m_state.upstreams.on_success(attempt.upstream_id, clock::now());
   m_state.service_state(m_service).on_served(clock::now());
-  if (!m_attempt->streamed) {
-    deliver_buffered_response();
+  if (!attempt.streamed) {
+    end_other_attempts(attempt);
+    deliver_buffered_response(attempt);
     return;
   }
-  if (m_splitter.inside_event()) {
-    end_attempt(attempt_result::broken, "stream ended inside an event");
+  if (attempt.splitter.inside_event()) {
+    end_attempt(attempt, attempt_result::broken, "stream ended inside an event");
     return;
   }
   // A connection that is closed early looks the same.
-  if (m_response_started && m_attempt->events == 0 && !head.self_delimited) {
-    end_attempt(attempt_result::broken, "answer without a length has no event");
+  if (m_response_started && attempt.events == 0 && !head.self_delimited) {
+    end_attempt(attempt, attempt_result::broken, "answer without a length has no event");
     return;
   }
+  end_other_attempts(attempt);
   if (!m_response_started) {
-    begin_stream(clock::now());
+    begin_stream(attempt, clock::now());
   }
-  m_caller->write_chunk(m_splitter.pending());
-  release_attempt(true);
+  m_caller->write_chunk(std::exchange(attempt.held_bytes, {}));
+  m_caller->write_chunk(attempt.splitter.pending());
+  release_attempt(attempt, true);
   m_caller->end_stream();
   finish("served", 200, "");
 }
 
-void exchange::deliver_buffered_response() {
-  const message_head head = std::move(*m_attempt->head);
-  std::string body = std::move(m_attempt->body);
-  release_attempt(true);
+void exchange::deliver_buffered_response(upstream_attempt& attempt) {
+  const message_head head = std::move(*attempt.head);
+  std::string body = std::move(attempt.body);
+  release_attempt(attempt, true);
   m_first_byte_time = clock::now();
   http::response response{
       .status = head.status, .headers = end_to_end_headers(head.headers), .body = std::move(body)};
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -55,6 +55,13 @@
   std::unordered_map<std::string, gateway::concurrency_limiter> concurrency_limiters;  // By service.
   std::unordered_map<std::string, gateway::retry_detector> caller_retries;             // By route.
 
+  // Streams whose upstream was lost and whose rest waits for a free place at another one, by service.
+  std::unordered_map<std::string, std::uint32_t> waiting_streams;
+
+  [[nodiscard]] std::uint32_t waiting(const std::string& service) const {
+    const auto found = waiting_streams.find(service);
+    return found == waiting_streams.end() ? 0 : found->second;
+  }
   gateway::service_availability& service_state(const std::string& service) { return service_states[service]; }
   routing::retry_budget& budget(const std::string& service) {
     return retry_budgets.try_emplace(service, retry_options).first->second;
--- a/source/unit_tests/gateway/admission_test.cpp
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -17,6 +17,17 @@
   EXPECT_EQ(max_utilization({.priority = 9, .engine = true}), lowest);
 }
 
+TEST(admission, the_rest_of_a_stream_may_use_the_places_of_urgent_requests) {
+  EXPECT_EQ(max_utilization({.priority = 2, .engine = true, .resumes = true}),
+            max_utilization({.priority = 0, .engine = true}));
+}
+
+TEST(admission, new_requests_leave_places_to_streams_that_wait) {
+  const upstream_table::service_totals totals{.upstreams = 2, .slots = 8, .outstanding = 6};
+  EXPECT_TRUE(leaves_places(totals, 1));
+  EXPECT_FALSE(leaves_places(totals, 2));
+}
+
 TEST(admission, retry_after_grows_with_the_overload_within_the_limit_of_callers) {
   random_source random(3);
   const admission_request request{.priority = 2, .engine = true, .time_left = milliseconds{9000}};
--- a/source/unit_tests/gateway/attempt_policy_test.cpp
+++ b/source/unit_tests/gateway/attempt_policy_test.cpp
@@ -95,5 +95,51 @@
   EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::abort_response);
 }
 
+attempt_facts begun_stream() {
+  attempt_facts facts = first_attempt();
+  facts.repeatable = true;
+  facts.may_have_run = true;
+  facts.caller_has_bytes = true;
+  return facts;
+}
+
+TEST(attempt_policy, keeps_what_is_running_whatever_happens_to_another_attempt) {
+  for (const auto end :
+       {attempt_result::not_sent, attempt_result::wrong_instance, attempt_result::not_executed,
+        attempt_result::broken, attempt_result::crashed, attempt_result::failed}) {
+    for (attempt_facts facts : {first_attempt(), begun_stream()}) {
+      facts.other_attempt_running = true;
+      EXPECT_EQ(after_attempt(end, facts), next_step::await_other_attempt);
+      facts.retry_budget_available = false;
+      facts.upstreams_sent_to = 2;
+      EXPECT_EQ(after_attempt(end, facts), next_step::await_other_attempt);
+    }
+  }
+}
+
+TEST(attempt_policy, a_begun_stream_waits_for_an_upstream_while_another_may_continue_it) {
+  auto facts = begun_stream();
+  EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::try_another);
+  EXPECT_EQ(after_attempt(attempt_result::not_executed, facts), next_step::await_upstream);
+  facts.other_upstream_available = false;
+  EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::await_upstream);
+  EXPECT_EQ(after_attempt(attempt_result::not_sent, facts), next_step::await_upstream);
+  facts = begun_stream();
+  facts.retry_budget_available = false;
+  EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::await_upstream);
+}
+
+TEST(attempt_policy, a_begun_stream_that_nobody_may_continue_is_broken_off_at_once) {
+  auto facts = begun_stream();
+  facts.upstreams_sent_to = 2;
+  EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::abort_response);
+  facts = begun_stream();
+  facts.time_left = milliseconds{29};
+  EXPECT_EQ(after_attempt(attempt_result::not_executed, facts), next_step::abort_response);
+  facts = begun_stream();
+  facts.repeatable = false;
+  EXPECT_EQ(after_attempt(attempt_result::broken, facts), next_step::abort_response);
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
