gateway: notice gateways that ended without notice, and how late the event loop is

A gateway now logs and counts when a new process reports under the name of one that had not announced its end, and records how late its timers are: a metric, and `loop_lag_ms` in `stopping`.

Test: member_list, fails without the comparison (mutant).

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -89,10 +89,15 @@
     return outcome::ignored;
   }
   const bool joined = !alive(*found, now) || !same_incarnation;
+  const bool replaced = !same_incarnation && found->last_report_at != time_point{} &&
+                        known.state != member_state::leaving;
   const bool changed = known.state != report.state;
   found->report = std::move(report);
   found->last_report_at = now;
   std::erase(m_notified_suspected, found->report.name);
+  if (replaced) {
+    return outcome::replaced;
+  }
   return joined ? outcome::joined : changed ? outcome::state_changed : outcome::known;
 }
 
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -58,7 +58,15 @@
     time_point last_report_at{};
   };
 
-  enum class outcome : std::uint8_t { ignored, known, joined, state_changed };
+  enum class outcome : std::uint8_t {
+    ignored,
+    known,
+    joined,
+    // A new process has joined under the name of one that had not announced that it leaves: it was killed, or
+    // it ended by itself, with all that it served.
+    replaced,
+    state_changed,
+  };
   // Applies a report received from the network. Reports older than the last known one are ignored.
   outcome on_report(member_report report, time_point now);
   // Applies a row of the store that names a gateway. The gateway is not alive until a report from it arrives.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -13,6 +13,7 @@
 
 #include "core/common/hash.h"
 #include "core/gateway/mirror_client.h"
+#include "core/gateway/recent_maximum.h"
 #include "core/gateway/report_schedule.h"
 #include "core/gateway/store_reader_selection.h"
 #include "core/http/server.h"
@@ -211,6 +212,8 @@
     metrics.set("cuminpath_requests_in_flight", static_cast<double>(m_callers.active_request_count()));
     metrics.set("cuminpath_idle_upstream_connections",
                 static_cast<double>(m_state.upstream_connections.idle_count()));
+    metrics.set("cuminpath_event_loop_lag_seconds",
+                std::chrono::duration<double>(m_loop_lag.value(clock::now()).value_or(duration{0})).count());
     metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
@@ -392,6 +395,10 @@
         return;
       case gateway::member_list::outcome::known:
         break;
+      case gateway::member_list::outcome::replaced:
+        telemetry::log(log_level::warning, "members", "gateway had ended without notice", {{"name", name}});
+        m_state.metrics.add("cuminpath_gateways_ended_without_notice_total");
+        [[fallthrough]];
       case gateway::member_list::outcome::joined:
         telemetry::log(log_level::info, "members", "gateway joined", {{"name", name}});
         update_retry_limits();
@@ -469,7 +476,9 @@
     m_tick_timer.expires_after(k_tick_interval);
     m_tick_timer.async_wait([this](std::error_code cancelled) {
       if (!cancelled) {
-        tick(clock::now());
+        const time_point now = clock::now();
+        m_loop_lag.observe(now - m_tick_timer.expiry(), now);
+        tick(now);
       }
     });
   }
@@ -589,14 +598,17 @@
 
   void end_process(time_point now) {
     const auto connections = m_callers.count_connections();
-    telemetry::log(log_level::info, "process", "stopping",
-                   {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())},
-                    {"after_signal_ms",
-                     std::chrono::duration_cast<milliseconds>(now - m_state.stop->signalled_at()).count()},
-                    {"idle_connections", static_cast<std::int64_t>(connections.idle)},
-                    {"half_read_requests", static_cast<std::int64_t>(connections.reading)},
-                    {"lingering_connections", static_cast<std::int64_t>(connections.lingering)},
-                    {"unsent_bytes", static_cast<std::int64_t>(connections.unsent_bytes)}});
+    telemetry::log(
+        log_level::info, "process", "stopping",
+        {{"requests", static_cast<std::int64_t>(m_callers.active_request_count())},
+         {"after_signal_ms",
+          std::chrono::duration_cast<milliseconds>(now - m_state.stop->signalled_at()).count()},
+         {"idle_connections", static_cast<std::int64_t>(connections.idle)},
+         {"half_read_requests", static_cast<std::int64_t>(connections.reading)},
+         {"lingering_connections", static_cast<std::int64_t>(connections.lingering)},
+         {"unsent_bytes", static_cast<std::int64_t>(connections.unsent_bytes)},
+         {"loop_lag_ms",
+          std::chrono::duration_cast<milliseconds>(m_loop_lag.value(now).value_or(duration{0})).count()}});
     m_callers.log_unfinished_requests();
     m_context.stop();
   }
@@ -618,6 +630,7 @@
   evidence_exchange m_evidence;
   caller_listener m_callers;
   asio::steady_timer m_tick_timer;
+  gateway::recent_maximum m_loop_lag;  // How late ticks were.
   asio::signal_set m_signals;
   bool m_store_reachable = true;
   bool m_reads_store = true;                // As last set with platform_port::set_store_reading().
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -63,6 +63,24 @@
   }
 }
 
+TEST(member_list, notices_a_new_process_whose_predecessor_had_not_announced_its_end) {
+  using outcome = member_list::outcome;
+  member_list members({.suspicion_timeout = milliseconds{800}});
+  const auto next_process = [](std::uint64_t incarnation, member_state state = member_state::ready) {
+    auto sent = report("a", 1, state);
+    sent.incarnation = incarnation;
+    return sent;
+  };
+  members.on_store_row(next_process(1));
+  EXPECT_EQ(members.on_report(next_process(2), k_start), outcome::joined) << "only its row was known";
+  EXPECT_EQ(members.on_report(next_process(3), k_start), outcome::replaced);
+  EXPECT_EQ(members.on_report(next_process(4), k_start + seconds{30}), outcome::replaced);
+  auto leaving = next_process(4, member_state::leaving);
+  leaving.sequence = 2;
+  EXPECT_EQ(members.on_report(leaving, k_start + seconds{30}), outcome::state_changed);
+  EXPECT_EQ(members.on_report(next_process(5), k_start + seconds{31}), outcome::joined);
+}
+
 TEST(member_list, lists_ready_members_that_are_alive) {
   member_list members({.suspicion_timeout = milliseconds{800}});
   members.on_report(report("ready", 1), k_start);
