proxy: read an answer that has arrived before a failed write ends the request

What callers saw: 502, or for a stream a cut, although the upstream's answer stood unread on the connection. An upstream that answers early (refuses, or answers before it has read a long body) and closes resets the connection behind its answer; the write then fails, and the gateway gave the request up at once.

What has arrived is now read before the request ends. A part of an answer, and one that would end with the connection, stay failures.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -106,11 +106,10 @@
   m_parser.start({}, no_body);
   asio::async_write(m_socket, asio::buffer(m_outgoing),
                     [self = shared_from_this()](std::error_code error, std::size_t /*size*/) {
-                      self->m_request_written = true;
+                      self->m_request_written = !error;
                       std::string().swap(self->m_outgoing);
-                      // Fails the request, even if part of its response has arrived and is still unread.
                       if (error && self->m_request_active && self->m_open) {
-                        self->on_connection_end(true, error.message());
+                        self->on_write_failed(error.message());
                       }
                     });
 }
@@ -158,6 +157,22 @@
   wait_readable();
 }
 
+// An upstream that responds early and closes resets the connection behind its response.
+void upstream_connection::on_write_failed(const std::string& reason) {
+  const auto self = shared_from_this();
+  while (m_request_active && m_open) {
+    std::error_code error;
+    const auto buffer = net::read_buffer();
+    const std::size_t size = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+    if (error) {
+      on_connection_end(true, reason);
+      return;
+    }
+    m_last_read = clock::now();
+    consume({buffer.data(), size});
+  }
+}
+
 void upstream_connection::consume(std::string_view bytes) {
   if (!m_request_active) {
     on_connection_end(true, "bytes without a request");
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -59,6 +59,8 @@
 private:
   void wait_readable();
   void on_readable();
+  // Reads what has arrived before it ends the request.
+  void on_write_failed(const std::string& reason);
   void consume(std::string_view bytes);
   void handle_head(message_head&& head);
   void on_message_end(bool bytes_follow);
