proxy: send no request with a quarantined prompt part to a second upstream for silence

Hosts of crashed upstreams may be silent in place of refusing connections, so that silence is what a crash looks like.

Cause: until silence ended the attempt, and end_attempt() asks the quarantine; the second run beside a silent one did not.

Test: second_attempt.a_prompt_part_that_was_quarantined_meanwhile_reaches_no_other_upstream; without the question 2 upstreams get the request (mutant).

--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -105,6 +105,8 @@
 
   // Refuses the request and returns true if a part of its prompt crashes upstreams.
   [[nodiscard]] bool refuse_quarantined(time_point now);
+  // Returns true if a part of the prompt was quarantined while the request was at an upstream.
+  [[nodiscard]] bool is_quarantined(time_point now) const;
   // Records that the parts of the prompt have produced output at an upstream.
   void record_output(upstream_attempt& attempt, time_point now);
   // Called if the connection of an attempt breaks. Before the next step, checks whether the upstream has
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -210,6 +210,10 @@
   return m_route->repeatable() && (!m_response_started || gateway::parse_event_id(m_last_event_id));
 }
 
+bool exchange::is_quarantined(time_point now) const {
+  return !m_response_started && m_state.prompt_quarantine.admit(m_prompt_parts, now).has_value();
+}
+
 milliseconds exchange::stall_timeout() const {
   const milliseconds timeout =
       std::clamp(k_stall_timeout_targets * m_route->target_latency, k_min_stall_timeout, k_max_stall_timeout);
@@ -239,7 +243,7 @@
   }
   const auto* target = choose_upstream(now);
   if (target == nullptr || !may_run_again() || !m_state.budget(m_service).available() ||
-      time_left(now) < gateway::k_min_time_for_attempt) {
+      time_left(now) < gateway::k_min_time_for_attempt || is_quarantined(now)) {
     arm_stall_timer(now + k_min_stall_timeout);
     return;
   }
@@ -327,10 +331,7 @@
                                      .retry_budget_available = m_state.budget(m_service).available(),
                                      .other_upstream_available = target != nullptr,
                                      .time_left = time_left(now)};
-  // The part may have been quarantined while the request was at an upstream.
-  const bool keep_from_upstreams =
-      !m_response_started && m_state.prompt_quarantine.admit(m_prompt_parts, now).has_value();
-  const next_step step = gateway::after_attempt(keep_from_upstreams ? attempt_result::crashed : end, facts);
+  const next_step step = gateway::after_attempt(is_quarantined(now) ? attempt_result::crashed : end, facts);
   telemetry::log(log_level::info, "request", "attempt ended",
                  {{"request", m_request_id},
                   {"upstream", attempt.upstream_id},
--- /dev/null
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -0,0 +1,117 @@
+// Checks when a request that runs at a silent upstream is sent to another one, too, and what this costs
+// others.
+
+#include <gmock/gmock.h>
+
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <list>
+
+#include <fmt/format.h>
+
+#include "proxy_fixture.h"
+#include "response_text.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using after = upstream_action::after;
+
+constexpr std::string_view k_stream_head =
+    "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+std::string event_text(int number) {
+  return fmt::format("id: {0}\ndata: text {0}\n\n", number);
+}
+
+std::string events(int first, int last) {
+  std::string text;
+  for (int number = first; number <= last; ++number) {
+    text += chunk(event_text(number));
+  }
+  return text;
+}
+
+class second_attempt : public proxy_fixture {
+protected:
+  second_attempt() {
+    auto configuration = std::make_shared<gateway::configuration>(*m_state.configuration);
+    for (auto& route : configuration->routes) {
+      route.target_latency = milliseconds{100};
+    }
+    configuration->build_index();
+    m_state.configuration = std::move(configuration);
+  }
+
+  static upstream_action full() { return {response_text("a", "", "X-Not-Executed: 1\r\n", 503)}; }
+  static upstream_action stream(int first, int last) {
+    return {std::string(k_stream_head) + events(first, last)};
+  }
+  static upstream_action rest(int first, int last) {
+    return {std::string(k_stream_head) + events(first, last) + "0\r\n\r\n"};
+  }
+
+  // Calls `action` after `time`.
+  void after_time(milliseconds time, std::function<void()> action) {
+    auto& timer = m_timers.emplace_back(m_context, time);
+    timer.async_wait([action = std::move(action)](std::error_code cancelled) {
+      if (!cancelled) {
+        action();
+      }
+    });
+  }
+
+  void run_for(milliseconds time) {
+    const time_point end = clock::now() + time;
+    run_until([end] { return clock::now() >= end; });
+  }
+
+  // Adds an upstream to the service "s" that is not scripted.
+  void add_address(std::string id, std::string address) {
+    m_records.push_back({.id = std::move(id),
+                         .service = "s",
+                         .address = std::move(address),
+                         .availability_zone = "z",
+                         .slots = 4});
+    m_state.upstreams.apply(m_records, clock::now(), false);
+  }
+
+  // Sets the requests that another gateway has at an upstream.
+  void set_load(const std::string& id, std::uint32_t requests) {
+    const gateway::upstream_load load{.upstream_hash = m_state.upstreams.find(id)->hash,
+                                      .outstanding = requests};
+    m_state.upstreams.set_member_loads("at " + id, {&load, 1});
+  }
+
+  [[nodiscard]] std::uint32_t requests_at(const std::string& id) const {
+    return m_state.upstreams.find(id)->local_requests;
+  }
+
+  caller_view send(std::string_view path, std::string_view headers = "Content-Length: 0\r\n") {
+    const auto response = call(request("POST", path, "a", headers),
+                               [](const std::string& bytes) { return read_response(bytes).whole; });
+    return read_response(response.bytes);
+  }
+
+  std::list<asio::steady_timer> m_timers;
+};
+
+TEST_F(second_attempt, a_prompt_part_that_was_quarantined_meanwhile_reaches_no_other_upstream) {
+  use_engine();
+  for (const char* id : {"i-1", "i-2"}) {
+    add_upstream(id, [](auto, const auto&) { return upstream_action{}; });
+  }
+  after_time(milliseconds{100}, [this] {
+    const std::array parts{routing::hash_prompt_part("m", "p")};
+    const time_point now = clock::now();
+    m_state.prompt_quarantine.on_crash(1, parts, now - milliseconds{400});
+    m_state.prompt_quarantine.on_crash(2, parts, now - milliseconds{350});
+    ASSERT_TRUE(m_state.prompt_quarantine.admit(parts, now).has_value());
+  });
+  send("/stream/x", "X-Model: m\r\nX-Prompt-Parts: p:10,own:5\r\nContent-Length: 0\r\n");
+  EXPECT_EQ(m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size(), 1U);
+}
+
+}  // namespace
+}  // namespace cuminpath::proxy
