proxy: ask no third upstream while the second is being connected

While a second upstream was being connected beside a silent one and the first one broke, the stall timer was armed with its old time, fired at once and sent the request to a third one. Attempts count when they are sent, so the second was not counted.

--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -237,6 +237,9 @@
 
 void exchange::on_stall() {
   const time_point now = clock::now();
+  if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& attempt) { return !attempt->sent; })) {
+    return;  // The timer is armed again when that attempt is sent or ends.
+  }
   if (now < m_last_progress + stall_timeout()) {
     arm_stall_timer(now);
     return;
--- a/source/unit_tests/proxy/second_attempt_test.cpp
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -21,6 +21,9 @@
 constexpr std::string_view k_stream_head =
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
+// Another upstream gets the requests of the fixture's routes after this time without an event.
+constexpr milliseconds k_stall_time{500};
+
 std::string event_text(int number) {
   return fmt::format("id: {0}\ndata: text {0}\n\n", number);
 }
@@ -33,6 +36,14 @@
   return text;
 }
 
+std::string whole_body(int last) {
+  std::string text;
+  for (int number = 1; number <= last; ++number) {
+    text += event_text(number);
+  }
+  return text;
+}
+
 class second_attempt : public proxy_fixture {
 protected:
   second_attempt() {
@@ -113,5 +124,47 @@
   EXPECT_EQ(m_upstreams[0]->requests().size() + m_upstreams[1]->requests().size(), 1U);
 }
 
+// Accepts no connection: its queue is full.
+class unreachable_upstream {
+public:
+  explicit unreachable_upstream(asio::io_context& context)
+      : m_acceptor(context), m_first(context), m_second(context) {
+    m_acceptor.open(asio::ip::tcp::v4());
+    m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    m_acceptor.listen(0);
+    for (auto* socket : {&m_first, &m_second}) {
+      socket->async_connect(m_acceptor.local_endpoint(), [](std::error_code /*error*/) {});
+    }
+  }
+  [[nodiscard]] std::string address() const {
+    return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+  }
+
+private:
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::socket m_first;
+  asio::ip::tcp::socket m_second;
+};
+
+TEST_F(second_attempt, no_third_upstream_is_asked_while_the_second_is_being_connected) {
+  add_upstream("i-1", [this](auto, const auto&) {
+    after_time(k_stall_time + milliseconds{100}, [this] { m_upstreams[0]->send_to_last("no chunk\r\n"); });
+    return stream(1, 2);
+  });
+  const unreachable_upstream unreachable(m_context);
+  add_address("i-2", unreachable.address());
+  std::uint32_t at_second = 0;
+  add_upstream("i-3", [&](auto, const auto&) {
+    at_second = requests_at("i-2");
+    return rest(3, 4);
+  });
+  set_load("i-2", 1);
+  set_load("i-3", 2);
+  const auto response = send("/stream/x");
+  EXPECT_EQ(at_second, 0U);
+  EXPECT_EQ(response.body, whole_body(4));
+  EXPECT_TRUE(response.whole);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
