proxy: watch a run for silence again after its double was dropped

What callers saw: a stream whose upstream fell silent twice waited until its deadline while others had free places. The stall timer ends when a second attempt begins and is armed again when that one is sent or ends; if the first run went on while the second was still being connected, or while the end of a broken one was being checked, nobody armed it again.

Test: second_attempt.a_run_that_falls_silent_again_is_doubled_if_the_first_double_was_not_sent; cut at its deadline before (mutant).

--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -407,6 +407,7 @@
                     {"silent_ms", other->sent ? ms_between(other->last_progress, now) : std::int64_t{-1}},
                     {"answered_by", kept.upstream_id}});
     m_state.metrics.add("cuminpath_attempts_failed_total", {{"end", std::string(end)}});
+    arm_stall_timer(now);
   }
 }
 
--- a/source/unit_tests/proxy/second_attempt_test.cpp
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -166,5 +166,20 @@
   EXPECT_TRUE(response.whole);
 }
 
+TEST_F(second_attempt, a_run_that_falls_silent_again_is_doubled_if_the_first_double_was_not_sent) {
+  add_upstream("i-1", [this](auto, const auto&) {
+    after_time(k_stall_time + milliseconds{100}, [this] { m_upstreams[0]->send_to_last(events(3, 3)); });
+    return stream(1, 2);
+  });
+  const unreachable_upstream unreachable(m_context);
+  add_address("i-2", unreachable.address());
+  add_upstream("i-3", [](auto, const auto&) { return rest(4, 4); });
+  set_load("i-2", 1);
+  set_load("i-3", 2);
+  const auto response = send("/stream/x");
+  EXPECT_EQ(response.body, whole_body(4));
+  EXPECT_TRUE(response.whole);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
