--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -210,6 +210,10 @@
   return m_route->repeatable() && (!m_response_started || gateway::parse_event_id(m_last_event_id));
 }
 
+bool exchange::is_quarantined(time_point now) const {
+  return !m_response_started && m_state.prompt_quarantine.admit(m_prompt_parts, now).has_value();
+}
+
 milliseconds exchange::stall_timeout() const {
   const milliseconds timeout =
       std::clamp(k_stall_timeout_targets * m_route->target_latency, k_min_stall_timeout, k_max_stall_timeout);
@@ -233,13 +237,16 @@
 
 void exchange::on_stall() {
   const time_point now = clock::now();
+  if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& attempt) { return !attempt->sent; })) {
+    return;  // The timer is armed again when that attempt is sent or ends.
+  }
   if (now < m_last_progress + stall_timeout()) {
     arm_stall_timer(now);
     return;
   }
   const auto* target = choose_upstream(now);
   if (target == nullptr || !may_run_again() || !m_state.budget(m_service).available() ||
-      time_left(now) < gateway::k_min_time_for_attempt) {
+      time_left(now) < gateway::k_min_time_for_attempt || is_quarantined(now)) {
     arm_stall_timer(now + k_min_stall_timeout);
     return;
   }
@@ -327,10 +334,7 @@
                                      .retry_budget_available = m_state.budget(m_service).available(),
                                      .other_upstream_available = target != nullptr,
                                      .time_left = time_left(now)};
-  // The part may have been quarantined while the request was at an upstream.
-  const bool keep_from_upstreams =
-      !m_response_started && m_state.prompt_quarantine.admit(m_prompt_parts, now).has_value();
-  const next_step step = gateway::after_attempt(keep_from_upstreams ? attempt_result::crashed : end, facts);
+  const next_step step = gateway::after_attempt(is_quarantined(now) ? attempt_result::crashed : end, facts);
   telemetry::log(log_level::info, "request", "attempt ended",
                  {{"request", m_request_id},
                   {"upstream", attempt.upstream_id},
@@ -403,6 +407,7 @@
                     {"silent_ms", other->sent ? ms_between(other->last_progress, now) : std::int64_t{-1}},
                     {"answered_by", kept.upstream_id}});
     m_state.metrics.add("cuminpath_attempts_failed_total", {{"end", std::string(end)}});
+    arm_stall_timer(now);
   }
 }
 
