proxy: do not take an upstream for silent while its caller reads slowly

What callers saw: a stream whose caller read slowly was sent to a second upstream after 0.5 to 1.3 s, and its sound upstream counted as failed. The gateway stops reading from the upstream while much is unsent to the caller, and took its own pause for the upstream's silence. Slow callers used up retries, attempts and places (BUDGET, KV cache moved).

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -278,8 +278,9 @@
 
 void exchange::on_caller_drained() {
   for (const auto& attempt : m_attempts) {
-    if (attempt->connection) {
+    if (attempt->connection && attempt->connection->paused()) {
       attempt->connection->resume_reading();
+      attempt->last_progress = m_last_progress = clock::now();
     }
   }
 }
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -240,6 +240,11 @@
   if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& attempt) { return !attempt->sent; })) {
     return;  // The timer is armed again when that attempt is sent or ends.
   }
+  if (std::any_of(m_attempts.begin(), m_attempts.end(),
+                  [](const auto& attempt) { return attempt->connection->paused(); })) {
+    arm_stall_timer(now + k_min_stall_timeout);
+    return;
+  }
   if (now < m_last_progress + stall_timeout()) {
     arm_stall_timer(now);
     return;
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -42,6 +42,7 @@
 
   void pause_reading() { m_paused = true; }
   void resume_reading();
+  [[nodiscard]] bool paused() const { return m_paused; }
   void close();
 
   // Returns true if another request may be sent: the last response was complete, and no bytes followed it.
--- a/source/unit_tests/proxy/second_attempt_test.cpp
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -181,5 +181,22 @@
   EXPECT_TRUE(response.whole);
 }
 
+TEST_F(second_attempt, an_upstream_whose_caller_reads_slowly_is_not_silent) {
+  const endless_upstream endless(m_context, std::string(k_stream_head),
+                                 chunk("id: 1\ndata: " + std::string(8192, 'x') + "\n\n"));
+  add_address("i-1", endless.address());
+  add_upstream("i-2", [](auto, const auto&) { return upstream_action{}; });
+  set_load("i-2", 1);
+  asio::ip::tcp::socket caller(m_context);
+  const std::string address = m_listener.address();
+  caller.connect({asio::ip::address_v4::loopback(),
+                  static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)))});
+  asio::write(caller, asio::buffer(request("POST", "/stream/x", "a", "Content-Length: 0\r\n")));
+  run_for(2 * k_stall_time + milliseconds{200});
+  EXPECT_GT(endless.sent(), 0U);
+  EXPECT_EQ(m_upstreams[0]->requests().size(), 0U);
+  EXPECT_EQ(m_state.upstreams.find("i-1")->health.recent_failures(clock::now()), 0);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
