--- /dev/null
+++ b/source/unit_tests/net/asio_last.cpp
@@ -0,0 +1,17 @@
+#include "asio_macros.h"
+
+#include <cstddef>
+
+#include <asio/io_context.hpp>
+
+namespace cuminpath::net {
+
+bool aligned_alloc_with_asio_last() {
+#ifdef ASIO_HAS_STD_ALIGNED_ALLOC
+  return true;
+#else
+  return false;
+#endif
+}
+
+}  // namespace cuminpath::net
