proxy: ask full upstreams again while the first run is silent

What callers saw: a request whose upstream had fallen silent for good waited for its deadline, although the upstreams that had refused it once had free places again: they stayed excluded as long as the silent run went on. Streams that have lost all their runs ask them again; both now do.

Test: second_attempt.an_upstream_that_was_full_is_asked_again_while_the_first_is_silent, cut at its deadline on.

--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -74,6 +74,8 @@
   void refuse_for_stop();
 
   [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream(time_point now) const;
+  // If no other upstream has a free place, those that have refused the request are asked again.
+  [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream_again(time_point now);
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
   // Returns true if the places that are free are owed to streams that wait for one.
   [[nodiscard]] bool leaves_places_to_waiting_streams(time_point now) const;
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -249,7 +249,7 @@
     arm_stall_timer(now);
     return;
   }
-  const auto* target = choose_upstream(now);
+  const auto* target = choose_upstream_again(now);
   if (target == nullptr || !may_run_again() || !m_state.budget(m_service).available() ||
       time_left(now) < gateway::k_min_time_for_attempt || is_quarantined(now)) {
     arm_stall_timer(now + k_min_stall_timeout);
@@ -467,15 +467,19 @@
   });
 }
 
-void exchange::try_again(time_point now) {
-  const auto* target = choose_upstream(now);
-  if (target == nullptr) {
-    std::erase_if(m_tried_upstreams, [this](const std::string& id) {
-      return std::find(m_full_upstreams.begin(), m_full_upstreams.end(), id) != m_full_upstreams.end();
-    });
-    m_full_upstreams.clear();
-    target = choose_upstream(now);
+const gateway::upstream_table::upstream* exchange::choose_upstream_again(time_point now) {
+  if (const auto* target = choose_upstream(now)) {
+    return target;
   }
+  std::erase_if(m_tried_upstreams, [this](const std::string& id) {
+    return std::find(m_full_upstreams.begin(), m_full_upstreams.end(), id) != m_full_upstreams.end();
+  });
+  m_full_upstreams.clear();
+  return choose_upstream(now);
+}
+
+void exchange::try_again(time_point now) {
+  const auto* target = choose_upstream_again(now);
   if (target == nullptr || !m_state.budget(m_service).available()) {
     await_upstream(k_place_poll_interval, now);
     return;
--- a/source/unit_tests/proxy/second_attempt_test.cpp
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -198,5 +198,14 @@
   EXPECT_EQ(m_state.upstreams.find("i-1")->health.recent_failures(clock::now()), 0);
 }
 
+TEST_F(second_attempt, an_upstream_that_was_full_is_asked_again_while_the_first_is_silent) {
+  add_upstream("i-1", [](auto, const auto&) { return stream(1, 2); });
+  add_upstream("i-2", [](std::size_t number, const auto&) { return number < 2 ? full() : rest(3, 4); });
+  set_load("i-2", 1);
+  const auto response = send("/stream/x");
+  EXPECT_EQ(response.body, whole_body(4));
+  EXPECT_TRUE(response.whole);
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
