proxy, routing: keep no places free for lost streams that have no retry left

What callers saw: new requests refused (503) while places were free. Now as many are kept as there are retries.

--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -213,7 +213,11 @@
 }
 
 bool exchange::leaves_places_to_waiting_streams(time_point now) const {
-  const std::uint32_t waiting = m_state.waiting(m_service);
+  // Streams without a retry left could not use the places.
+  const auto retries = m_state.retry_budgets.find(m_service);
+  const std::uint32_t waiting =
+      std::min(m_state.waiting(m_service),
+               retries == m_state.retry_budgets.end() ? 0U : retries->second.retries_left());
   return waiting == 0 || m_request.header(m_state.header_names.resume_after) ||
          gateway::leaves_places(m_state.upstreams.totals(m_service, now), waiting);
 }
--- a/source/core/routing/retry_budget.h
+++ b/source/core/routing/retry_budget.h
@@ -2,6 +2,8 @@
 // failing fleet.
 #pragma once
 
+#include <cstdint>
+
 namespace cuminpath::routing {
 
 struct retry_budget_options {
@@ -25,6 +27,7 @@
   // Takes one retry from the budget. Returns false if none is left.
   bool try_take();
   [[nodiscard]] bool available() const { return m_tokens >= 1; }
+  [[nodiscard]] std::uint32_t retries_left() const { return static_cast<std::uint32_t>(m_tokens); }
   // Changes the limits, for example when the number of processes that share them has changed.
   void set_options(const retry_budget_options& options);
 
--- a/source/unit_tests/proxy/second_attempt_test.cpp
+++ b/source/unit_tests/proxy/second_attempt_test.cpp
@@ -207,5 +207,27 @@
   EXPECT_TRUE(response.whole);
 }
 
+TEST_F(second_attempt, a_lost_stream_without_a_retry_left_keeps_no_places_free) {
+  use_engine();
+  add_upstream("i-1", [](auto, const auto&) {
+    auto action = stream(1, 2);
+    action.then = after::close;
+    return action;
+  });
+  add_upstream("i-2", [](auto, const auto&) { return upstream_action{response_text("b", "served")}; });
+  set_load("i-2", 3);
+  while (m_state.budget("s").try_take()) {
+  }
+  asio::ip::tcp::socket caller(m_context);
+  const std::string address = m_listener.address();
+  caller.connect({asio::ip::address_v4::loopback(),
+                  static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)))});
+  asio::write(caller, asio::buffer(request("POST", "/stream/x", "a", "Content-Length: 0\r\n")));
+  ASSERT_TRUE(run_until([this] { return m_state.waiting("s") == 1; }));
+  set_load("i-1", 4);
+  const auto response = call(request("GET", "/safe/x", "b"), is_complete);
+  EXPECT_THAT(response.bytes, ::testing::StartsWith("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
