entry: keep a started stream until another attempt has its next token

What callers saw: a stream that had begun ended with `event: error` with seconds of its time left, although engines were sound: when its agent was lost and a second one was busy, draining or over its share, when the retry budget was empty, after 10 s without an agent, or when its agent was silent for 2 s and the others refused.

The entry cancelled the attempt at a suspected agent first and then looked for another one, and took a refusal for the end.

Now a started stream waits for an upstream or the retry budget until its deadline, in pauses of 0.1 to 1 s. Refusals `not_run` cost it neither the budget nor an attempt; four attempts that may have run still end it. The attempt at a suspected agent goes on beside the next one (request::silent_attempts): the first that has the next token, or the end, owns the caller's stream and the others are cancelled; a gap or a refusal drops only the attempt it belongs to.

model_request_test.stream_that_cannot_continue_ends_with_an_explicit_error expected the error after 10 s of a stream with 120 s; it now has 12 s and must end at them, not sooner.

--- a/source/core/entry/agent_messages.cpp
+++ b/source/core/entry/agent_messages.cpp
@@ -68,13 +68,20 @@
 
 }  // namespace
 
-request* entry_core::find_current_attempt(std::string_view peer_address, std::string_view wire_id,
-                                          attempt_number number) {
+request* entry_core::find_current_attempt(event_context& context, std::string_view peer_address,
+                                          std::string_view wire_id, attempt_number number,
+                                          const wire::message& message) {
   request* value = m_requests.find_by_wire_id(wire_id);
-  if (value != nullptr && value->attempt && value->attempt->number == number &&
-      value->attempt->peer_address == peer_address) {
+  const auto matches = [&](const open_attempt& attempt) {
+    return attempt.number == number && attempt.peer_address == peer_address;
+  };
+  if (value != nullptr && value->attempt && matches(*value->attempt)) {
     return value;
   }
+  if (value != nullptr &&
+      std::any_of(value->silent_attempts.begin(), value->silent_attempts.end(), matches)) {
+    return on_silent_attempt(context, *value, number, message) ? value : nullptr;
+  }
   ++m_counters.late_frames;
   return nullptr;
 }
@@ -88,7 +95,8 @@
     found->second.message_received = true;
   }
   const auto with_attempt = [&](const auto& content, auto handler) {
-    if (request* value = find_current_attempt(peer_address, content.request_id, content.attempt)) {
+    if (request* value =
+            find_current_attempt(context, peer_address, content.request_id, content.attempt, message)) {
       (this->*handler)(context, *value, content);
     }
   };
@@ -148,6 +156,7 @@
     handle_broken_attempt(context, value, "a part of the response is missing");
     return;
   }
+  const std::uint64_t first_new_index = value.answer.next_index;
   std::string events;
   std::string_view remaining = message.data;
   std::uint64_t index = message.index;
@@ -171,6 +180,10 @@
       events.append("data: ").append(line).append("\n\n");
     }
   }
+  if (value.answer.next_index > first_new_index) {
+    value.pauses = 0;
+    close_silent_attempts(context, value, routing::attempt_outcome::failed);
+  }
   if (!events.empty()) {
     if (!value.stream_begun) {
       value.stream_begun = true;
@@ -211,7 +224,10 @@
   auto response = upstream_response(value);
   response.headers.emplace_back("X-Request-Id", value.request_id);
   if (value.stream_begun) {
-    fail_request(context, value, problem{502, wire::execution::unknown, "the engine refused to resume", {}});
+    value.last_refusal = problem{502, wire::execution::unknown, "the engine refused to resume", {}};
+    if (value.silent_attempts.empty()) {
+      fail_request(context, value, value.last_refusal);
+    }
     return;
   }
   respond_to(context, value, std::move(response));
@@ -273,7 +289,13 @@
     run_claim_actions(context, value, std::move(actions));
     return;
   }
-  if (value.may_have_crashed_upstream && !value.stream_begun) {
+  if (value.stream_begun) {
+    // A refusal without a run has cost no upstream any work.
+    retry(context, value, never_ran ? retry_cost::free : retry_cost::budget,
+          stale ? k_stale_configuration_delay : milliseconds(0));
+    return;
+  }
+  if (value.may_have_crashed_upstream) {
     fail_request(context, value, value.last_refusal);
     return;
   }
--- a/source/core/entry/attempts.cpp
+++ b/source/core/entry/attempts.cpp
@@ -12,9 +12,8 @@
 constexpr std::uint32_t k_max_budgeted_attempts = 4;
 // A refusal by a draining agent costs only one message. More refusals than this indicate another fault.
 constexpr std::uint32_t k_max_free_retries = 40;
-// How long a started stream waits for an upstream before it ends with an error.
-constexpr milliseconds k_max_stream_gap{10000};
-constexpr milliseconds k_upstream_retry_interval{100};
+constexpr milliseconds k_first_stream_pause{100};
+constexpr milliseconds k_max_stream_pause{1000};
 constexpr milliseconds k_retry_after{1000};
 
 problem not_run_problem(int status, std::string detail, milliseconds retry_after = milliseconds(0)) {
@@ -30,9 +29,13 @@
   route.excluded = value.excluded;
   auto chosen = m_router.choose(context.now, route, context.random);
   if (!chosen && !value.excluded.empty()) {
-    // Every upstream has been tried. One of them may have recovered, so all are candidates again.
+    // Every upstream has been tried. One of them may have recovered, so all are candidates again, except
+    // those that still run an attempt of this request.
     value.excluded.clear();
-    route.excluded = {};
+    for (const auto& attempt : value.silent_attempts) {
+      value.excluded.push_back(attempt.upstream);
+    }
+    route.excluded = value.excluded;
     chosen = m_router.choose(context.now, route, context.random);
   }
   return chosen;
@@ -44,7 +47,6 @@
   }
   const auto upstream = choose_upstream(context, value);
   if (upstream) {
-    value.upstream_lost_at.reset();
     send_attempt(context, value, *upstream, attempt_number{to_integer(value.last_attempt) + 1});
     return;
   }
@@ -53,11 +55,8 @@
     return;
   }
   if (value.stream_begun) {
-    value.upstream_lost_at = value.upstream_lost_at.value_or(context.now);
-    if (context.now - *value.upstream_lost_at < k_max_stream_gap) {
-      value.retry_at = context.now + k_upstream_retry_interval;
-      return;
-    }
+    pause_stream(context, value, k_first_stream_pause);
+    return;
   }
   fail_request(context, value,
                value.last_attempt == attempt_number{}
@@ -144,6 +143,10 @@
     expire_request(context, value);
     return;
   }
+  if (value.stream_begun) {
+    retry_stream(context, value, cost, delay);
+    return;
+  }
   if (!try_take_retry(value, cost)) {
     fail_request(context, value, value.last_refusal);
     return;
@@ -155,6 +158,53 @@
   start_attempt(context, value);
 }
 
+// The caller cannot repeat a started stream without losing it, so the stream waits until its deadline for
+// what it lacks: a free upstream, or a retry from the budget.
+void entry_core::retry_stream(event_context& context, request& value, retry_cost cost, milliseconds delay) {
+  if (cost == retry_cost::free) {
+    ++value.free_retries;
+    ++m_counters.free_retries;
+    if (value.pauses > 0 || delay > milliseconds(0)) {
+      pause_stream(context, value, delay);
+      return;
+    }
+    ++value.pauses;  // Another upstream may be free, so only the refusals after the first one cause a pause.
+    start_attempt(context, value);
+    return;
+  }
+  if (value.budgeted_retries + 1 >= k_max_budgeted_attempts) {
+    ++m_counters.retries_denied;
+    if (value.silent_attempts.empty()) {
+      fail_request(context, value, value.last_refusal);
+    }
+    return;
+  }
+  if (!try_take_retry(value, cost)) {
+    value.awaits_retry_budget = true;
+    pause_stream(context, value, k_first_stream_pause);
+    return;
+  }
+  start_attempt(context, value);
+}
+
+void entry_core::pause_stream(event_context& context, request& value, milliseconds min_pause) {
+  auto pause = k_first_stream_pause;
+  for (std::uint32_t i = 0; i < value.pauses && pause < k_max_stream_pause; ++i) {
+    pause *= 2;
+  }
+  ++value.pauses;
+  value.retry_at = context.now + std::max(std::min(pause, k_max_stream_pause), min_pause);
+}
+
+void entry_core::retry_when_due(event_context& context, request& value) {
+  value.retry_at.reset();
+  if (std::exchange(value.awaits_retry_budget, false)) {
+    retry(context, value, retry_cost::budget, milliseconds(0));
+  } else {
+    start_attempt(context, value);
+  }
+}
+
 void entry_core::handle_broken_attempt(event_context& context, request& value, std::string_view cause) {
   if (value.claim) {
     std::vector<idempotency::action> actions;
@@ -207,6 +257,7 @@
 }
 
 void entry_core::end_request(event_context& context, request& value, int status) {
+  close_silent_attempts(context, value, routing::attempt_outcome::abandoned);
   context.actions.emplace_back(
       request_ended{value.accepted.priority_class, status, context.now - value.arrival});
   if (!value.settling_token.empty()) {
--- a/source/core/entry/entry_core.cpp
+++ b/source/core/entry/entry_core.cpp
@@ -89,10 +89,16 @@
       }
     }
     m_requests.for_each([&](const request& value) {
-      if (value.attempt && !kept.contains(value.attempt->peer_address)) {
-        const auto known = m_peers.find(value.attempt->peer_address);
-        kept.emplace(value.attempt->peer_address, known == m_peers.end() ? peer{} : known->second);
+      const auto keep = [&](const open_attempt& attempt) {
+        if (!kept.contains(attempt.peer_address)) {
+          const auto known = m_peers.find(attempt.peer_address);
+          kept.emplace(attempt.peer_address, known == m_peers.end() ? peer{} : known->second);
+        }
+      };
+      if (value.attempt) {
+        keep(*value.attempt);
       }
+      std::for_each(value.silent_attempts.begin(), value.silent_attempts.end(), keep);
     });
     for (const auto& [address, agent] : m_peers) {
       if (!kept.contains(address)) {
@@ -232,7 +238,8 @@
     found->second.next_subscription = context.now + k_resubscribe_interval;
   }
   m_requests.for_each([&](request& value) {
-    if (value.attempt && value.attempt->peer_address == peer_address) {
+    on_silent_link_lost(context, value, peer_address);
+    if (!value.done && value.attempt && value.attempt->peer_address == peer_address) {
       handle_broken_attempt(context, value, "the link to the agent was lost");
     }
   });
@@ -245,7 +252,7 @@
     m_requests.for_each([&](request& value) {
       if (value.attempt &&
           std::find(suspected.begin(), suspected.end(), value.attempt->upstream) != suspected.end()) {
-        handle_broken_attempt(context, value, "the agent does not respond");
+        on_agent_silent(context, value);
       }
     });
     for (const auto id : suspected) {
@@ -275,8 +282,7 @@
     return;
   }
   if (value.retry_at && context.now >= *value.retry_at) {
-    value.retry_at.reset();
-    start_attempt(context, value);
+    retry_when_due(context, value);
   }
 }
 
--- a/source/core/entry/entry_core.h
+++ b/source/core/entry/entry_core.h
@@ -119,15 +119,32 @@
   void close_attempt(event_context& context, request& value, routing::attempt_outcome outcome, bool cancel);
   void retry(event_context& context, request& value, retry_cost cost, milliseconds delay);
   bool try_take_retry(request& value, retry_cost cost);
+  void retry_stream(event_context& context, request& value, retry_cost cost, milliseconds delay);
+  // Schedules the next attempt of a started stream; each pause is longer than the one before it.
+  void pause_stream(event_context& context, request& value, milliseconds min_pause);
+  void retry_when_due(event_context& context, request& value);
   void handle_broken_attempt(event_context& context, request& value, std::string_view cause);
+  // silent_attempts.cpp: attempts of started streams that go on while their agents are silent.
+  void on_agent_silent(event_context& context, request& value);
+  void close_silent_attempts(event_context& context, request& value, routing::attempt_outcome outcome);
+  // Removes the silent attempts that `matches` selects. The stream ends if it has nothing else left.
+  template <class predicate>
+  void drop_silent_attempts(event_context& context, request& value, predicate matches);
+  void on_silent_link_lost(event_context& context, request& value, std::string_view peer_address);
+  // Handles a message of a silent attempt. Returns true if that attempt is the current one from now on.
+  bool on_silent_attempt(event_context& context, request& value, attempt_number number,
+                         const wire::message& message);
+  void make_current(event_context& context, request& value, attempt_number number);
   void expire_request(event_context& context, request& value);
   void fail_request(event_context& context, request& value, problem failure);
   void respond_to(event_context& context, request& value, http::response response);
   void end_request(event_context& context, request& value, int status);
 
   // answers.cpp: messages of agents.
-  request* find_current_attempt(std::string_view peer_address, std::string_view wire_id,
-                                attempt_number number);
+  // Returns the request whose current attempt the message belongs to, if its state is still needed.
+  request* find_current_attempt(event_context& context, std::string_view peer_address,
+                                std::string_view wire_id, attempt_number number,
+                                const wire::message& message);
   void on_head(event_context& context, request& value, const wire::response_head& message);
   void on_chunk(event_context& context, request& value, const wire::response_chunk& message);
   void on_model_chunk(event_context& context, request& value, const wire::response_chunk& message);
--- a/source/core/entry/prompt_crashes.cpp
+++ b/source/core/entry/prompt_crashes.cpp
@@ -40,9 +40,13 @@
   value.may_have_crashed_upstream =
       m_prompt_quarantine.may_crash_upstreams(value.accepted.prompt_parts, context.now);
   m_prompt_quarantine.on_crash(message.crash, value.accepted.prompt_parts, context.now);
+  const auto silent =
+      std::find_if(value.silent_attempts.begin(), value.silent_attempts.end(),
+                   [&](const open_attempt& attempt) { return attempt.number == message.attempt; });
+  const auto& attempt = silent == value.silent_attempts.end() ? *value.attempt : *silent;
   context.actions.emplace_back(record_event{
       "upstream_crashed", fmt::format("request {}, upstream {}, crash {:08x}, parts {:016x}",
-                                      value.request_id, m_router.upstream(value.attempt->upstream).name,
+                                      value.request_id, m_router.upstream(attempt.upstream).name,
                                       message.crash, fmt::join(value.accepted.prompt_parts, ","))});
 }
 
--- a/source/core/entry/request_table.h
+++ b/source/core/entry/request_table.h
@@ -39,13 +39,18 @@
 
   attempt_number last_attempt{};
   std::optional<open_attempt> attempt;
+  // Earlier attempts of a started stream whose agents are silent. The first attempt that has the next token
+  // ends all others.
+  std::vector<open_attempt> silent_attempts;
   // Upstreams of earlier attempts, which the next attempt avoids.
   std::vector<routing::upstream_id> excluded;
   // Retries from the retry budget. Attempts that were refused before any work was done do not count.
   std::uint32_t budgeted_retries = 0;
   std::uint32_t free_retries = 0;
-  std::optional<time_point> retry_at;          // When the next attempt is due.
-  std::optional<time_point> upstream_lost_at;  // Since when a started stream has had no upstream.
+  std::optional<time_point> retry_at;  // When the next attempt is due.
+  bool awaits_retry_budget = false;    // The next attempt is still to be taken from the retry budget.
+  // Pauses of a started stream since its last token.
+  std::uint32_t pauses = 0;
   // Set when an attempt ended and its agent did not confirm that it had not run. Never reset.
   bool may_have_run = false;
   problem last_refusal;  // Why the last attempt failed.
--- a/source/unit_tests/entry/model_request_test.cpp
+++ b/source/unit_tests/entry/model_request_test.cpp
@@ -119,14 +119,18 @@
 
 // Guards against a failed stream that ends as if it were complete.
 TEST_F(model_request_test, stream_that_cannot_continue_ends_with_an_explicit_error) {
-  send_completion(true);
+  send_completion(true, {{"X-Request-Timeout-Ms", "12000"}});
   send_response_tokens(take_submitted(), 0, {"a"});
   alive.clear();
   for (const char* peer : {"m1", "m2", "m3"}) {
     call(&entry_core::on_link_lost, std::string_view(peer));
   }
-  run_for(seconds(12));
-  const std::string stream = take_streamed();
+  run_for(milliseconds(11980));
+  std::string stream = take_streamed();
+  EXPECT_THAT(stream, Not(HasSubstr("error")));
+  EXPECT_TRUE(take<end_stream>().empty());
+  run_for(milliseconds(30));
+  stream = take_streamed();
   EXPECT_THAT(stream, HasSubstr("event: error\ndata: {"));
   EXPECT_THAT(stream, HasSubstr("\"execution\":\"unknown\""));
   EXPECT_THAT(stream, Not(HasSubstr("[DONE]")));
