agent, entry: test what silent engines and safe calls meet today

An agent keeps the run of a silent engine until the deadline. A safe call that two agents refuse fails at once, `not_run`; one whose agent is silent is cancelled there, sent to another, and fails as `unknown` if that one refuses. Its caller has received nothing and may repeat it.

--- a/source/unit_tests/agent/run_test.cpp
+++ b/source/unit_tests/agent/run_test.cpp
@@ -132,6 +132,22 @@
   EXPECT_EQ(agent.sent<wire::response_head>().size(), 2U);  // One per request.
 }
 
+// Guards against a stream that is cut because its engine pauses.
+TEST(agent_run, a_silent_engine_keeps_its_run_until_the_deadline) {
+  agent_harness agent;
+  agent.receive(completion("a"));
+  const auto run = agent.runs[0].id;
+  EXPECT_EQ(agent.runs[0].options.timeout, milliseconds(60000));
+  agent.send_head(run);
+  agent.send_tokens(run, 0, 2);
+  agent.advance(seconds(50));
+  EXPECT_FALSE(agent.is_cancelled(run));
+  EXPECT_TRUE(agent.sent<wire::refusal>().empty());
+  agent.send_tokens(run, 2, 1);
+  agent.finish_stream(run);
+  EXPECT_EQ(agent.last<wire::response_end>().length, 3U);
+}
+
 // Guards against slots that are used for a lost entry, and against an entry that waits for a cancelled run.
 TEST(agent_run, cancels_the_attempts_of_a_lost_entry) {
   agent_harness agent;
--- a/source/unit_tests/entry/service_call_test.cpp
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -211,5 +211,30 @@
   EXPECT_EQ(take_response().body, "whole");
 }
 
+// Guards against a safe call whose caller is not told that it has not run.
+TEST_F(service_call_test, safe_call_that_two_agents_refuse_fails_at_once_as_not_run) {
+  send({"GET", "/services/orders/routes", {{"Authorization", "Bearer " + std::string(k_api_key)}}, ""});
+  send_refusal(take_submitted(), execution::not_run, wire::refusal_reason::queue_full);
+  send_refusal(take_submitted(), execution::not_run, wire::refusal_reason::queue_full);
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(execution_of(response), "not_run");
+}
+
+// Guards against `not_run` for a safe call that may have run at an agent that is silent.
+TEST_F(service_call_test, safe_call_at_a_silent_agent_moves_and_fails_as_unknown_if_the_next_refuses) {
+  send({"GET", "/services/orders/routes", {{"Authorization", "Bearer " + std::string(k_api_key)}}, ""});
+  const auto first = take_submitted();
+  std::erase(alive, first.peer);
+  run_for(milliseconds(2200));
+  EXPECT_EQ(take_messages<wire::cancel_request>().size(), 1U);
+  const auto second = take_submitted();
+  EXPECT_NE(second.peer, first.peer);
+  send_refusal(second, execution::not_run, wire::refusal_reason::queue_full);
+  const auto response = take_response();
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(execution_of(response), "unknown");
+}
+
 }  // namespace
 }  // namespace cuminpath::entry
