--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -89,8 +89,8 @@
     return outcome::ignored;
   }
   const bool joined = !alive(*found, now) || !same_incarnation;
-  const bool replaced = !same_incarnation && found->last_report_at != time_point{} &&
-                        known.state != member_state::leaving;
+  const bool replaced =
+      !same_incarnation && found->last_report_at != time_point{} && known.state != member_state::leaving;
   const bool changed = known.state != report.state;
   found->report = std::move(report);
   found->last_report_at = now;
