--- a/source/unit_tests/entry/started_stream_test.cpp
+++ b/source/unit_tests/entry/started_stream_test.cpp
@@ -18,7 +18,7 @@
   // Begins a stream with the tokens "a" and "b".
   submitted_attempt begin_stream_of(const char* timeout_ms = "20000") {
     send_completion(true, {{"X-Request-Timeout-Ms", timeout_ms}});
-    const auto attempt = take_submitted();
+    auto attempt = take_submitted();
     receive(attempt.peer, wire::response_head{attempt.message.request_id, attempt.message.attempt, 200, {}});
     send_response_tokens(attempt, 0, {"a", "b"});
     EXPECT_EQ(take_texts(), "ab");
