--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -77,7 +77,7 @@
   // If no other upstream has a free place, those that have refused the request are asked again.
   [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream_again(time_point now);
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
-  // Returns true if the places that are free are owed to streams that wait for one.
+  // Returns false if the places that are free are owed to streams that wait for one.
   [[nodiscard]] bool leaves_places_to_waiting_streams(time_point now) const;
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
   void on_connected(upstream_attempt& attempt, std::string_view failure);
