--- a/source/unit_tests/proxy/silent_upstream_test.cpp
+++ b/source/unit_tests/proxy/silent_upstream_test.cpp
@@ -70,7 +70,8 @@
   }
 
   // Adds two upstreams. The one that gets the request first runs `first`, the other one gets what follows.
-  void add_pair(std::function<upstream_action(scripted_upstream&)> first, scripted_upstream::script other) {
+  void add_pair(const std::function<upstream_action(scripted_upstream&)>& first,
+                const scripted_upstream::script& other) {
     for (const char* id : {"i-1", "i-2"}) {
       const std::size_t index = m_upstreams.size();
       add_upstream(id, [this, index, first, other](std::size_t number, const std::string& received) {
