gateway: evacuate availability zones at the operator's request

gateway::evacuation keeps the zones under evacuation; upstream_table leaves their upstreams out of choices and totals, so that admission, Retry-After and waiting streams follow; an attempt that is connecting when the row arrives is not sent. The rows reach gateways like a configuration. Running responses go on.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -92,8 +92,9 @@
     return milliseconds(
         static_cast<std::int64_t>(static_cast<double>(totals.all_reject_for->count()) * jitter));
   }
-  const double wait_ms =
-      request.service_unavailable ? static_cast<double>(k_unavailable_retry_after.count()) : queue_ms;
+  // Callers cannot be served before the operator restores a zone.
+  const bool unavailable = request.service_unavailable || (totals.upstreams == 0 && totals.evacuated > 0);
+  const double wait_ms = unavailable ? static_cast<double>(k_unavailable_retry_after.count()) : queue_ms;
   const double max_wait_ms = k_max_retry_after_time_share * static_cast<double>(request.time_left.count());
   // Jitter over the second half of the wait, so that callers refused together do not retry together.
   const double jitter = 0.5 + std::uniform_real_distribution<double>(0, 0.5)(random);
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -66,6 +66,7 @@
   const auto announced = m_announcements.find(record.id);
   added.announced_leaving =
       announced != m_announcements.end() && record.started_ms <= announced->second.started_ms;
+  added.evacuated = m_evacuated_zones.contains(record.availability_zone);
   m_index.insert_or_assign(record.id, m_upstreams.size());
   m_upstreams.push_back(std::move(added));
 }
@@ -121,6 +122,7 @@
     }
     known->wrong_instance = false;
     known->record = record;
+    known->evacuated = m_evacuated_zones.contains(record.availability_zone);
   }
   const auto vanished = static_cast<std::size_t>(
       std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const upstream& known) {
@@ -159,6 +161,21 @@
   return changes;
 }
 
+void upstream_table::set_evacuations(const evacuation& evacuations) {
+  m_evacuated_zones = evacuations.active();
+  for (upstream& known : m_upstreams) {
+    known.evacuated = m_evacuated_zones.contains(known.record.availability_zone);
+  }
+}
+
+std::uint32_t upstream_table::local_requests_in(std::string_view availability_zone) const {
+  std::uint32_t requests = 0;
+  for (const upstream& known : m_upstreams) {
+    requests += known.record.availability_zone == availability_zone ? known.local_requests : 0;
+  }
+  return requests;
+}
+
 const upstream_table::upstream* upstream_table::choose(std::string_view service,
                                                        const choice_options& options, time_point now,
                                                        random_source& random) const {
@@ -166,8 +183,8 @@
   std::size_t eligible = 0;
   for (const upstream& known : m_upstreams) {
     const upstream_record& record = known.record;
-    if (record.service != service || known.leaving() || known.wrong_instance || known.superseded ||
-        known.rejects_requests(now) || !known.health.usable(now, k_ejection)) {
+    if (record.service != service || known.leaving() || known.evacuated || known.wrong_instance ||
+        known.superseded || known.rejects_requests(now) || !known.health.usable(now, k_ejection)) {
       continue;
     }
     if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
@@ -293,6 +310,10 @@
     if (known.record.service != service || known.leaving() || known.superseded || known.health.ejected(now)) {
       continue;
     }
+    if (known.evacuated) {
+      ++sum.evacuated;
+      continue;
+    }
     if (known.rejects_requests(now)) {
       first_available_at = std::min(first_available_at.value_or(known.rejects_until), known.rejects_until);
       continue;
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -11,6 +11,7 @@
 
 #include "core/common/random.h"
 #include "core/common/time.h"
+#include "core/gateway/evacuation.h"
 #include "core/routing/ejection.h"
 
 namespace cuminpath::gateway {
@@ -68,6 +69,7 @@
     // It announced in a response that it leaves; the list may not show it yet.
     bool announced_leaving = false;
     time_point rejects_until{};  // It rejects requests of this gateway until then.
+    bool evacuated = false;      // The operator has evacuated its availability zone.
     bool superseded = false;  // A later instance is listed at the same address; this row has not expired yet.
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
@@ -86,6 +88,12 @@
   // Removes upstreams whose grace period has ended.
   std::vector<change> expire(time_point now);
 
+  // Marks the upstreams of the availability zones under evacuation. They receive no new requests; what runs
+  // there goes on. Applies to upstreams that are added later, too.
+  void set_evacuations(const evacuation& evacuations);
+  // Returns the number of requests of this gateway that run at upstreams of an availability zone.
+  [[nodiscard]] std::uint32_t local_requests_in(std::string_view availability_zone) const;
+
   // Returns an upstream of `service` with little load: the least loaded of a few chosen at random. Null if
   // none has a free slot.
   [[nodiscard]] const upstream* choose(std::string_view service, const choice_options& options,
@@ -109,9 +117,11 @@
   [[nodiscard]] std::vector<upstream_load> local_loads() const;
 
   struct service_totals {
-    std::uint32_t upstreams = 0;  // Available upstreams: neither leaving nor ejected, and accepting requests.
+    std::uint32_t upstreams =
+        0;  // Available: neither leaving nor ejected nor evacuated, and accepting requests.
     std::uint32_t slots = 0;
     std::uint32_t outstanding = 0;
+    std::uint32_t evacuated = 0;  // Upstreams that would be available if their zone were not evacuated.
     // Time until the first upstream accepts requests again; absent unless all of them reject requests.
     std::optional<milliseconds> all_reject_for;
   };
@@ -134,6 +144,7 @@
   std::unordered_map<std::string, std::size_t> m_index;  // By id.
   std::unordered_map<std::string, std::vector<upstream_load>> m_member_loads;
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
+  evacuation::zone_states m_evacuated_zones;
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -187,6 +187,11 @@
     end_attempt(attempt, attempt_result::not_sent, "upstream left while the connection was being made");
     return;
   }
+  if (target->evacuated) {
+    end_attempt(attempt, attempt_result::not_sent,
+                "availability zone was evacuated while the connection was being made");
+    return;
+  }
   if (target->rejects_requests(now)) {
     end_attempt(attempt, attempt_result::not_sent,
                 "upstream asked for no requests while the connection was being made");
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -218,6 +218,7 @@
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
+    set_evacuation_metrics(clock::now());
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -275,6 +276,7 @@
 
   void on_mirror_changed(bool disturbed, time_point now) {
     apply_configuration();
+    apply_evacuations(now);
     apply_upstreams(disturbed, now);
     for (auto& row : m_platform->read_members(m_mirror)) {
       if (row.name != m_local_report.name) {
@@ -313,6 +315,38 @@
     m_state.configured_at = clock::now();
   }
 
+  void apply_evacuations(time_point now) {
+    const auto changes = m_evacuation.apply(m_platform->read_evacuations(m_mirror), now);
+    if (changes.empty()) {
+      return;
+    }
+    m_state.upstreams.set_evacuations(m_evacuation);
+    for (const auto& change : changes) {
+      telemetry::log(
+          log_level::info, "upstreams", change.evacuated ? "zone evacuated" : "zone restored",
+          {{"availability_zone", change.availability_zone},
+           {"version", static_cast<std::int64_t>(change.version)},
+           {"requests_running_there",
+            static_cast<std::int64_t>(m_state.upstreams.local_requests_in(change.availability_zone))},
+           {"reads_store", m_reads_store}});
+      // Kept at 0 after the end of the evacuation, so that the end can be seen.
+      const telemetry::labels labels{{"availability_zone", change.availability_zone}};
+      m_state.metrics.set("cuminpath_zone_evacuated", change.evacuated ? 1 : 0, labels);
+      m_state.metrics.set("cuminpath_zone_evacuated_seconds", 0, labels);
+      m_state.metrics.set("cuminpath_zone_evacuated_requests", 0, labels);
+    }
+  }
+
+  void set_evacuation_metrics(time_point now) {
+    for (const auto& [zone, state] : m_evacuation.active()) {
+      const telemetry::labels labels{{"availability_zone", zone}};
+      m_state.metrics.set("cuminpath_zone_evacuated_seconds",
+                          std::chrono::duration<double>(now - state.since).count(), labels);
+      m_state.metrics.set("cuminpath_zone_evacuated_requests", m_state.upstreams.local_requests_in(zone),
+                          labels);
+    }
+  }
+
   void apply_upstreams(bool disturbed, time_point now) {
     const auto records = m_platform->read_upstreams(m_mirror);
     log_changes(m_state.upstreams.apply(records, now, disturbed));
@@ -620,6 +654,7 @@
   http::client m_client;
   std::unique_ptr<platform_port> m_platform;
   gateway::mirror m_mirror;
+  gateway::evacuation m_evacuation;
   gateway::mirror_client m_mirror_client{m_client, m_mirror};
   gateway::member_list m_members;
   gateway::store_reader_selection m_store_reader_selection;
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -12,6 +12,7 @@
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/gateway/configuration.h"
+#include "core/gateway/evacuation.h"
 #include "core/gateway/header_names.h"
 #include "core/gateway/member_list.h"
 #include "core/gateway/mirror.h"
@@ -56,6 +57,9 @@
   // Returns the upstreams listed in the mirror. Skips rows that describe none, and logs which.
   [[nodiscard]] virtual std::vector<gateway::upstream_record> read_upstreams(
       const gateway::mirror& source) = 0;
+  // Returns the availability zones that the operator has evacuated.
+  [[nodiscard]] virtual std::vector<gateway::evacuation_request> read_evacuations(
+      const gateway::mirror& source) const = 0;
   [[nodiscard]] virtual std::vector<gateway::member_report> read_members(const gateway::mirror& source) = 0;
 
   [[nodiscard]] virtual gateway::header_names header_names() const = 0;
--- /dev/null
+++ b/source/unit_tests/gateway/evacuation_test.cpp
@@ -0,0 +1,115 @@
+#include "core/gateway/evacuation.h"
+
+#include <gtest/gtest.h>
+
+#include "core/gateway/admission.h"
+#include "core/gateway/upstream_table.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+constexpr time_point k_start{seconds{100}};
+
+using requests = std::vector<evacuation_request>;
+
+TEST(evacuation, reports_begin_and_end_of_overlapping_evacuations) {
+  evacuation zones;
+  EXPECT_EQ(zones.apply(requests{{"a", 5}}, k_start), (std::vector<evacuation::change>{{"a", 5, true}}));
+  EXPECT_EQ(zones.apply(requests{{"a", 5}, {"b", 6}}, k_start),
+            (std::vector<evacuation::change>{{"b", 6, true}}));
+  EXPECT_TRUE(zones.apply(requests{{"a", 5}, {"b", 6}}, k_start).empty());
+  EXPECT_EQ(zones.apply(requests{{"b", 6}}, k_start), (std::vector<evacuation::change>{{"a", 5, false}}));
+  EXPECT_FALSE(zones.evacuated("a"));
+  EXPECT_TRUE(zones.evacuated("b"));
+}
+
+// A mirror shows only the last of several writes. The zone stays evacuated, and its upstreams may have become
+// cold in between.
+TEST(evacuation, notices_a_request_that_was_removed_and_written_again) {
+  evacuation zones;
+  zones.apply(requests{{"a", 5}}, k_start);
+  EXPECT_EQ(zones.apply(requests{{"a", 9}}, k_start + seconds{1}),
+            (std::vector<evacuation::change>{{"a", 9, true}}));
+  EXPECT_TRUE(zones.evacuated("a"));
+  EXPECT_EQ(zones.active().at("a").since, k_start + seconds{1});
+}
+
+TEST(evacuation, remembers_a_restoration_until_the_zone_is_evacuated_again) {
+  evacuation zones;
+  zones.apply(requests{{"a", 5}}, k_start);
+  EXPECT_FALSE(zones.restored_at("a", k_start));
+  zones.apply(requests{}, k_start + seconds{2});
+  EXPECT_EQ(zones.restored_at("a", k_start + seconds{3}), k_start + seconds{2});
+  EXPECT_FALSE(zones.restored_at("a", k_start + seconds{3} + evacuation::k_restoration_memory));
+  zones.apply(requests{{"a", 7}}, k_start + seconds{4});
+  EXPECT_FALSE(zones.restored_at("a", k_start + seconds{4}));
+}
+
+class evacuated_table : public ::testing::Test {
+protected:
+  evacuated_table() {
+    for (int i = 0; i < 12; ++i) {
+      m_records.push_back({.id = "u" + std::to_string(i),
+                           .service = "s",
+                           .address = "10.0.0." + std::to_string(i) + ":80",
+                           .availability_zone = std::string(1, static_cast<char>('a' + i % 3)),
+                           .slots = 10});
+    }
+    m_table.apply(m_records, k_start, false);
+  }
+  void evacuate(requests wanted) {
+    m_zones.apply(wanted, k_start);
+    m_table.set_evacuations(m_zones);
+  }
+  const upstream_table::upstream* choose() {
+    return m_table.choose("s", {.availability_zone = "a"}, k_start, m_random);
+  }
+
+  std::vector<upstream_record> m_records;
+  upstream_table m_table;
+  evacuation m_zones;
+  random_source m_random{1};
+};
+
+// Load: the remaining zones fill up. Guards against requests that spill over into the evacuated zone.
+TEST_F(evacuated_table, fills_the_other_zones_and_then_chooses_nothing) {
+  m_table.on_started("u0", k_start);
+  evacuate({{"a", 1}});
+  EXPECT_EQ(m_table.local_requests_in("a"), 1U);  // A request that runs there goes on.
+  int placed = 0;
+  while (const auto* target = choose()) {
+    ASSERT_NE(target->record.availability_zone, "a");
+    m_table.on_started(target->record.id, k_start);
+    ++placed;
+  }
+  EXPECT_EQ(placed, 80);
+  const auto totals = m_table.totals("s", k_start);
+  EXPECT_EQ(totals.slots, 80U);
+  EXPECT_EQ(totals.evacuated, 4U);
+}
+
+TEST_F(evacuated_table, covers_upstreams_that_are_added_or_change_their_row_later) {
+  evacuate({{"a", 1}, {"b", 2}, {"c", 3}});
+  m_records.push_back(
+      {.id = "new", .service = "s", .address = "10.0.1.1:80", .availability_zone = "a", .slots = 10});
+  m_records[1].slots = 20;
+  m_table.apply(m_records, k_start, false);
+  EXPECT_EQ(choose(), nullptr);
+  evacuate({{"b", 2}, {"c", 3}});
+  ASSERT_NE(choose(), nullptr);
+  EXPECT_EQ(choose()->record.availability_zone, "a");
+}
+
+// With all zones evacuated, callers must not come back within the queueing time of an idle service.
+TEST_F(evacuated_table, asks_callers_to_wait_while_all_zones_are_evacuated) {
+  evacuate({{"a", 1}, {"b", 2}, {"c", 3}, {"unknown zone", 4}});
+  const admission_request request{.engine = true, .time_left = milliseconds{8000}};
+  EXPECT_GE(retry_after(m_table.totals("s", k_start), milliseconds{50}, request, m_random),
+            milliseconds{1000});
+  evacuate({});
+  EXPECT_LE(retry_after(m_table.totals("s", k_start), milliseconds{50}, request, m_random),
+            milliseconds{100});
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
