proxy: write endless responses in blocks in their test

aborts_endless_responses failed on busy machines (known red): 504 in place of 502. The upstream of the test wrote its bytes in pieces of 3 to 25 bytes, and thousands of such writes take longer than the 1.5 s of the caller, so the deadline came before the bound on bytes. It now writes blocks of 8 KB of the same bytes; all checks are unchanged.

--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -319,10 +319,14 @@
   const std::string stream_head = "HTTP/1.1 200 OK\r\n" + upstream_headers + "\r\n";
   const std::string chunked_head =
       "HTTP/1.1 200 OK\r\n" + upstream_headers + "Transfer-Encoding: chunked\r\n\r\n";
-  std::string small_chunks;
-  while (small_chunks.size() < 8192) {
-    small_chunks += chunk("\n");
-  }
+  // Written in blocks: the caller's 1.5 s are too short for thousands of small writes on a busy machine.
+  const auto block_of = [](const std::string& unit) {
+    std::string block;
+    while (block.size() < 8192) {
+      block += unit;
+    }
+    return block;
+  };
   struct endless_response {
     std::string path;
     std::string prefix;
@@ -334,16 +338,16 @@
            endless_response{"/once/x",
                             "HTTP/1.1 200 OK\r\n" + upstream_headers + "X-Long: ", std::string(8192, 'm')},
            endless_response{"/once/x", "", std::string(8192, 'g')},
-           endless_response{"/once/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+           endless_response{"/once/x", "", block_of("HTTP/1.1 100 Continue\r\n\r\n")},
            endless_response{"/once/x", "", late},
            endless_response{"/once/x", "HTTP/1.1 200 OK\r\n" + upstream_headers + "\r\n",
                             std::string(8192, 'b')},
            endless_response{"/fragile/x",
                             "HTTP/1.1 200 OK\r\n" + upstream_headers + "\r\ndata: ", std::string(8192, 'e')},
            endless_response{"/fragile/x", stream_head, std::string(8192, '\n')},
-           endless_response{"/fragile/x", stream_head, ":\n\n"},
-           endless_response{"/fragile/x", chunked_head, small_chunks},
-           endless_response{"/fragile/x", chunked_head, chunk(": wait\r\n\r\n")},
+           endless_response{"/fragile/x", stream_head, block_of(":\n\n")},
+           endless_response{"/fragile/x", chunked_head, block_of(chunk("\n"))},
+           endless_response{"/fragile/x", chunked_head, block_of(chunk(": wait\r\n\r\n"))},
        }) {
     m_records.clear();
     m_state.upstreams = {};
