--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -73,6 +73,7 @@
   }
   m_state.budget(m_service).on_first_attempt();
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
+    m_state.metrics.add("cuminpath_pass_limit_refusals_total", {{"service", m_service}});
     refuse(503, "passes would get too long", now);
     return;
   }
