balancer: set the pass of a switch as far ahead as recent switches took

Every switch paused its group: the pass was 50 ms and at most 3 passes ahead, while hold, arm and go take 130 to 190 ms.

The leader records the time from its decision to hold until it sees the held rank released. The order hold, arm, go is unchanged, and go is still sent once all ranks are armed.

--- a/source/core/balancer/switch_coordinator.cpp
+++ b/source/core/balancer/switch_coordinator.cpp
@@ -13,14 +13,6 @@
                      [&](const auto& view) { return view && matches(view->status); });
 }
 
-std::uint64_t highest_step(views ranks) {
-  std::uint64_t step = 0;
-  for (const auto& view : ranks) {
-    step = view ? std::max(step, view->status.step) : step;
-  }
-  return step;
-}
-
 }  // namespace
 
 std::string_view phase_name(phase value) {
@@ -70,13 +62,29 @@
   }
 }
 
-std::uint64_t switch_coordinator::margin_steps() const {
+void switch_coordinator::begin_hold(views ranks, time_point now) {
+  m_directive.step = switch_step(ranks, now);
+  m_hold_decided_at = now;
+  enter(phase::holding, now);
+}
+
+std::uint64_t switch_coordinator::switch_step(views ranks, time_point now) const {
+  // Passes can have begun since the view was read that shows the highest one.
+  std::uint64_t newest_step = 0;
+  time_point read_at = now;
+  for (const auto& view : ranks) {
+    if (view && view->status.step > newest_step) {
+      newest_step = view->status.step;
+      read_at = view->updated_at;
+    }
+  }
   if (m_pass_time.count() <= 0) {
-    return m_options.max_margin_steps;
+    return newest_step + m_options.default_lead_steps;
   }
+  const auto lead = m_lead_estimator.lead() + std::chrono::duration_cast<milliseconds>(now - read_at);
   // The pass in progress may be about to end and is not counted.
-  const auto steps = 1 + (m_options.switch_margin + m_pass_time - milliseconds{1}) / m_pass_time;
-  return std::min(m_options.max_margin_steps, static_cast<std::uint64_t>(steps));
+  const auto steps = 1 + (lead + m_pass_time - milliseconds{1}) / m_pass_time;
+  return newest_step + std::min(m_options.max_lead_steps, static_cast<std::uint64_t>(steps));
 }
 
 bool switch_coordinator::complete(views ranks, time_point now) const {
@@ -191,6 +199,7 @@
     return;
   }
   m_directive = {.token = token, .epoch = ranks.front()->status.epoch};
+  m_hold_decided_at.reset();
   bool held = false;
   bool armed = false;
   std::uint64_t prepared = 0;
@@ -238,8 +247,7 @@
     return;
   }
   m_directive.holder = local_rank;
-  m_directive.step = highest_step(ranks) + margin_steps();
-  enter(phase::holding, now);
+  begin_hold(ranks, now);
 }
 
 void switch_coordinator::step_holding(views ranks, time_point now) {
@@ -255,7 +263,8 @@
     enter(phase::idle, now);
   } else if (holder->status.step >= m_directive.step) {
     // The pass began before the hold arrived. Nothing is armed yet, so a later pass can be chosen.
-    m_directive.step = highest_step(ranks) + margin_steps();
+    m_directive.step = switch_step(ranks, now);
+    m_hold_decided_at = now;
   }
 }
 
@@ -287,6 +296,11 @@
 }
 
 void switch_coordinator::step_going(views ranks, time_point now) {
+  const auto& holder = ranks[m_directive.holder];
+  if (m_hold_decided_at && holder && holder->status.held != m_directive.step) {
+    m_lead_estimator.observe(std::chrono::duration_cast<milliseconds>(now - *m_hold_decided_at));
+    m_hold_decided_at.reset();
+  }
   const bool released = all_of(ranks, [&](const engine_status& status) {
     return status.epoch == m_directive.epoch && !status.held && !status.armed;
   });
--- a/source/core/balancer/switch_coordinator.h
+++ b/source/core/balancer/switch_coordinator.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "core/balancer/engine_port.h"
+#include "core/balancer/switch_lead_estimator.h"
 #include "core/common/time.h"
 
 namespace cuminpath::balancer {
@@ -56,11 +57,10 @@
   milliseconds max_view_age{500};      // Older views are treated as absent.
   milliseconds prepare_timeout{8000};  // Copies take under a second; a plan older than this is outdated.
   milliseconds hold_timeout{3000};
-  // Time between the last known pass and the switch, so that arming rarely stalls the group. Covers two
-  // reports of statuses that are 20 ms old, and one order.
-  milliseconds switch_margin{50};
-  // Maximum number of passes in that time. Also used while their duration is not known.
-  std::uint64_t max_margin_steps = 3;
+  // Number of passes between the last known one and the switch while their duration is not known.
+  std::uint64_t default_lead_steps = 3;
+  // Maximum number of these passes. An idle group makes the switch only after that many passes.
+  std::uint64_t max_lead_steps = 50;
 };
 
 class switch_coordinator {
@@ -106,8 +106,11 @@
 
 private:
   void enter(phase next, time_point now);
-  // Returns the number of passes from the last known one to the switch.
-  [[nodiscard]] std::uint64_t margin_steps() const;
+  // Sets the pass of the switch and begins to hold the group before it.
+  void begin_hold(std::span<const std::optional<rank_view>> ranks, time_point now);
+  // Returns the first pass that is not expected to begin before the group has been released.
+  [[nodiscard]] std::uint64_t switch_step(std::span<const std::optional<rank_view>> ranks,
+                                          time_point now) const;
   void update_outdated_token(std::span<const std::optional<rank_view>> ranks, std::uint64_t token);
   void step_idle(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, time_point now);
   void step_preparing(std::span<const std::optional<rank_view>> ranks, std::uint32_t local_rank,
@@ -119,8 +122,11 @@
 
   switch_coordinator_options m_options;
   milliseconds m_pass_time{0};  // 0 while not known.
+  switch_lead_estimator m_lead_estimator;
   directive m_directive;
   time_point m_entered_at{};
+  // When the leader decided to hold the group; absent once its release has been observed.
+  std::optional<time_point> m_hold_decided_at;
   std::uint64_t m_outdated_token = 0;
   bool m_switching_stopped = false;
 };
