balancer: hold only groups whose ranks answer, and release one whose leader froze

A host that froze, or orders without a response, during a switch held the group for seconds: the hold was decided on views up to 500 ms old, the held rank was the leader's own, and a successor had to read that rank.

- Before the hold every rank reads its engine anew (phase checking); the leader holds only if all have answered within 150 ms by its own clock.
- The held rank is on another host, and the leader's rank is armed last.
- A leader that takes over first makes every rank refuse the orders of its predecessors, without disarming any (phase fencing), and decides on what is read afterwards.
If the predecessor's rank cannot be read and another rank was never armed, it releases the group without that rank.
- Recovery arms ranks again that an earlier leader has armed, does not disarm while the pass of the switch may begin, and takes a new token after each release: a late disarm or go could otherwise split the maps.
- Reading the row before the compare-and-set tells the token before one's own.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -65,7 +65,6 @@
 constexpr milliseconds k_hello_interval{1000};  // Between reports to hosts whose rank is not known yet.
 // No plan is made from fewer tokens, since they say little about the popularity of experts.
 constexpr double k_min_tokens_for_plan = 3000;
-constexpr std::uint64_t k_versions_per_token = 4096;
 
 std::string port_of(const std::string& address) {
   return address.substr(address.rfind(':'));
@@ -121,6 +120,10 @@
     std::optional<std::uint64_t> held;
     std::uint64_t disarmed_token = 0;
     std::uint64_t refused_token = 0;
+    token_use fenced;
+    std::uint64_t armed_token = 0;
+    status_check checked;
+    latched_switch latched;
 
     bool operator==(const switch_progress&) const = default;
   };
@@ -307,7 +310,11 @@
                                   .armed = status.armed,
                                   .held = status.held,
                                   .disarmed_token = m_local_rank.view().disarmed_token,
-                                  .refused_token = m_local_rank.view().refused_token};
+                                  .refused_token = m_local_rank.view().refused_token,
+                                  .fenced = m_local_rank.view().fenced,
+                                  .armed_token = m_local_rank.view().armed_token,
+                                  .checked = m_local_rank.view().checked,
+                                  .latched = m_local_rank.view().latched};
     const auto* leader = m_roster.leader(position(), now);
     if (leader == nullptr || current == m_reported_progress) {
       return;
@@ -431,23 +438,24 @@
 
   // Leadership.
 
-  [[nodiscard]] std::vector<std::optional<rank_view>> rank_views() const {
+  [[nodiscard]] std::vector<std::optional<rank_view>> rank_views(time_point now) const {
     std::vector<std::optional<rank_view>> all(local_status().ranks);
-    const auto add = [&](const rank_view& view) {
+    const auto add = [&](const rank_view& view, bool read_by_own_balancer) {
       if (view.status.rank < all.size() && view.status.group == local_status().group) {
         auto& slot = all[view.status.rank];
         if (!slot || view.updated_at > slot->updated_at) {
           slot = view;
+          slot->read_by_own_balancer = read_by_own_balancer;
         }
       }
     };
-    add(m_local_rank.view());
+    add(m_local_rank.view(), true);
     for (const auto* member : m_roster.members(position())) {
-      add(member->report.view);
+      add(member->report.view, m_roster.alive(*member, now));
     }
     for (const auto& [rank, driver] : m_remote_ranks) {
       if (driver->known()) {
-        add(driver->view());
+        add(driver->view(), false);
       }
     }
     return all;
@@ -463,7 +471,7 @@
       return;
     }
     drive_suspected_ranks(now);
-    const auto all = rank_views();
+    const auto all = rank_views(now);
     const phase before = m_coordinator.current_phase();
     m_coordinator.set_pass_time(m_pass_time_estimator.mean());
     m_coordinator.step(all, local_status().rank, m_token, now);
@@ -498,15 +506,21 @@
 
   void on_phase_changed(phase before, time_point now) {
     const directive* active = m_coordinator.current_directive();
-    telemetry::log(log_level::info, "leader", "phase of the switch",
-                   {{"group", local_status().group},
-                    {"from", phase_name(before)},
-                    {"to", phase_name(m_coordinator.current_phase())},
-                    {"epoch", static_cast<std::int64_t>(local_status().epoch)},
-                    {"token", static_cast<std::int64_t>(m_token)},
-                    {"version", static_cast<std::int64_t>(active == nullptr ? 0 : active->version)},
-                    {"pass", static_cast<std::int64_t>(active == nullptr ? 0 : active->step)},
-                    {"step", static_cast<std::int64_t>(local_status().step)}});
+    telemetry::log(
+        log_level::info, "leader", "phase of the switch",
+        {{"group", local_status().group},
+         {"from", phase_name(before)},
+         {"to", phase_name(m_coordinator.current_phase())},
+         {"epoch", static_cast<std::int64_t>(local_status().epoch)},
+         {"token", static_cast<std::int64_t>(m_token)},
+         {"version", static_cast<std::int64_t>(active == nullptr ? 0 : active->version)},
+         {"pass", static_cast<std::int64_t>(active == nullptr ? 0 : active->step)},
+         {"step", static_cast<std::int64_t>(local_status().step)},
+         {"holder", static_cast<std::int64_t>(active == nullptr ? 0 : active->holder)},
+         {"lead_ms", m_coordinator.lead().count()},
+         {"without_rank", active != nullptr && active->absent ? static_cast<std::int64_t>(*active->absent)
+                                                              : std::int64_t{-1}}});
+    m_metrics.set("cuminpath_switch_lead_ms", static_cast<double>(m_coordinator.lead().count()));
     m_metrics.add("cuminpath_switch_phases_total",
                   {{"phase", std::string(phase_name(m_coordinator.current_phase()))}});
     send_directive(now);
@@ -610,14 +624,15 @@
     }
     m_token_request_pending = true;
     m_token_requested_at = now;
-    m_platform->acquire_token(local_status().group, m_settings.name, [this](result<std::uint64_t> token) {
+    m_platform->acquire_token(local_status().group, m_settings.name, [this](result<acquired_token> token) {
       m_token_request_pending = false;
       if (!token) {
         telemetry::log(log_level::info, "leader", "fencing token not acquired",
                        {{"reason", token.error().message}});
         return;
       }
-      m_token = token.value();
+      m_token = token.value().value;
+      m_coordinator.set_previous_token(m_token, token.value().previous);
       m_version_count = 0;
       telemetry::log(log_level::info, "leader", "leads the group",
                      {{"group", local_status().group}, {"token", static_cast<std::int64_t>(m_token)}});
@@ -774,9 +789,10 @@
     if (order_pending || !m_local_rank.known()) {
       return order_pending;
     }
-    return m_may_lead && is_leader(now)
-               ? m_coordinator.current_phase() == phase::preparing || m_coordinator.holds_group(rank_views())
-               : m_local_rank.has_directive();
+    return m_may_lead && is_leader(now) ? m_coordinator.current_phase() == phase::preparing ||
+                                              m_coordinator.current_phase() == phase::checking ||
+                                              m_coordinator.holds_group(rank_views(now))
+                                        : m_local_rank.has_directive();
   }
 
   // Returns true once the event loop has been told to end.
--- a/source/core/balancer/messages.cpp
+++ b/source/core/balancer/messages.cpp
@@ -8,7 +8,7 @@
 namespace cuminpath::balancer {
 namespace {
 
-constexpr int k_format_version = 3;
+constexpr int k_format_version = 4;
 constexpr int k_report_kind = 1;
 constexpr int k_directive_kind = 2;
 
@@ -149,6 +149,22 @@
   return in.at_end() ? std::optional(std::move(map)) : std::nullopt;
 }
 
+json encode_switch_state(const rank_view& view) {
+  return json::array({view.fenced.token, view.fenced.epoch, view.armed_token, view.armed_version,
+                      view.checked.version, view.checked.round, view.latched.epoch, view.latched.version,
+                      view.latched.leader});
+}
+
+void read_switch_state(const json& from, rank_view& view) {
+  view.fenced = {.token = from.at(0).get<std::uint64_t>(), .epoch = from.at(1).get<std::uint64_t>()};
+  view.armed_token = from.at(2).get<std::uint64_t>();
+  view.armed_version = from.at(3).get<std::uint64_t>();
+  view.checked = {.version = from.at(4).get<std::uint64_t>(), .round = from.at(5).get<std::uint32_t>()};
+  view.latched = {.epoch = from.at(6).get<std::uint64_t>(),
+                  .version = from.at(7).get<std::uint64_t>(),
+                  .leader = from.at(8).get<std::uint32_t>()};
+}
+
 struct encoder {
   json operator()(const rank_report& value) const {
     return json::array({k_format_version, k_report_kind, value.host, value.incarnation, value.sequence,
@@ -157,14 +173,16 @@
                         value.view.refused_token, value.view.followed_token, encode_loads(value.loads),
                         value.experts ? json::array({value.experts->epoch, value.experts->map_version,
                                                      value.experts->experts})
-                                      : json()});
+                                      : json(),
+                        encode_switch_state(value.view)});
   }
   json operator()(const group_directive& value) const {
     json body;
     if (value.value) {
       const directive& content = *value.value;
       body = json::array({static_cast<int>(content.kind), content.epoch, content.version, content.step,
-                          content.holder, encode_map(content.map)});
+                          content.holder, encode_map(content.map), content.leader, content.round,
+                          content.absent ? json(*content.absent) : json()});
     }
     return json::array(
         {k_format_version, k_directive_kind, value.group, value.token, std::move(body), value.relay});
@@ -191,6 +209,7 @@
                                     .map_version = held.at(1).get<std::uint64_t>(),
                                     .experts = held.at(2).get<std::vector<std::vector<std::uint32_t>>>()};
   }
+  read_switch_state(from.at(16), report.view);
   return report;
 }
 
@@ -214,7 +233,12 @@
                            .version = body.at(2).get<std::uint64_t>(),
                            .step = body.at(3).get<std::uint64_t>(),
                            .holder = body.at(4).get<std::uint32_t>(),
+                           .leader = body.at(6).get<std::uint32_t>(),
+                           .round = body.at(7).get<std::uint32_t>(),
                            .map = std::move(*map)};
+    if (const json& absent = body.at(8); !absent.is_null()) {
+      read.value->absent = absent.get<std::uint32_t>();
+    }
   }
   return message(std::move(read));
 }
--- a/source/core/balancer/messages.h
+++ b/source/core/balancer/messages.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "core/balancer/switch_coordinator.h"
+#include "core/balancer/switch_directive.h"
 #include "core/common/error.h"
 
 namespace cuminpath::balancer {
@@ -23,7 +23,7 @@
   // Maximum time until the receiver gets the next report. 0: the sender leaves, there is no next report.
   milliseconds interval{200};
   bool may_lead = true;  // False until the sender knows the group well enough to lead it.
-  rank_view view;        // Sent without `updated_at`.
+  rank_view view;        // Sent without `updated_at` and `read_by_own_balancer`.
   // Tokens for each expert since the last report with loads, summed over this rank and the ranks that send
   // their loads to it. Empty in reports to any process but group_roster::load_receiver().
   std::vector<std::uint64_t> loads;
--- a/source/core/balancer/platform_port.h
+++ b/source/core/balancer/platform_port.h
@@ -18,6 +18,13 @@
 
 namespace cuminpath::balancer {
 
+// A fencing token of a group.
+struct acquired_token {
+  std::uint64_t value = 0;
+  // The last token that any process has acquired before; no other one was acquired in between.
+  std::uint64_t previous = 0;
+};
+
 class platform_port {
 public:
   virtual ~platform_port() = default;
@@ -40,7 +47,7 @@
   // Acquires a fencing token for a group that is higher than all earlier ones. Errors: conflict if another
   // process acquired one at the same time, unreachable or refused if the store did not execute the call.
   virtual void acquire_token(std::string_view group, std::string_view holder,
-                             std::function<void(result<std::uint64_t>)> done) = 0;
+                             std::function<void(result<acquired_token>)> done) = 0;
 };
 
 }  // namespace cuminpath::balancer
--- a/source/core/balancer/rank_driver.cpp
+++ b/source/core/balancer/rank_driver.cpp
@@ -40,33 +40,43 @@
 }
 
 void rank_driver::apply_directive(const directive* value, time_point now) {
-  m_worker.set_directive(value);
+  if (m_worker.set_directive(value)) {
+    ++m_changes;
+    if (value->kind == phase::checking && !m_reading) {
+      read(now);
+    }
+  }
   send_order(now);
 }
 
 void rank_driver::read(time_point now) {
   m_reading = true;
   m_read_at = now;
-  m_engine->read_status([this, alive = std::weak_ptr<bool>(m_alive)](result<engine_status> status) {
-    if (alive.expired()) {
-      return;
-    }
-    m_reading = false;
-    if (!status) {
-      // The leader detects failed reads by the age of the view.
-      telemetry::log(log_level::info, "engine", "engine status not read",
-                     {{"engine", m_address}, {"reason", status.error().message}});
-      return;
-    }
-    const time_point read_at = clock::now();
-    m_view.status = std::move(status.value());
-    m_view.updated_at = read_at;
-    m_known = true;
-    m_worker.on_status(m_view.status);
-    copy_worker_state();
-    send_order(read_at);
-    m_on_status(read_at);
-  });
+  m_engine->read_status(
+      [this, changes = m_changes, alive = std::weak_ptr<bool>(m_alive)](result<engine_status> status) {
+        if (alive.expired()) {
+          return;
+        }
+        m_reading = false;
+        if (!status) {
+          // The leader detects failed reads by the age of the view.
+          telemetry::log(log_level::info, "engine", "engine status not read",
+                         {{"engine", m_address}, {"reason", status.error().message}});
+          return;
+        }
+        const time_point read_at = clock::now();
+        m_view.status = std::move(status.value());
+        m_view.updated_at = read_at;
+        m_known = true;
+        if (changes == m_changes) {
+          m_worker.on_status(m_view.status);
+        } else {
+          read(read_at);
+        }
+        copy_worker_state();
+        send_order(read_at);
+        m_on_status(read_at);
+      });
 }
 
 void rank_driver::send_order(time_point now) {
@@ -90,6 +100,7 @@
                         {"token", static_cast<std::int64_t>(token)},
                         {"result", result_name(result)},
                         {"step", static_cast<std::int64_t>(m_view.status.step)}});
+        ++m_changes;
         m_worker.on_result(result, done_at);
         copy_worker_state();
         if (!m_reading) {
@@ -103,6 +114,11 @@
   m_view.disarmed_epoch = m_worker.disarmed_epoch();
   m_view.refused_token = m_worker.refused_token();
   m_view.followed_token = m_worker.followed_token();
+  m_view.fenced = m_worker.fenced();
+  m_view.armed_token = m_worker.armed_token();
+  m_view.armed_version = m_worker.armed_version();
+  m_view.checked = m_worker.checked();
+  m_view.latched = m_worker.latched();
 }
 
 }  // namespace cuminpath::balancer
--- a/source/core/balancer/rank_driver.h
+++ b/source/core/balancer/rank_driver.h
@@ -7,7 +7,7 @@
 
 #include "core/balancer/engine_port.h"
 #include "core/balancer/rank_worker.h"
-#include "core/balancer/switch_coordinator.h"
+#include "core/balancer/switch_directive.h"
 #include "core/common/time.h"
 
 namespace cuminpath::balancer {
@@ -28,6 +28,7 @@
   [[nodiscard]] bool known() const { return m_known; }
   [[nodiscard]] bool has_directive() const { return m_worker.has_directive(); }
   [[nodiscard]] bool has_pending_order() const { return m_worker.has_pending_order(); }
+  // `updated_at` is when the last status was read.
   [[nodiscard]] const rank_view& view() const { return m_view; }
 
 private:
@@ -44,6 +45,9 @@
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   bool m_known = false;
   bool m_reading = false;
+  // Counts the results of orders and the changes of the directive. A status that was requested before the
+  // last one says nothing about them.
+  std::uint64_t m_changes = 0;
   time_point m_read_at{};
 };
 
--- a/source/core/balancer/rank_worker.cpp
+++ b/source/core/balancer/rank_worker.cpp
@@ -20,16 +20,35 @@
   return std::visit(names{}, body);
 }
 
-void rank_worker::set_directive(const directive* value) {
+bool rank_worker::set_directive(const directive* value) {
   if (value == nullptr) {
     m_directive.reset();
-    return;
+    return false;
   }
   if (value->token < m_highest_token || value->token <= m_refused_token) {
-    return;
+    return false;
   }
+  const bool changed = !m_directive || m_directive->token != value->token ||
+                       m_directive->kind != value->kind || m_directive->version != value->version ||
+                       m_directive->round != value->round;
   m_highest_token = value->token;
   m_directive = *value;
+  const bool hold_ordered =
+      value->kind == phase::holding || value->kind == phase::arming || value->kind == phase::arming_leader;
+  if (hold_ordered && token_of_version(value->version) == value->token &&
+      value->version > m_latched.version) {
+    m_latched = {.epoch = value->epoch, .version = value->version, .leader = value->leader};
+  }
+  return changed;
+}
+
+void rank_worker::on_status(const engine_status& status) {
+  m_status = status;
+  m_status_outdated = false;
+  m_fenced = m_fence_executed;
+  if (m_directive && m_directive->kind == phase::checking && !m_pending_order) {
+    m_checked = {.version = m_directive->version, .round = m_directive->round};
+  }
 }
 
 std::optional<order_body> rank_worker::needed_order(time_point now) const {
@@ -41,6 +60,7 @@
   const armed_switch target{wanted.version, wanted.step};
   switch (wanted.kind) {
     case phase::idle:
+    case phase::checking:
       return std::nullopt;
     case phase::preparing: {
       const bool copying = status.busy || now - m_prepare_accepted_at < k_prepare_resend_interval;
@@ -56,21 +76,40 @@
       }
       return hold_order{wanted.step};
     case phase::arming:
-      if (status.prepared != wanted.version || status.armed || status.map_version == wanted.version) {
+    case phase::arming_leader: {
+      const bool turn = status.rank != wanted.leader || wanted.kind == phase::arming_leader;
+      if (!turn || status.prepared != wanted.version || status.map_version == wanted.version ||
+          (status.armed && status.armed != target)) {
+        return std::nullopt;
+      }
+      // A rank that an earlier leader has armed is armed again, so that it refuses that leader's orders.
+      const bool confirmed = token_of_version(wanted.version) == wanted.token ||
+                             (m_armed_token == wanted.token && m_armed_version == wanted.version);
+      if (status.armed && confirmed) {
         return std::nullopt;
       }
       return arm_order{target};
+    }
     case phase::going:
-    case phase::releasing:
       if (status.rank != wanted.holder || status.held != wanted.step) {
         return std::nullopt;
       }
       return go_order{wanted.step};
+    case phase::releasing:
+      if (!status.held) {
+        return std::nullopt;
+      }
+      return go_order{*status.held};
+    case phase::fencing:
+      if (m_fence_executed == token_use{wanted.token, wanted.epoch}) {
+        return std::nullopt;
+      }
+      return disarm_order{wanted.version};
     case phase::disarming:
       if (m_disarmed_token == wanted.token && m_disarmed_epoch == wanted.epoch && !status.armed) {
         return std::nullopt;
       }
-      return disarm_order{wanted.version};
+      return disarm_order{status.armed ? status.armed->version : wanted.version};
   }
   return std::nullopt;
 }
@@ -100,7 +139,14 @@
         m_accepted_prepare_version = prepare->version;
         m_prepare_accepted_at = now;
       }
-      if (std::holds_alternative<disarm_order>(done.body)) {
+      if (const auto* arm = std::get_if<arm_order>(&done.body)) {
+        m_armed_token = done.token;
+        m_armed_version = arm->value.version;
+      }
+      if (const auto* disarm = std::get_if<disarm_order>(&done.body);
+          disarm != nullptr && disarm->version == first_version_of_token(done.token)) {
+        m_fence_executed = {.token = done.token, .epoch = done.epoch};
+      } else if (disarm != nullptr) {
         m_disarmed_token = done.token;
         m_disarmed_epoch = done.epoch;
       }
--- a/source/core/balancer/switch_coordinator.cpp
+++ b/source/core/balancer/switch_coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/balancer/switch_recovery.h"
+
 namespace cuminpath::balancer {
 namespace {
 
@@ -13,46 +15,18 @@
                      [&](const auto& view) { return view && matches(view->status); });
 }
 
-}  // namespace
-
-std::string_view phase_name(phase value) {
-  switch (value) {
-    case phase::idle:
-      return "idle";
-    case phase::preparing:
-      return "preparing";
-    case phase::holding:
-      return "holding";
-    case phase::arming:
-      return "arming";
-    case phase::going:
-      return "going";
-    case phase::disarming:
-      return "disarming";
-    case phase::releasing:
-      return "releasing";
+// Returns the rank to hold: one of another host, so that a successor can release it. The lowest one is the
+// next leader, for which that order is local.
+std::uint32_t choose_holder(views ranks, std::uint32_t leader) {
+  for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
+    if (rank != leader && ranks[rank] && ranks[rank]->read_by_own_balancer) {
+      return rank;
+    }
   }
-  return "";
+  return leader;
 }
 
-bool has_to_act(const rank_view& rank, const directive& active) {
-  const engine_status& status = rank.status;
-  switch (active.kind) {
-    case phase::idle:
-    case phase::preparing:
-      return false;
-    case phase::holding:
-    case phase::going:
-    case phase::releasing:
-      return status.rank == active.holder;
-    case phase::arming:
-      return status.epoch != active.epoch || (status.armed != armed_switch{active.version, active.step} &&
-                                              status.map_version != active.version);
-    case phase::disarming:
-      return status.armed || rank.disarmed_token != active.token || rank.disarmed_epoch != active.epoch;
-  }
-  return true;
-}
+}  // namespace
 
 void switch_coordinator::enter(phase next, time_point now) {
   m_directive.kind = next;
@@ -99,21 +73,25 @@
 }
 
 bool switch_coordinator::needs_recovery(views ranks, time_point now) const {
-  return m_directive.kind == phase::idle && complete(ranks, now) &&
-         std::any_of(ranks.begin(), ranks.end(),
-                     [](const auto& view) { return view->status.held || view->status.armed; });
+  return m_directive.kind == phase::idle && recoverable_epoch(ranks, m_options.max_view_age, now) &&
+         std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+           return is_recent(view, m_options.max_view_age, now) && (view->status.held || view->status.armed);
+         });
 }
 
 bool switch_coordinator::holds_group(views ranks) const {
   switch (m_directive.kind) {
     case phase::holding:
     case phase::arming:
+    case phase::arming_leader:
     case phase::disarming:
     case phase::releasing:
       return true;
     case phase::idle:
     case phase::preparing:
+    case phase::checking:
     case phase::going:
+    case phase::fencing:
       return std::any_of(ranks.begin(), ranks.end(),
                          [](const auto& view) { return view && view->status.held.has_value(); });
   }
@@ -142,6 +120,9 @@
                  .version = version,
                  .map = std::move(map)};
   m_entered_at = now;
+  m_started_at = now;
+  m_complete_at = now;
+  m_started_token = token;
   return true;
 }
 
@@ -173,71 +154,84 @@
   }
   switch (m_directive.kind) {
     case phase::idle:
-      step_idle(ranks, token, now);
+      step_idle(ranks, local_rank, token, now);
       return;
     case phase::preparing:
-      step_preparing(ranks, local_rank, now);
+      m_directive.leader = local_rank;
+      step_preparing(ranks, now);
+      return;
+    case phase::checking:
+      step_checking(ranks, now);
       return;
     case phase::holding:
       step_holding(ranks, now);
       return;
     case phase::arming:
+    case phase::arming_leader:
       step_arming(ranks, now);
       return;
     case phase::going:
-    case phase::releasing:
       step_going(ranks, now);
       return;
+    case phase::fencing:
+      step_fencing(ranks, now);
+      return;
     case phase::disarming:
       step_disarming(ranks, now);
       return;
+    case phase::releasing:
+      step_releasing(ranks, now);
+      return;
   }
 }
 
-void switch_coordinator::step_idle(views ranks, std::uint64_t token, time_point now) {
+void switch_coordinator::require_new_token(time_point now) {
+  m_outdated_token = m_directive.token;
+  enter(phase::idle, now);
+}
+
+void switch_coordinator::step_idle(views ranks, std::uint32_t local_rank, std::uint64_t token,
+                                   time_point now) {
   if (!needs_recovery(ranks, now)) {
     return;
   }
-  m_directive = {.token = token, .epoch = ranks.front()->status.epoch};
+  m_directive = {.token = token,
+                 .epoch = *recoverable_epoch(ranks, m_options.max_view_age, now),
+                 .version = first_version_of_token(token),
+                 .leader = local_rank};
   m_hold_decided_at.reset();
-  bool held = false;
-  bool armed = false;
-  std::uint64_t prepared = 0;
-  for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
-    const engine_status& status = ranks[rank]->status;
-    if (status.held) {
-      held = true;
-      m_directive.holder = rank;
-      m_directive.step = *status.held;
-    }
-    if (status.armed) {
-      armed = true;
-      m_directive.version = status.armed->version;
-    }
-    prepared = std::max(prepared, status.prepared.value_or(0));
-  }
-  if (!armed) {
-    m_directive.version = prepared;
+  enter(phase::fencing, now);
+}
+
+void switch_coordinator::step_fencing(views ranks, time_point now) {
+  auto next = decide_recovery({.ranks = ranks,
+                               .fence = m_directive,
+                               .previous_token = m_acquired_token == m_directive.token ? m_previous_token : 0,
+                               .max_view_age = m_options.max_view_age},
+                              now);
+  if (!next) {
+    return;
   }
-  if (!held) {
-    // The group has been released, and the pass that switches maps begins with the next request. Disarming
-    // now could reach some ranks before that pass and others after it.
-    enter(phase::going, now);
+  if (next->kind == phase::disarming && m_started_token == m_directive.token) {
+    // A leader that takes over concludes from a token that switches were started with that no rank was ever
+    // disarmed with it.
+    require_new_token(now);
     return;
   }
-  const bool can_finish = all_of(ranks, [&](const engine_status& status) {
-    return status.prepared == m_directive.version &&
-           (!status.armed || *status.armed == armed_switch{m_directive.version, m_directive.step});
-  });
-  if (!armed && prepared <= ranks.front()->status.map_version) {
-    enter(phase::releasing, now);  // No rank has a newer map, so none was ever ordered to use one.
-  } else {
-    enter(can_finish ? phase::arming : phase::disarming, now);
+  m_directive = std::move(*next);
+  enter(m_directive.kind, now);
+}
+
+bool switch_coordinator::must_give_up(views ranks, time_point now) {
+  if (complete(ranks, now)) {
+    m_complete_at = now;
   }
+  return m_switching_stopped || now - m_started_at > m_options.prepare_timeout ||
+         now - m_complete_at > m_options.max_silence;
 }
 
-void switch_coordinator::step_preparing(views ranks, std::uint32_t local_rank, time_point now) {
-  if (m_switching_stopped || now - m_entered_at > m_options.prepare_timeout) {
+void switch_coordinator::step_preparing(views ranks, time_point now) {
+  if (must_give_up(ranks, now)) {
     enter(phase::idle, now);
     return;
   }
@@ -246,8 +240,29 @@
       })) {
     return;
   }
-  m_directive.holder = local_rank;
-  begin_hold(ranks, now);
+  m_directive.round = 1;
+  enter(phase::checking, now);
+}
+
+void switch_coordinator::step_checking(views ranks, time_point now) {
+  if (must_give_up(ranks, now)) {
+    enter(phase::idle, now);
+    return;
+  }
+  if (now - m_entered_at > m_options.max_check_time) {
+    ++m_directive.round;
+    m_entered_at = now;
+    return;
+  }
+  const bool can_hold = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->checked == status_check{m_directive.version, m_directive.round} &&
+           view->status.epoch == m_directive.epoch && view->status.open &&
+           view->status.prepared == m_directive.version && !view->status.armed && !view->status.held;
+  });
+  if (can_hold) {
+    m_directive.holder = choose_holder(ranks, m_directive.leader);
+    begin_hold(ranks, now);
+  }
 }
 
 void switch_coordinator::step_holding(views ranks, time_point now) {
@@ -269,10 +284,8 @@
 }
 
 void switch_coordinator::step_arming(views ranks, time_point now) {
-  const armed_switch wanted{m_directive.version, m_directive.step};
-  if (all_of(ranks, [&](const engine_status& status) {
-        return status.epoch == m_directive.epoch && status.armed == wanted;
-      })) {
+  const auto armed = [&](const auto& view) { return view && is_armed(*view, m_directive); };
+  if (std::all_of(ranks.begin(), ranks.end(), armed)) {
     enter(phase::going, now);
     return;
   }
@@ -286,12 +299,19 @@
   // A rank without its copy cannot be armed. Late orders with this token cannot be distinguished from new
   // ones, so a higher token is needed first.
   const bool stuck = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
-    return view && view->status.epoch == m_directive.epoch && view->status.armed != wanted &&
+    return view && view->status.epoch == m_directive.epoch &&
+           view->status.armed != armed_switch{m_directive.version, m_directive.step} &&
            view->status.prepared != m_directive.version;
   });
   if (stuck) {
-    m_outdated_token = m_directive.token;
-    enter(phase::idle, now);
+    require_new_token(now);
+    return;
+  }
+  const bool others_armed = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return armed(view) || (view && view->status.rank == m_directive.leader);
+  });
+  if (m_directive.kind == phase::arming && others_armed) {
+    enter(phase::arming_leader, now);
   }
 }
 
@@ -301,22 +321,43 @@
     m_lead_estimator.observe(std::chrono::duration_cast<milliseconds>(now - *m_hold_decided_at));
     m_hold_decided_at.reset();
   }
-  const bool released = all_of(ranks, [&](const engine_status& status) {
+  const bool ended = all_of(ranks, [&](const engine_status& status) {
     return status.epoch == m_directive.epoch && !status.held && !status.armed;
   });
-  if (released) {
+  if (ended) {
     enter(phase::idle, now);
+    return;
+  }
+  const bool other_hold = std::any_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && view->status.held &&
+           (view->status.rank != m_directive.holder || view->status.held != m_directive.step);
+  });
+  if (other_hold) {
+    require_new_token(
+        now);  // An order of an earlier switch that was executed late. Nothing here releases it.
   }
 }
 
 void switch_coordinator::step_disarming(views ranks, time_point now) {
   const bool disarmed = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
-    return view && view->status.epoch == m_directive.epoch && !view->status.armed &&
-           view->disarmed_token == m_directive.token && view->disarmed_epoch == m_directive.epoch;
+    return view && (view->status.rank == m_directive.absent ||
+                    (view->status.epoch == m_directive.epoch && !view->status.armed &&
+                     view->disarmed_token == m_directive.token && view->disarmed_epoch == m_directive.epoch));
   });
   if (disarmed) {
     enter(phase::releasing, now);
   }
 }
 
+void switch_coordinator::step_releasing(views ranks, time_point now) {
+  const bool released = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && (view->status.rank == m_directive.absent ||
+                    (view->status.epoch == m_directive.epoch && !view->status.held && !view->status.armed));
+  });
+  if (released) {
+    // A `go` that is executed late could release the next switch, if it holds the same pass.
+    require_new_token(now);
+  }
+}
+
 }  // namespace cuminpath::balancer
--- a/source/core/balancer/switch_coordinator.h
+++ b/source/core/balancer/switch_coordinator.h
@@ -3,59 +3,38 @@
 // All ranks must switch maps at the same forward pass. The sequence of the phases ensures this although an
 // order may be lost or executed seconds later:
 //   prepare   every rank copies the experts of the new map; nothing else happens until all report the copy;
-//   hold      one rank is ordered not to begin pass S, so that the group cannot begin it;
-//   arm       every rank is ordered to use the new map from pass S on, until all report that they are armed;
+//   check     every rank reads its engine anew; nothing else happens until all have answered within a short
+//   time; hold      one rank is ordered not to begin pass S, so that the group cannot begin it; arm every
+//   rank is ordered to use the new map from pass S on, until all report that they are armed;
+//             the leader's own rank is ordered last, once all others are armed;
 //   go        the held rank is released.
 // After the first `arm` the switch is not rolled back: an order whose response was lost may arm a rank late,
-// which would then be the only one to switch. A leader that takes over and finds ranks that cannot all be
-// armed with the same map first makes every rank refuse the orders of its predecessor, by disarming with its
-// own, higher fencing token, and only then releases the group.
+// which would then be the only one to switch. A leader that takes over first makes every rank refuse the
+// orders of its predecessors and then decides on what the ranks report (switch_recovery.h).
+// docs/design/expert-map-switch.md argues the safety of both.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 #include <span>
-#include <string_view>
-#include <vector>
 
-#include "core/balancer/engine_port.h"
+#include "core/balancer/switch_directive.h"
 #include "core/balancer/switch_lead_estimator.h"
 #include "core/common/time.h"
 
 namespace cuminpath::balancer {
 
-enum class phase : std::uint8_t { idle, preparing, holding, arming, going, disarming, releasing };
-std::string_view phase_name(phase value);
-
-// What the ranks must do next.
-struct directive {
-  phase kind = phase::idle;
-  std::uint64_t token = 0;
-  std::uint64_t epoch = 0;
-  std::uint64_t version = 0;  // Of the new map.
-  std::uint64_t step = 0;     // The first pass that uses the new map.
-  std::uint32_t holder = 0;   // The rank that is held before that pass, and with it the group.
-  rank_map map;               // Phase `preparing` only.
-};
-
-// What the leader knows about a rank.
-struct rank_view {
-  engine_status status;
-  time_point updated_at{};  // When the status was read or received, by the local clock.
-  // The rank has executed a `disarm` with this token in this epoch and refuses lower tokens since then.
-  std::uint64_t disarmed_token = 0;
-  std::uint64_t disarmed_epoch = 0;
-  std::uint64_t refused_token = 0;   // Highest token that the rank's engine has refused.
-  std::uint64_t followed_token = 0;  // Highest token of a directive that the rank's balancer has followed.
-};
-
-// Whether the directive must still be sent to the rank. False in phase `preparing`, in which the map is
-// relayed.
-bool has_to_act(const rank_view& rank, const directive& active);
-
 struct switch_coordinator_options {
-  milliseconds max_view_age{500};      // Older views are treated as absent.
-  milliseconds prepare_timeout{8000};  // Copies take under a second; a plan older than this is outdated.
+  milliseconds max_view_age{500};  // Older views are treated as absent.
+  // Maximum time from the start of a switch to its hold. Copies take under a second and popularity shifts
+  // every 2 to 4 s, so a plan older than this is outdated.
+  milliseconds prepare_timeout{3000};
+  // Maximum time for which a rank may be silent before the group is held. Reports come every 200 ms, and a
+  // view is treated as absent after max_view_age.
+  milliseconds max_silence{500};
+  // Maximum time from the request to read all engines anew to the hold. Covers an order without a response
+  // (60 ms) and one directive that is sent again (60 ms).
+  milliseconds max_check_time{150};
   milliseconds hold_timeout{3000};
   // Number of passes between the last known one and the switch while their duration is not known.
   std::uint64_t default_lead_steps = 3;
@@ -79,6 +58,14 @@
   // does not go on.
   [[nodiscard]] bool holds_group(std::span<const std::optional<rank_view>> ranks) const;
 
+  // Tells that `token` was acquired and that `previous` was the last one acquired before it.
+  void set_previous_token(std::uint64_t token, std::uint64_t previous) {
+    m_acquired_token = token;
+    m_previous_token = previous;
+  }
+
+  // Returns the time between the decision to hold the group and the pass of the next switch.
+  [[nodiscard]] milliseconds lead() const { return m_lead_estimator.lead(); }
   // Sets the present duration of a forward pass.
   void set_pass_time(milliseconds time) { m_pass_time = time; }
 
@@ -112,19 +99,31 @@
   [[nodiscard]] std::uint64_t switch_step(std::span<const std::optional<rank_view>> ranks,
                                           time_point now) const;
   void update_outdated_token(std::span<const std::optional<rank_view>> ranks, std::uint64_t token);
-  void step_idle(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, time_point now);
-  void step_preparing(std::span<const std::optional<rank_view>> ranks, std::uint32_t local_rank,
-                      time_point now);
+  void step_idle(std::span<const std::optional<rank_view>> ranks, std::uint32_t local_rank,
+                 std::uint64_t token, time_point now);
+  void step_preparing(std::span<const std::optional<rank_view>> ranks, time_point now);
+  void step_checking(std::span<const std::optional<rank_view>> ranks, time_point now);
   void step_holding(std::span<const std::optional<rank_view>> ranks, time_point now);
   void step_arming(std::span<const std::optional<rank_view>> ranks, time_point now);
   void step_going(std::span<const std::optional<rank_view>> ranks, time_point now);
+  void step_fencing(std::span<const std::optional<rank_view>> ranks, time_point now);
   void step_disarming(std::span<const std::optional<rank_view>> ranks, time_point now);
+  void step_releasing(std::span<const std::optional<rank_view>> ranks, time_point now);
+  // Ends the switch. The next phase requires a higher token.
+  void require_new_token(time_point now);
+  // Whether a switch that holds no rank yet must be given up.
+  [[nodiscard]] bool must_give_up(std::span<const std::optional<rank_view>> ranks, time_point now);
 
   switch_coordinator_options m_options;
   milliseconds m_pass_time{0};  // 0 while not known.
   switch_lead_estimator m_lead_estimator;
   directive m_directive;
   time_point m_entered_at{};
+  time_point m_started_at{};
+  time_point m_complete_at{};         // Last time at which no rank was silent.
+  std::uint64_t m_started_token = 0;  // Token of the last switch that was started.
+  std::uint64_t m_acquired_token = 0;
+  std::uint64_t m_previous_token = 0;
   // When the leader decided to hold the group; absent once its release has been observed.
   std::optional<time_point> m_hold_decided_at;
   std::uint64_t m_outdated_token = 0;
--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -31,6 +31,11 @@
   sent.view.disarmed_token = 12;
   sent.view.refused_token = 6;
   sent.view.followed_token = 7;
+  sent.view.fenced = {.token = 8, .epoch = 2};
+  sent.view.armed_token = 9;
+  sent.view.armed_version = 10;
+  sent.view.checked = {.version = 11, .round = 3};
+  sent.view.latched = {.epoch = 2, .version = 13, .leader = 14};
   sent.experts = engine_experts{.epoch = 2, .map_version = 5, .experts = {{1, 2}, {3}}};
   const auto read = decode(encode(sent));
   ASSERT_TRUE(read);
@@ -41,6 +46,11 @@
   EXPECT_EQ(received.view.disarmed_token, 12U);
   EXPECT_EQ(received.view.refused_token, 6U);
   EXPECT_EQ(received.view.followed_token, 7U);
+  EXPECT_EQ(received.view.fenced, sent.view.fenced);
+  EXPECT_EQ(received.view.armed_token, 9U);
+  EXPECT_EQ(received.view.armed_version, 10U);
+  EXPECT_EQ(received.view.checked, sent.view.checked);
+  EXPECT_EQ(received.view.latched, sent.view.latched);
   EXPECT_EQ(received.loads, sent.loads);
   EXPECT_EQ(received.interval, milliseconds{2000});
   EXPECT_FALSE(received.may_lead);
@@ -50,14 +60,23 @@
 
 TEST(messages, a_directive_round_trips) {
   group_directive sent{.group = "g", .token = 4, .relay = {0, 3, 1}};
-  sent.value = directive{
-      .kind = phase::preparing, .token = 4, .epoch = 2, .version = 9, .map = {{{1, 2}, {0}}, {{300}, {}}}};
+  sent.value = directive{.kind = phase::preparing,
+                         .token = 4,
+                         .epoch = 2,
+                         .version = 9,
+                         .leader = 5,
+                         .round = 6,
+                         .absent = 7,
+                         .map = {{{1, 2}, {0}}, {{300}, {}}}};
   const auto read = decode(encode(sent));
   ASSERT_TRUE(read);
   const auto& received = std::get<group_directive>(read.value());
   ASSERT_TRUE(received.value);
   EXPECT_EQ(received.value->map, sent.value->map);
   EXPECT_EQ(received.value->token, 4U);
+  EXPECT_EQ(received.value->leader, 5U);
+  EXPECT_EQ(received.value->round, 6U);
+  EXPECT_EQ(received.value->absent, 7U);
   EXPECT_EQ(received.relay, sent.relay);
   const auto end = decode(encode(group_directive{.group = "g", .token = 4}));
   ASSERT_TRUE(end);
--- a/source/unit_tests/balancer/rank_worker_test.cpp
+++ b/source/unit_tests/balancer/rank_worker_test.cpp
@@ -12,7 +12,7 @@
 }
 
 directive make_directive(phase kind, std::uint64_t token = 7) {
-  return {.kind = kind, .token = token, .epoch = 3, .version = 5, .step = 12, .holder = 0};
+  return {.kind = kind, .token = token, .epoch = 3, .version = 5, .step = 12, .holder = 0, .leader = 1};
 }
 
 std::string next_order_name(rank_worker& worker) {
@@ -61,6 +61,52 @@
   }
 }
 
+// Guards against a leader's rank that is armed while another one is not, which its successor must be able to
+// exclude.
+TEST(rank_worker, arms_the_leaders_rank_only_in_its_own_phase) {
+  rank_worker worker;
+  engine_status status = make_status(1);
+  status.prepared = 5;
+  const directive arming = make_directive(phase::arming);
+  worker.set_directive(&arming);
+  worker.on_status(status);
+  EXPECT_EQ(next_order_name(worker), "");
+  const directive arming_leader = make_directive(phase::arming_leader);
+  worker.set_directive(&arming_leader);
+  EXPECT_EQ(next_order_name(worker), "arm");
+}
+
+// Guards against a late `disarm` of an earlier leader after the release of the group.
+TEST(rank_worker, arms_a_rank_again_that_an_earlier_leader_has_armed) {
+  rank_worker worker;
+  engine_status status = make_status(0);
+  status.prepared = 5;
+  status.armed = armed_switch{5, 12};
+  const directive arming = make_directive(phase::arming);
+  worker.set_directive(&arming);
+  worker.on_status(status);
+  EXPECT_EQ(next_order_name(worker), "arm");
+  worker.on_result(order_result::accepted, k_now);
+  worker.on_status(status);
+  EXPECT_EQ(next_order_name(worker), "");
+  EXPECT_EQ(worker.armed_token(), 7U);
+}
+
+// Guards against a decision on a state that a late order has changed before the fence.
+TEST(rank_worker, reports_a_fence_only_with_a_status_that_was_read_after_it) {
+  rank_worker worker;
+  directive fence = make_directive(phase::fencing);
+  fence.version = first_version_of_token(fence.token);
+  worker.set_directive(&fence);
+  worker.on_status(make_status(0));
+  EXPECT_EQ(next_order_name(worker), "disarm");
+  worker.on_result(order_result::accepted, k_now);
+  EXPECT_EQ(worker.fenced(), token_use{});
+  worker.on_status(make_status(0));
+  EXPECT_EQ(worker.fenced(), (token_use{.token = 7, .epoch = 3}));
+  EXPECT_EQ(worker.disarmed_token(), 0U);  // No rank was disarmed.
+}
+
 TEST(rank_worker, repeats_an_order_that_got_no_response_and_is_not_in_effect) {
   rank_worker worker;
   const directive hold = make_directive(phase::holding);
--- a/source/unit_tests/balancer/switch_lead_estimator_test.cpp
+++ b/source/unit_tests/balancer/switch_lead_estimator_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr time_point k_now{seconds{100}};
+constexpr std::uint64_t k_token = 9;
 
 TEST(switch_lead, covers_all_but_the_slowest_recent_switches) {
   switch_lead_estimator lead;
@@ -53,16 +54,19 @@
   time_point now = k_now;
   const auto step = [&] {
     each([now](rank_view& view) { view.updated_at = now; });
-    coordinator.step(views, 0, 9, now);
+    coordinator.step(views, 0, k_token, now);
     return coordinator.current_directive();
   };
   constexpr std::uint64_t k_initial_steps = 1 + 200 / 20;
-  for (std::uint64_t version = 1; version <= 2; ++version) {
-    ASSERT_TRUE(coordinator.start(views, 9, version, {}, now));
+  for (std::uint64_t count = 1; count <= 2; ++count) {
+    const std::uint64_t version = first_version_of_token(k_token) + count;
+    ASSERT_TRUE(coordinator.start(views, k_token, version, {}, now));
     each([version](rank_view& view) { view.status.prepared = version; });
     const directive* active = step();
-    ASSERT_EQ(active->kind, phase::holding);
-    EXPECT_EQ(active->step - views[0]->status.step, version == 1 ? k_initial_steps : 1 + 300 / 20);
+    ASSERT_EQ(active->kind, phase::checking);
+    each([active](rank_view& view) { view.checked = {active->version, active->round}; });
+    ASSERT_EQ(step()->kind, phase::holding);
+    EXPECT_EQ(active->step - views[0]->status.step, count == 1 ? k_initial_steps : 1 + 300 / 20);
     const armed_switch target{version, active->step};
     views[active->holder]->status.held = target.step;
     ASSERT_EQ(step()->kind, phase::arming);
--- a/source/unit_tests/balancer/switch_test.cpp
+++ b/source/unit_tests/balancer/switch_test.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds k_suspect_timeout{700};
 constexpr milliseconds k_grace_period{8000};
 constexpr time_point k_start{seconds{100}};
+constexpr std::size_t k_max_unread = 400;  // Later datagrams are dropped by the host.
 
 struct faults {
   double lost_orders = 0;        // Share of orders without a response, executed 2 to 12 s later.
@@ -29,6 +30,9 @@
   double balancer_restarts = 0;  // Restarts of a balancer, per second.
   double rank_restarts = 0;      // Restarts of a rank, per second.
   double planned_stops = 0;      // Planned stops of a balancer, per second.
+  // Freezes of a host of up to 5 s, per second; half of them of the first. Its engine goes on with passes,
+  // but nobody can read it or send it orders.
+  double host_freezes = 0;
   bool fencing = true;
 };
 
@@ -45,6 +49,9 @@
   std::optional<planned_stop> stop;
   bool leads = false;
   bool leaving = false;
+  time_point host_frozen_until{};
+  // Reports that arrived while the balancer was paused. It reads them one by one, as if they were new.
+  std::vector<std::pair<std::uint32_t, rank_view>> unread;
   // Orders that the balancer was about to send when it was paused.
   std::vector<std::pair<std::uint32_t, order>> pending_orders;
 };
@@ -57,6 +64,7 @@
       m_balancers.push_back(std::make_unique<balancer>());
       m_balancers.back()->running_since = k_start;
     }
+    m_pass_time = milliseconds{std::vector{0, 20, 60}[random_index(m_random, 3)]};
   }
 
   void run(seconds length, bool with_faults) {
@@ -79,6 +87,8 @@
   }
 
   [[nodiscard]] const engine_group& group() const { return m_group; }
+  // Returns how often a leader has released the group without reading one rank.
+  [[nodiscard]] std::uint64_t releases_without_rank() const { return m_releases_without_rank; }
   [[nodiscard]] std::uint64_t switches() const { return m_switches; }
   // Returns how many balancers have left although a rank was held.
   [[nodiscard]] std::uint64_t departures_while_held() const { return m_departures_while_held; }
@@ -105,6 +115,11 @@
     if (occurs(m_faults.pauses)) {
       m_balancers[rank]->paused_until = m_now + random_time(200, 4000);
     }
+    if (m_faults.host_freezes > 0 && occurs(m_faults.host_freezes)) {
+      balancer& frozen = *m_balancers[chance(0.5) ? 0 : rank];
+      frozen.host_frozen_until = m_now + random_time(200, 5000);
+      frozen.paused_until = std::max(frozen.paused_until, frozen.host_frozen_until);
+    }
     if (occurs(m_faults.balancer_restarts)) {
       restart_balancer(rank);
     }
@@ -117,8 +132,10 @@
   }
 
   void restart_balancer(std::uint32_t rank) {
+    const time_point frozen_until = m_balancers[rank]->host_frozen_until;
     m_balancers[rank] = std::make_unique<balancer>();
-    m_balancers[rank]->running_since = m_now + random_time(100, 1500);
+    m_balancers[rank]->host_frozen_until = frozen_until;
+    m_balancers[rank]->running_since = std::max(frozen_until, m_now) + random_time(100, 1500);
     m_balancers[rank]->paused_until = m_balancers[rank]->running_since;
   }
 
@@ -130,6 +147,7 @@
   // Returns true if the balancer has left its group.
   bool advance_stop(balancer& self, std::uint32_t local, bool with_faults) {
     const bool needed = self.leads ? self.coordinator.current_phase() == phase::preparing ||
+                                         self.coordinator.current_phase() == phase::checking ||
                                          self.coordinator.holds_group(self.views)
                                    : self.worker.has_directive();
     switch (self.stop->advance(needed, m_now)) {
@@ -152,8 +170,16 @@
     return false;
   }
 
+  [[nodiscard]] bool frozen(std::uint32_t rank) const { return m_balancers[rank]->host_frozen_until > m_now; }
+
   void execute_order(rank_worker& worker, std::uint32_t rank, const order& value, bool with_faults) {
-    if (with_faults && chance(m_faults.lost_orders)) {
+    if (frozen(rank)) {
+      // The host may still receive the order once it goes on.
+      if (chance(0.5)) {
+        m_group.apply_at(rank, value, m_balancers[rank]->host_frozen_until + random_time(0, 2000));
+      }
+      worker.on_result(order_result::no_response, m_now);
+    } else if (with_faults && chance(m_faults.lost_orders)) {
       m_group.apply_at(rank, value, m_now + random_time(2000, 12000));
       worker.on_result(order_result::no_response, m_now);
     } else {
@@ -162,7 +188,9 @@
   }
 
   void drive_rank(balancer& self, rank_worker& worker, std::uint32_t rank, bool with_faults) {
-    worker.on_status(m_group.status(rank));
+    if (!frozen(rank)) {
+      worker.on_status(m_group.status(rank));
+    }
     if (auto next = worker.next_order(m_now)) {
       // A process can be paused between deciding on an order and sending it.
       if (with_faults && chance(m_faults.pauses * 0.02)) {
@@ -183,29 +211,48 @@
     for (const auto& [rank, value] : std::exchange(self.pending_orders, {})) {
       m_group.apply(rank, value, m_now);
     }
+    for (auto& [rank, view] : std::exchange(self.unread, {})) {
+      view.updated_at = m_now;
+      self.views[rank] = view;
+      self.report_received_at[rank] = m_now;
+      run_leader(self, local, with_faults);
+      if (self.paused_until > m_now) {
+        return;
+      }
+    }
     drive_rank(self, self.worker, local, with_faults);
     if (self.paused_until > m_now) {
       return;
     }
-    record_view(self, local, local, self.worker);
+    self.views[local] = view_of(local, self.worker, true);
     for (std::uint32_t other = 0; other < k_ranks; ++other) {
       balancer& peer = *m_balancers[other];
-      if (other != local && peer.paused_until <= m_now && !(with_faults && chance(m_faults.lost_reports))) {
-        record_view(peer, local, local, self.worker);
+      if (other == local || (with_faults && chance(m_faults.lost_reports))) {
+        continue;
+      }
+      if (peer.paused_until <= m_now) {
+        peer.views[local] = view_of(local, self.worker, true);
         peer.report_received_at[local] = m_now;
+      } else if (peer.unread.size() < k_max_unread) {
+        peer.unread.emplace_back(local, view_of(local, self.worker, true));
       }
     }
     run_leader(self, local, with_faults);
   }
 
-  void record_view(balancer& observer, std::uint32_t rank, std::uint32_t read_rank,
-                   const rank_worker& worker) {
-    observer.views[rank] = rank_view{.status = m_group.status(read_rank),
-                                     .updated_at = m_now,
-                                     .disarmed_token = worker.disarmed_token(),
-                                     .disarmed_epoch = worker.disarmed_epoch(),
-                                     .refused_token = worker.refused_token(),
-                                     .followed_token = worker.followed_token()};
+  [[nodiscard]] rank_view view_of(std::uint32_t rank, const rank_worker& worker, bool own) const {
+    return {.status = m_group.status(rank),
+            .updated_at = m_now,
+            .read_by_own_balancer = own,
+            .disarmed_token = worker.disarmed_token(),
+            .disarmed_epoch = worker.disarmed_epoch(),
+            .refused_token = worker.refused_token(),
+            .followed_token = worker.followed_token(),
+            .fenced = worker.fenced(),
+            .armed_token = worker.armed_token(),
+            .armed_version = worker.armed_version(),
+            .checked = worker.checked(),
+            .latched = worker.latched()};
   }
 
   void run_leader(balancer& self, std::uint32_t local, bool with_faults) {
@@ -221,21 +268,28 @@
     }
     drive_suspected_ranks(self, local, with_faults);
     const phase before = self.coordinator.current_phase();
+    self.coordinator.set_pass_time(m_pass_time);
     self.coordinator.step(self.views, local, self.token, m_now);
     const bool outdated =
         self.coordinator.outdated_token() != 0 && self.token <= self.coordinator.outdated_token();
     if ((self.token == 0 && chance(0.1)) || outdated) {
+      self.coordinator.set_previous_token(m_last_token + 1, m_last_token);
       self.token = ++m_last_token;
       self.versions = 0;
     }
     if (self.coordinator.current_phase() == phase::idle && chance(0.05)) {
-      const std::uint64_t version = self.token * 1000 + ++self.versions;
+      const std::uint64_t version = first_version_of_token(self.token) + ++self.versions;
       // The map differs for each version, as maps from plans do.
       if (self.coordinator.start(self.views, self.token, version,
                                  rank_map(1, {{static_cast<std::uint32_t>(version)}}), m_now)) {
         ++m_switches;
       }
     }
+    const directive* active = self.coordinator.current_directive();
+    m_releases_without_rank +=
+        active != nullptr && active->absent && before != phase::releasing && active->kind == phase::releasing
+            ? 1
+            : 0;
     if (self.coordinator.current_phase() == phase::idle && before == phase::idle) {
       return;
     }
@@ -266,7 +320,9 @@
       if (self.paused_until > m_now) {
         return;
       }
-      record_view(self, rank, rank, *self.remote[rank]);
+      if (!frozen(rank)) {
+        self.views[rank] = view_of(rank, *self.remote[rank], false);
+      }
     }
   }
 
@@ -277,6 +333,8 @@
   time_point m_now = k_start;
   std::uint64_t m_last_token = 0;
   std::uint64_t m_switches = 0;
+  std::uint64_t m_releases_without_rank = 0;
+  milliseconds m_pass_time{0};  // As the leaders estimate it.
   std::uint64_t m_departures = 0;
   std::uint64_t m_departures_while_held = 0;
 };
@@ -335,6 +393,23 @@
   }));
 }
 
+// Guards against ranks that switch alone because a successor releases the group without the leader's rank.
+TEST(map_switch, no_pass_uses_different_maps_when_hosts_freeze) {
+  std::uint64_t releases_without_rank = 0;
+  EXPECT_TRUE(support::check_property(600, [&releases_without_rank](std::uint64_t seed) {
+    const faults injected{.lost_orders = 0.3,
+                          .lost_reports = 0.2,
+                          .pauses = 0.2,
+                          .balancer_restarts = 0.05,
+                          .host_freezes = 0.5};
+    check_safety_and_progress(seed, injected);
+    simulation simulated(seed, injected);
+    simulated.run(seconds{40}, true);
+    releases_without_rank += simulated.releases_without_rank();
+  }));
+  EXPECT_GT(releases_without_rank, 0U);
+}
+
 // Guards against a group that stands still until another balancer suspects the one that was stopped.
 TEST(map_switch, a_balancer_that_is_stopped_leaves_no_rank_held) {
   for (const bool leader : {true, false}) {
