--- a/source/unit_tests/balancer/messages_test.cpp
+++ b/source/unit_tests/balancer/messages_test.cpp
@@ -98,6 +98,11 @@
                       .map_version = 10'000'000,
                       .prepared = 10'000'001,
                       .armed = armed_switch{10'000'001, 1'000'001}};
+  sent.view.disarmed_token = sent.view.followed_token = sent.view.armed_token = 10'000;
+  sent.view.fenced = {.token = 10'000, .epoch = 20};
+  sent.view.armed_version = 10'000'001;
+  sent.view.checked = {.version = 10'000'001, .round = 2};
+  sent.view.latched = {.epoch = 20, .version = 10'000'001, .leader = 95};
   EXPECT_LE(encode(sent).size(), 300U);
   sent.loads.assign(std::size_t{16} * 192, 500);
   EXPECT_LE(encode(sent).size(), 3400U);
