gateway: limit the rate of requests to cold upstreams

coldRemainingMs was read and not used: any number of gateways could send to an upstream that had just started and seems idle to all of them.

A gateway sends nothing to cold upstreams before its list has settled. upstream_table knows which upstreams are cold (rows, responses, new instances, restored zones, failed connects) and leaves out those that may not be sent to; the exchange checks and counts when it sends. Off without coldPerS or without the new settings cold_rate_factor and cold_rate_slack.

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t k_min_grace_ms = 500;
 constexpr std::int64_t k_max_grace_ms = 60 * k_minute_ms;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
+constexpr double k_max_cold_rate_factor = 1000;
+constexpr std::uint32_t k_max_cold_rate_slack = 1'000'000;
 
 // Skips malformed seeds: the list may be stale, and the remaining seeds are still useful.
 void read_seeds(table_reader& reader, std::vector<std::string>& seeds) {
@@ -74,6 +76,11 @@
       m_root.add_error("retry_ratio", "must be from 0 to 1");
     }
     m_root.optional().read("retry_burst", value.retry_burst, {0U, k_max_retry_burst});
+    m_root.optional().read("cold_rate_factor", value.cold_rate_factor);
+    if (!(value.cold_rate_factor >= 0 && value.cold_rate_factor <= k_max_cold_rate_factor)) {
+      m_root.add_error("cold_rate_factor", fmt::format("must be from 0 to {}", k_max_cold_rate_factor));
+    }
+    m_root.optional().read("cold_rate_slack", value.cold_rate_slack, {0U, k_max_cold_rate_slack});
     read_log(value.log);
     m_root.report_unknown_keys();
   }
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -37,6 +37,10 @@
   milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_s.
   double retry_ratio = 0.2;           // Ratio of retries to requests of a service, over all gateways.
   std::uint32_t retry_burst = 100;    // Retries allowed beyond the ratio in one window, over all gateways.
+  // Over any second, all gateways together send at most the rate of the service x cold_rate_factor +
+  // cold_rate_slack requests to a cold upstream. A factor of 0 disables the limit.
+  double cold_rate_factor = 0;
+  std::uint32_t cold_rate_slack = 0;
 
   log_settings log;
 };
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -36,6 +36,10 @@
 // and groups form within the same time.
 constexpr milliseconds k_unavailable_retry_after{2000};
 
+// Retry-After while all upstreams are cold: a sender may send again within a second, and other senders serve
+// other upstreams in the meantime.
+constexpr milliseconds k_cold_retry_after{500};
+
 }  // namespace
 
 bool service_availability::unavailable(time_point now) const {
@@ -94,7 +98,10 @@
   }
   // Callers cannot be served before the operator restores a zone.
   const bool unavailable = request.service_unavailable || (totals.upstreams == 0 && totals.evacuated > 0);
-  const double wait_ms = unavailable ? static_cast<double>(k_unavailable_retry_after.count()) : queue_ms;
+  const bool all_cold = totals.upstreams > 0 && totals.cold == totals.upstreams;
+  const double wait_ms = unavailable ? static_cast<double>(k_unavailable_retry_after.count())
+                         : all_cold  ? std::max(queue_ms, static_cast<double>(k_cold_retry_after.count()))
+                                     : queue_ms;
   const double max_wait_ms = k_max_retry_after_time_share * static_cast<double>(request.time_left.count());
   // Jitter over the second half of the wait, so that callers refused together do not retry together.
   const double jitter = 0.5 + std::uniform_real_distribution<double>(0, 0.5)(random);
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -65,6 +65,8 @@
   std::uint32_t max_connections = 0;  // To one upstream, summed over all gateways; 0 if not limited.
   std::optional<engine_cost> engine;  // Absent for plain services.
   std::optional<expert_layout> experts;
+  milliseconds cold_start{0};  // For how long an upstream is cold after a start during traffic.
+  double cold_per_s = 0;       // Requests a second that a cold upstream can handle; 0 if not limited.
 };
 
 struct caller_limits {
--- a/source/core/gateway/header_names.h
+++ b/source/core/gateway/header_names.h
@@ -17,6 +17,7 @@
   std::string not_executed;     // In a response: the upstream has not run the request.
   std::string stamp;            // In a response: stamp set by the upstream.
   std::string leaving;          // In a response: "1" if the responding upstream is leaving.
+  std::string cold_for_ms;      // In a response: for how long the upstream stays cold, in milliseconds.
   std::string model;            // Name of the model that the request is for.
   std::string prompt_parts;     // Parts of the prompt in order: ID:TOKENS, separated by commas.
 };
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -56,8 +56,17 @@
   return found == m_index.end() ? nullptr : &m_upstreams[found->second];
 }
 
-void upstream_table::add(const upstream_record& record) {
+void upstream_table::add(const upstream_record& record, time_point now) {
   upstream added{.record = record, .hash = short_hash(record.id)};
+  added.cold_rules = cold_policy_of(record.service);
+  added.cold_start.on_statement(record.cold_for.value_or(milliseconds{0}), now);
+  // The first list tells nothing about when its upstreams have started, but their rows do.
+  const auto instance = m_known_instances.find(record.id);
+  const bool known_before = record.started_ms != 0 && instance != m_known_instances.end() &&
+                            instance->second.started_ms == record.started_ms;
+  if (m_listed_before ? !known_before : !record.cold_for) {
+    added.cold_start.on_possible_start(now);
+  }
   for (const auto& [member, loads] : m_member_loads) {
     for (const upstream_load& load : loads) {
       added.member_requests += load.upstream_hash == added.hash ? load.outstanding : 0;
@@ -71,7 +80,9 @@
   m_upstreams.push_back(std::move(added));
 }
 
-void upstream_table::erase_index(std::size_t index) {
+void upstream_table::erase_index(std::size_t index, time_point now) {
+  const upstream_record& record = m_upstreams[index].record;
+  m_known_instances.insert_or_assign(record.id, known_instance{record.started_ms, now});
   m_index.erase(m_upstreams[index].record.id);
   if (index + 1 != m_upstreams.size()) {
     m_upstreams[index] = std::move(m_upstreams.back());
@@ -101,12 +112,15 @@
     listed.insert(record.id);
     upstream* known = find_mutable(record.id);
     if (known == nullptr) {
-      add(record);
+      add(record, now);
       changes.push_back({kind::added, record.id});
       continue;
     }
     known->removed_at.reset();
-    if (known->record == record) {
+    apply_cold_statement(*known, record, now);
+    if (known->record.describes_same_upstream(record)) {
+      known->record.cold_for = record.cold_for;
+      known->record.row_version = record.row_version;
       continue;
     }
     if (known->record.started_ms != record.started_ms || known->record.address != record.address) {
@@ -122,6 +136,7 @@
     }
     known->wrong_instance = false;
     known->record = record;
+    known->cold_rules = cold_policy_of(record.service);
     known->evacuated = m_evacuated_zones.contains(record.availability_zone);
   }
   const auto vanished = static_cast<std::size_t>(
@@ -141,10 +156,60 @@
       changes.push_back({kind::kept_after_expiry, known.record.id});
     } else {
       changes.push_back({kind::removed, known.record.id});
-      erase_index(i);
+      erase_index(i, now);
     }
   }
   mark_superseded();
+  m_listed_before = m_listed_before || !records.empty();
+  return changes;
+}
+
+void upstream_table::apply_cold_statement(upstream& known, const upstream_record& record, time_point now) {
+  const bool restarted = known.record.started_ms != record.started_ms;
+  // The same row is applied again whenever another one changes, and its time runs from its first application.
+  if (record.cold_for && (restarted || known.record.row_version != record.row_version)) {
+    known.cold_start.on_statement(*record.cold_for, now);
+  }
+  if (restarted || known.record.address != record.address) {
+    known.cold_start.on_possible_start(now);
+  }
+}
+
+cold_policy upstream_table::cold_policy_of(const std::string& service) const {
+  const auto found = m_cold_policies.find(service);
+  return found == m_cold_policies.end() ? cold_policy{} : found->second;
+}
+
+void upstream_table::set_cold_policies(cold_policies policies) {
+  m_cold_policies = std::move(policies);
+  for (upstream& known : m_upstreams) {
+    known.cold_rules = cold_policy_of(known.record.service);
+  }
+}
+
+void upstream_table::on_cold_statement(std::string_view id, milliseconds cold_for, time_point now) {
+  if (upstream* known = find_mutable(id)) {
+    known->cold_start.on_statement(std::clamp<milliseconds>(cold_for, milliseconds{0}, k_max_cold_time), now);
+  }
+}
+
+void upstream_table::on_zone_restored(std::string_view availability_zone, time_point now) {
+  for (upstream& known : m_upstreams) {
+    if (known.record.availability_zone == availability_zone) {
+      known.cold_start.on_possible_start(now);
+    }
+  }
+}
+
+std::vector<upstream_table::cold_change> upstream_table::take_cold_changes(time_point now) {
+  std::vector<cold_change> changes;
+  for (upstream& known : m_upstreams) {
+    const bool cold = known.cold(now);
+    if (std::exchange(known.reported_cold, cold) != cold) {
+      const auto remaining = std::chrono::ceil<milliseconds>(known.cold_start.until(known.cold_rules) - now);
+      changes.push_back({known.record.id, cold ? std::max(milliseconds{1}, remaining) : milliseconds{0}});
+    }
+  }
   return changes;
 }
 
@@ -153,11 +218,13 @@
   for (std::size_t i = m_upstreams.size(); i-- > 0;) {
     if (m_upstreams[i].removed_at && now - *m_upstreams[i].removed_at >= k_expired_row_grace) {
       changes.push_back({change::kind::removed, m_upstreams[i].record.id});
-      erase_index(i);
+      erase_index(i, now);
     }
   }
   std::erase_if(m_announcements,
                 [now](const auto& entry) { return now - entry.second.at >= k_announcement_lifetime; });
+  std::erase_if(m_known_instances,
+                [now](const auto& entry) { return now - entry.second.removed_at >= k_instance_memory; });
   return changes;
 }
 
@@ -168,6 +235,11 @@
   }
 }
 
+std::size_t upstream_table::count_cold(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                                [now](const upstream& known) { return known.cold(now); }));
+}
+
 std::uint32_t upstream_table::local_requests_in(std::string_view availability_zone) const {
   std::uint32_t requests = 0;
   for (const upstream& known : m_upstreams) {
@@ -194,6 +266,10 @@
     if (outstanding >= options.max_utilization * record.slots) {
       continue;
     }
+    if (options.cold_limiter != nullptr && known.cold(now) &&
+        !options.cold_limiter->may_send(record.id, known.cold_rules.max_per_s, now)) {
+      continue;
+    }
     // Reservoir sampling: each eligible upstream has the same probability to be in the sample.
     const std::size_t position = eligible < sample.size() ? eligible : random_index(random, eligible + 1);
     ++eligible;
@@ -229,6 +305,7 @@
 void upstream_table::on_success(std::string_view id, time_point now) {
   if (upstream* known = find_mutable(id)) {
     known->health.on_success(now, k_ejection);
+    known->cold_start.on_reachable(now);
   }
 }
 
@@ -250,6 +327,12 @@
   }
 }
 
+void upstream_table::on_connect_failure(std::string_view id) {
+  if (upstream* known = find_mutable(id); known != nullptr && known->health.ejected_or_on_trial()) {
+    known->cold_start.on_unreachable();
+  }
+}
+
 void upstream_table::on_wrong_instance(std::string_view id) {
   if (upstream* known = find_mutable(id)) {
     known->wrong_instance = true;
@@ -319,6 +402,7 @@
       continue;
     }
     ++sum.upstreams;
+    sum.cold += known.cold(now) ? 1 : 0;
     sum.slots += known.record.slots;
     sum.outstanding += known.local_requests + known.member_requests;
   }
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -6,11 +6,14 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 #include "core/common/random.h"
 #include "core/common/time.h"
+#include "core/gateway/cold_rate_limiter.h"
+#include "core/gateway/cold_state.h"
 #include "core/gateway/evacuation.h"
 #include "core/routing/ejection.h"
 
@@ -26,8 +29,18 @@
   bool leaving = false;
   // Unix time of the start, which distinguishes restarts under the same id; 0 if unknown.
   std::uint64_t started_ms = 0;
-
-  bool operator==(const upstream_record&) const = default;
+  // For how long it stays cold after the row was written; absent if the row does not say.
+  std::optional<milliseconds> cold_for;
+  std::uint64_t row_version = 0;  // Version of the store at the last write of the row.
+
+  // Compares all but the last two, which change with each write of the row.
+  [[nodiscard]] bool describes_same_upstream(const upstream_record& other) const {
+    const auto fields = [](const upstream_record& record) {
+      return std::tie(record.id, record.service, record.address, record.availability_zone, record.slots,
+                      record.leaving, record.started_ms);
+    };
+    return fields(*this) == fields(other);
+  }
 };
 
 struct upstream_load {
@@ -46,6 +59,11 @@
 // removed, as rows of leaving instances can be written again. Instances end within a minute of the
 // announcement.
 constexpr minutes k_announcement_lifetime{10};
+// A removed instance is recognized for this long, so that it does not count as new when its row comes back.
+// Outages of the store last minutes.
+constexpr minutes k_instance_memory{10};
+// Longer times that an upstream states in a response are considered mistakes and capped to this time.
+constexpr minutes k_max_cold_time{10};
 // Longer Retry-After values of an upstream are considered mistakes and capped to this time.
 constexpr hours k_max_backoff{1};
 
@@ -55,6 +73,8 @@
   // Maximum number of requests at one upstream, as a multiple of its slots; upstreams at or above it are not
   // chosen.
   double max_utilization = 1;
+  // Excludes cold upstreams that this gateway may not send to now; null if they are not limited.
+  const cold_rate_limiter* cold_limiter = nullptr;
 };
 
 class upstream_table {
@@ -69,12 +89,16 @@
     // It announced in a response that it leaves; the list may not show it yet.
     bool announced_leaving = false;
     time_point rejects_until{};  // It rejects requests of this gateway until then.
+    cold_state cold_start;
+    cold_policy cold_rules;      // Of its service.
+    bool reported_cold = false;  // By take_cold_changes().
     bool evacuated = false;      // The operator has evacuated its availability zone.
     bool superseded = false;  // A later instance is listed at the same address; this row has not expired yet.
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
 
     [[nodiscard]] bool leaving() const { return record.leaving || announced_leaving; }
+    [[nodiscard]] bool cold(time_point now) const { return cold_start.cold(cold_rules, now); }
     [[nodiscard]] bool rejects_requests(time_point now) const { return now < rejects_until; }
   };
 
@@ -91,6 +115,22 @@
   // Marks the upstreams of the availability zones under evacuation. They receive no new requests; what runs
   // there goes on. Applies to upstreams that are added later, too.
   void set_evacuations(const evacuation& evacuations);
+  // The upstreams of a restored zone may have become cold during the evacuation.
+  void on_zone_restored(std::string_view availability_zone, time_point now);
+
+  // Sets the rules for cold upstreams by service; services without an entry have no limit.
+  using cold_policies = std::unordered_map<std::string, cold_policy>;
+  void set_cold_policies(cold_policies policies);
+  // An upstream states in a response for how long it stays cold.
+  void on_cold_statement(std::string_view id, milliseconds cold_for, time_point now);
+  struct cold_change {
+    std::string id;
+    milliseconds remaining{0};  // 0 if the upstream is no longer cold.
+  };
+  // Returns the upstreams that have become cold or warm since the last call.
+  std::vector<cold_change> take_cold_changes(time_point now);
+  [[nodiscard]] std::size_t count_cold(time_point now) const;
+
   // Returns the number of requests of this gateway that run at upstreams of an availability zone.
   [[nodiscard]] std::uint32_t local_requests_in(std::string_view availability_zone) const;
 
@@ -104,6 +144,9 @@
   void on_ended(std::string_view id);
   void on_success(std::string_view id, time_point now);
   void on_failure(std::string_view id, time_point now);
+  // No connection could be made, after on_failure(). An upstream that is ejected for this may be restarting,
+  // so it counts as cold from its first response on.
+  void on_connect_failure(std::string_view id);
   // Another instance responded at the address: no more requests are sent there until the row changes.
   void on_wrong_instance(std::string_view id);
   // The instance announced in a response that it leaves: no more requests are sent to it, whatever the list
@@ -122,6 +165,7 @@
     std::uint32_t slots = 0;
     std::uint32_t outstanding = 0;
     std::uint32_t evacuated = 0;  // Upstreams that would be available if their zone were not evacuated.
+    std::uint32_t cold = 0;       // Available upstreams that are cold.
     // Time until the first upstream accepts requests again; absent unless all of them reject requests.
     std::optional<milliseconds> all_reject_for;
   };
@@ -130,21 +174,32 @@
 
 private:
   upstream* find_mutable(std::string_view id);
-  void add(const upstream_record& record);
+  void add(const upstream_record& record, time_point now);
+  // Takes what the row of a listed upstream says about it being cold.
+  void apply_cold_statement(upstream& known, const upstream_record& record, time_point now);
+  [[nodiscard]] cold_policy cold_policy_of(const std::string& service) const;
   void mark_superseded();
-  void erase_index(std::size_t index);
+  void erase_index(std::size_t index, time_point now);
   [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
 
   struct announcement {
     std::uint64_t started_ms = 0;  // Of the leaving instance.
     time_point at{};
   };
+  struct known_instance {
+    std::uint64_t started_ms = 0;
+    time_point removed_at{};
+  };
 
   std::vector<upstream> m_upstreams;
   std::unordered_map<std::string, std::size_t> m_index;  // By id.
   std::unordered_map<std::string, std::vector<upstream_load>> m_member_loads;
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   evacuation::zone_states m_evacuated_zones;
+  cold_policies m_cold_policies;
+  // Instances that are no longer listed, by id. A row that lapsed and comes back is no new instance.
+  std::unordered_map<std::string, known_instance> m_known_instances;
+  bool m_listed_before = false;  // False until the first list with upstreams has been applied.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -1,7 +1,6 @@
 #include "core/proxy/exchange.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -19,12 +18,6 @@
 
 constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
 
-std::optional<std::int64_t> parse_integer(std::string_view text) {
-  std::int64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  return parsed.ec == std::errc() ? std::optional(value) : std::nullopt;
-}
-
 }  // namespace
 
 exchange::exchange(proxy_state& state, std::shared_ptr<caller_connection> caller, http::request request,
@@ -78,6 +71,9 @@
   }
   const auto* target = leaves_places_to_waiting_streams(now) ? choose_upstream(now) : nullptr;
   if (target == nullptr) {
+    if (m_state.upstreams.totals(m_service, now).cold > 0) {
+      m_state.metrics.add("cuminpath_cold_requests_held_back_total", {{"at", "placement"}});
+    }
     refuse(503, "no upstream has a free place", now);
     return;
   }
@@ -227,10 +223,28 @@
   return m_state.upstreams.choose(m_service,
                                   {.availability_zone = m_state.availability_zone,
                                    .excluded = m_tried_upstreams,
-                                   .max_utilization = max_utilization},
+                                   .max_utilization = max_utilization,
+                                   .cold_limiter = &m_state.cold_limiter},
                                   now, m_state.random);
 }
 
+bool exchange::take_cold_allowance(const gateway::upstream_table::upstream& target, time_point now) {
+  const std::uint32_t bound = target.cold_rules.max_per_s;
+  if (bound == 0) {
+    return true;
+  }
+  const bool cold = target.cold(now);
+  if (cold && !m_state.cold_limiter.may_send(target.record.id, bound, now)) {
+    m_state.metrics.add("cuminpath_cold_requests_held_back_total", {{"at", "send"}});
+    return false;
+  }
+  m_state.cold_limiter.on_sent(target.record.id, bound, now);
+  if (cold) {
+    m_state.metrics.add("cuminpath_cold_requests_sent_total");
+  }
+  return true;
+}
+
 void exchange::arm_deadline_timer() {
   m_deadline_timer.expires_at(end_of_time());
   m_deadline_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -33,6 +33,7 @@
   std::uint32_t events = 0;        // That the caller has received.
   gateway::event_splitter splitter;
   time_point last_progress;            // When it was sent, or when its last event with data arrived.
+  bool held_back = false;              // The rate limit of cold upstreams did not allow to send it.
   bool silent = false;                 // Another attempt was begun because it made no progress.
   std::string held_bytes;              // Comments and empty lines before its first event.
   std::size_t bytes_without_data = 0;  // Since the last event with data.
@@ -82,6 +83,8 @@
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
   void on_connected(upstream_attempt& attempt, std::string_view failure);
   void send_request(upstream_attempt& attempt, time_point now);
+  // Counts a request to the upstream. Returns false if the upstream is cold and may not be sent to now.
+  [[nodiscard]] bool take_cold_allowance(const gateway::upstream_table::upstream& target, time_point now);
   [[nodiscard]] std::string serialize_request(const gateway::upstream_table::upstream& target,
                                               time_point now) const;
   [[nodiscard]] bool is_running(const upstream_attempt& attempt) const;
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -139,7 +139,9 @@
 void exchange::on_connected(upstream_attempt& attempt, std::string_view failure) {
   const time_point now = clock::now();
   if (!failure.empty()) {
+    const std::string upstream_id = attempt.upstream_id;
     end_attempt(attempt, attempt_result::not_sent, failure);
+    m_state.upstreams.on_connect_failure(upstream_id);
     return;
   }
   send_request(attempt, now);
@@ -197,6 +199,12 @@
                 "upstream asked for no requests while the connection was being made");
     return;
   }
+  if (!take_cold_allowance(*target, now)) {
+    attempt.held_back = true;
+    m_full_upstreams.push_back(attempt.upstream_id);  // It may be asked again.
+    end_attempt(attempt, attempt_result::not_sent, "upstream is cold and may get no request from here now");
+    return;
+  }
   attempt.sent = true;
   ++m_sent_attempts;
   const auto running = *std::find_if(m_attempts.begin(), m_attempts.end(),
@@ -323,7 +331,7 @@
   const bool refused = end == attempt_result::not_executed || end == attempt_result::wrong_instance;
   const bool connection_reusable = refused || end == attempt_result::failed;
   const auto* failed = m_state.upstreams.find(attempt.upstream_id);
-  if (failed != nullptr && !failed->rejects_requests(now) && !attempt.silent) {
+  if (failed != nullptr && !failed->rejects_requests(now) && !attempt.silent && !attempt.held_back) {
     m_state.upstreams.on_failure(attempt.upstream_id, now);
   }
   release_attempt(attempt, connection_reusable);
--- a/source/core/proxy/exchange_detail.h
+++ b/source/core/proxy/exchange_detail.h
@@ -1,8 +1,10 @@
 // Shared by the source files of the exchange.
 #pragma once
 
+#include <charconv>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "core/common/time.h"
@@ -20,6 +22,12 @@
   return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+inline std::optional<std::int64_t> parse_integer(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  return parsed.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
 inline std::string_view call_kind_name(gateway::call_kind kind) {
   switch (kind) {
     case gateway::call_kind::repeatable:
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -103,6 +103,10 @@
     telemetry::log(log_level::info, "upstreams", "says that it leaves",
                    {{"upstream", id}, {"request", m_request_id}});
   }
+  if (const auto cold = http::find_header(head.headers, m_state.header_names.cold_for_ms);
+      cold && head.status != k_misdirected_request) {
+    m_state.upstreams.on_cold_statement(id, milliseconds(parse_integer(*cold).value_or(0)), now);
+  }
   if (head.status == k_service_unavailable) {
     const auto retry_after = http::find_header(head.headers, "Retry-After");
     const auto wait = retry_after ? http::parse_retry_after(*retry_after) : std::nullopt;
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -47,6 +47,8 @@
 // restarted and start with a fresh budget.
 constexpr double k_retry_share = 0.5;
 constexpr double k_initial_retries = 5;
+// Between two updates of the names among which the senders to cold upstreams are selected.
+constexpr milliseconds k_cold_update_interval{200};
 // The status of an engine arrives within a few milliseconds.
 constexpr milliseconds k_upstream_check_timeout{100};
 
@@ -103,6 +105,7 @@
                       .report_address = settings.public_report_address,
                       .mirror_address = settings.public_mirror_address,
                       .availability_zone = settings.availability_zone};
+    m_state.cold_limiter = gateway::cold_rate_limiter(settings.name);
     update_retry_limits();
   }
 
@@ -219,6 +222,10 @@
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
     set_evacuation_metrics(clock::now());
+    metrics.set("cuminpath_cold_upstreams", static_cast<double>(m_state.upstreams.count_cold(clock::now())));
+    metrics.set("cuminpath_cold_rate_settled", m_state.cold_limiter.settled() ? 1 : 0);
+    metrics.set("cuminpath_cold_rate_known_gateways",
+                static_cast<double>(m_state.cold_limiter.known_names()));
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -278,11 +285,15 @@
     apply_configuration();
     apply_evacuations(now);
     apply_upstreams(disturbed, now);
+    m_listed = false;
     for (auto& row : m_platform->read_members(m_mirror)) {
-      if (row.name != m_local_report.name) {
+      if (row.name == m_local_report.name) {
+        m_listed = true;
+      } else {
         m_members.on_store_row(std::move(row));
       }
     }
+    update_cold_limiter(now);
     if (m_local_report.state == gateway::member_state::starting && m_state.configuration &&
         m_state.upstreams.size() > 0) {
       m_local_report.state = gateway::member_state::ready;
@@ -313,6 +324,49 @@
          {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())}});
     m_state.configuration = next;
     m_state.configured_at = clock::now();
+    apply_cold_policies();
+  }
+
+  // Cold upstreams.
+
+  void apply_cold_policies() {
+    gateway::upstream_table::cold_policies policies;
+    if (m_state.configuration && m_settings.cold_rate_factor > 0) {
+      for (const auto& service : m_state.configuration->services) {
+        if (service.cold_per_s > 0) {
+          // Not less than 1, or a cold upstream would never get a request.
+          const double bound = service.cold_per_s * m_settings.cold_rate_factor + m_settings.cold_rate_slack;
+          policies.emplace(service.name, gateway::cold_policy{
+                                             .cold_start = service.cold_start,
+                                             .max_per_s = static_cast<std::uint32_t>(std::max(1.0, bound))});
+        }
+      }
+    }
+    m_state.upstreams.set_cold_policies(std::move(policies));
+  }
+
+  // Names the known gateways for the selection of senders, alive or not. The list is confirmed while the
+  // store answers this gateway, or most of the known gateways report to it.
+  void update_cold_limiter(time_point now) {
+    std::vector<std::string> names;
+    std::size_t alive = 0;
+    for (const auto& member : m_members.all()) {
+      names.push_back(member.report.name);
+      alive += m_members.alive(member, now) ? 1 : 0;
+    }
+    const bool in_contact = m_local_report.reads_store || 2 * alive > names.size();
+    m_state.cold_limiter.set_members(names, m_listed && in_contact, now);
+    m_last_cold_update = now;
+  }
+
+  void log_cold_changes(time_point now) {
+    for (const auto& change : m_state.upstreams.take_cold_changes(now)) {
+      telemetry::log(log_level::info, "upstreams",
+                     change.remaining.count() > 0 ? "upstream cold" : "upstream warm",
+                     {{"upstream", change.id},
+                      {"remaining_ms", change.remaining.count()},
+                      {"senders_known", m_state.cold_limiter.settled()}});
+    }
   }
 
   void apply_evacuations(time_point now) {
@@ -322,6 +376,9 @@
     }
     m_state.upstreams.set_evacuations(m_evacuation);
     for (const auto& change : changes) {
+      if (!change.evacuated) {
+        m_state.upstreams.on_zone_restored(change.availability_zone, now);
+      }
       telemetry::log(
           log_level::info, "upstreams", change.evacuated ? "zone evacuated" : "zone restored",
           {{"availability_zone", change.availability_zone},
@@ -524,6 +581,10 @@
     fetch_newer_changes(now);
     log_changes(m_state.upstreams.expire(now));
     update_members(now);
+    if (now - m_last_cold_update >= k_cold_update_interval) {
+      update_cold_limiter(now);
+    }
+    log_cold_changes(now);
     m_state.upstream_connections.close_expired(now);
     m_callers.tick(now);
     const bool has_news = m_evidence.tick(now);
@@ -547,6 +608,7 @@
     if (elapsed_ms > k_pause_threshold.count()) {
       telemetry::log(log_level::warning, "process", "process stood still", {{"for_ms", elapsed_ms}});
       m_store_reader_selection.distrust_members(now);
+      m_state.cold_limiter.restart_settling();
       m_platform->restart_store_reading(now);
     }
   }
@@ -584,9 +646,12 @@
     }
     m_settings.retry_ratio = parsed.value.retry_ratio;
     m_settings.retry_burst = parsed.value.retry_burst;
+    m_settings.cold_rate_factor = parsed.value.cold_rate_factor;
+    m_settings.cold_rate_slack = parsed.value.cold_rate_slack;
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
     update_retry_limits();
+    apply_cold_policies();
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
@@ -672,6 +737,8 @@
   bool m_last_store_call_answered = false;  // Since the gateway began to read the store.
   time_point m_last_store_failure{};
   time_point m_last_mirror_call{};
+  bool m_listed = false;  // The mirror contains the row of this gateway.
+  time_point m_last_cold_update{};
   time_point m_last_report{};
   time_point m_last_tick{};
   std::int64_t m_last_tick_boot_ms = 0;
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -10,6 +10,7 @@
 
 #include "core/common/random.h"
 #include "core/gateway/admission.h"
+#include "core/gateway/cold_rate_limiter.h"
 #include "core/gateway/concurrency_limiter.h"
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
@@ -35,6 +36,7 @@
   std::optional<time_point> configured_at;                      // When the version came into force here.
   std::optional<time_point> reloaded_at;                        // When the settings were last reloaded.
   gateway::upstream_table upstreams;
+  gateway::cold_rate_limiter cold_limiter{""};  // Replaced once the name of the gateway is known.
   upstream_connection_pool upstream_connections;
   std::unique_ptr<upstream_check> upstream_checks;  // Null if the platform has no status to ask for.
   routing::prompt_quarantine prompt_quarantine;
--- a/source/unit_tests/config/templates_test.cpp
+++ b/source/unit_tests/config/templates_test.cpp
@@ -18,11 +18,14 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
-// Replaces the placeholders with example values of the same form as those of the platform.
-std::string fill_placeholders(std::string text, const std::string& grace_s) {
+// Replaces the placeholders with example values of the same form as those of the platform. Bounds that a
+// deployment does not have render nothing in their sections.
+std::string fill_placeholders(std::string text, const std::string& grace_s, bool has_cold_bounds) {
   const std::map<std::string, std::string> values = {{"bounds.graceS", grace_s},
                                                      {"bounds.retryBudgetRatio", "0.2"},
                                                      {"bounds.retryBudgetBurst", "207"},
+                                                     {"bounds.coldOver", "1.5"},
+                                                     {"bounds.coldSlack", "5"},
                                                      {"internalPorts.0", "7340"},
                                                      {"internalPorts.1", "7355"},
                                                      {"ip", "10.1.0.40"},
@@ -38,6 +41,8 @@
                                                      {"listen.control", "10.1.0.40:4"}};
   text = std::regex_replace(text, std::regex(R"(\{\{#seeds\}\}.*\{\{/seeds\}\})"),
                             R"("10.1.0.41:4", "10.1.0.42:4")");
+  text = std::regex_replace(text, std::regex(R"(\{\{#(bounds\.cold\w+)\}\}(.*)\{\{/\1\}\})"),
+                            has_cold_bounds ? "$2" : "");
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
@@ -51,7 +56,8 @@
   for (const char* name : {"gateway.toml.in", "balancer.toml.in"}) {
     for (const char* grace_s : {"8", "7.5"}) {
       const std::string text =
-          fill_placeholders(read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name), grace_s);
+          fill_placeholders(read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name), grace_s,
+                            std::string_view(grace_s) == "8");
       EXPECT_EQ(text.find("{{"), std::string::npos) << text;
       for (const auto& error : check_settings(text, name)) {
         ADD_FAILURE() << to_string(error);
