gateway: check the rate of a sender to cold upstreams in constant time

A sender of a service with a high rate counted all of its recent requests at each check, and kept any number of them.

--- a/source/core/gateway/cold_rate_limiter.cpp
+++ b/source/core/gateway/cold_rate_limiter.cpp
@@ -12,6 +12,9 @@
 // Upstreams to which nothing was sent for this long are forgotten; longer than any window.
 constexpr seconds k_upstream_retention{30};
 
+// Bounds the memory for each upstream; more than a gateway sends to one upstream in a second.
+constexpr std::uint32_t k_max_per_sender = 1000;
+
 // Weight of a gateway for an upstream in rendezvous hashing. Names are hashed once, since 1,200 names are
 // compared for each cold upstream.
 std::uint64_t weight(std::uint64_t name_hash, std::uint64_t upstream_hash) {
@@ -65,7 +68,7 @@
   }
   const auto used = std::max(1U, static_cast<std::uint32_t>(m_options.used_share * bound));
   const std::uint32_t senders = std::min(used, m_options.max_senders);
-  return {.senders = senders, .per_sender = used / senders};
+  return {.senders = senders, .per_sender = std::min(used / senders, k_max_per_sender)};
 }
 
 std::uint32_t cold_rate_limiter::rank(std::string_view upstream_id) const {
@@ -96,14 +99,17 @@
     return false;
   }
   const limits allowed = limits_for(bound);
+  if (allowed.senders == 0) {
+    return false;
+  }
   upstream_entry& known = entry(upstream_id, now);
   if (known.generation != m_generation) {
     known.rank = rank(upstream_id);
     known.generation = m_generation;
   }
-  const auto recent = std::count_if(known.sent.begin(), known.sent.end(),
-                                    [&](time_point sent_at) { return now - sent_at < m_options.window; });
-  return known.rank < allowed.senders && recent < static_cast<std::ptrdiff_t>(allowed.per_sender);
+  const bool below_rate = known.sent.size() < allowed.per_sender ||
+                          now - known.sent[known.sent.size() - allowed.per_sender] >= m_options.window;
+  return known.rank < allowed.senders && below_rate;
 }
 
 void cold_rate_limiter::on_sent(std::string_view upstream_id, std::uint32_t bound, time_point now) {
--- a/source/unit_tests/gateway/cold_rate_simulation_test.cpp
+++ b/source/unit_tests/gateway/cold_rate_simulation_test.cpp
@@ -131,7 +131,7 @@
   }
 
   // Returns the list without a fifth of the names, which are the same all the time.
-  std::shared_ptr<const std::vector<std::string>> lacking_list(std::size_t index) const {
+  [[nodiscard]] std::shared_ptr<const std::vector<std::string>> lacking_list(std::size_t index) const {
     random_source lacking(m_seed + (index << 32U));
     auto names = *m_list;
     std::erase_if(names, [&](const std::string&) { return random_index(lacking, 5) == 0; });
--- a/source/unit_tests/gateway/cold_upstreams_test.cpp
+++ b/source/unit_tests/gateway/cold_upstreams_test.cpp
@@ -110,6 +110,7 @@
 // Load: a restart of the whole fleet. Guards against refusals while this gateway may still send.
 TEST_F(cold_upstreams, get_one_request_each_in_a_second_if_no_other_ones_are_left) {
   std::vector<upstream_record> records;
+  records.reserve(20);
   for (int i = 0; i < 20; ++i) {
     records.push_back(row("u" + std::to_string(i), 1, 3000));
   }
