balancer: arm the held rank after the others, and keep the last maps

A leader that froze after its order to arm left all other ranks armed, so its successor knew nothing about the leader's rank and had to wait. The held rank is now armed once the others are, the leader's after it: until then the successor finds the held rank not armed and may release the group.

A switch that was given up replaced the map in use in the leaders' memory. Each balancer keeps the last four maps.

--- a/source/core/balancer/balancer_process.cpp
+++ b/source/core/balancer/balancer_process.cpp
@@ -5,6 +5,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
+#include <deque>
 #include <map>
 #include <span>
 
@@ -66,6 +67,10 @@
 // No plan is made from fewer tokens, since they say little about the popularity of experts.
 constexpr double k_min_tokens_for_plan = 3000;
 
+// The map in use is the last one, or an earlier one if switches were given up. Ranks report their experts
+// within a second, in which there is time for three switches.
+constexpr std::size_t k_max_known_maps = 4;
+
 std::string port_of(const std::string& address) {
   return address.substr(address.rfind(':'));
 }
@@ -223,7 +228,10 @@
   }
 
   void remember_map(const directive& active) {
-    m_newest_map = {.epoch = active.epoch, .version = active.version, .map = active.map};
+    m_known_maps.push_front({.epoch = active.epoch, .version = active.version, .map = active.map});
+    if (m_known_maps.size() > k_max_known_maps) {
+      m_known_maps.pop_back();
+    }
   }
 
   // Returns the ranks of the group whose balancers are alive, in ascending order.
@@ -644,8 +652,11 @@
   [[nodiscard]] rank_map current_map() const {
     const auto layout = m_platform->expert_layout();
     const std::uint64_t version = local_status().map_version;
-    if (m_newest_map.version == version && m_newest_map.epoch == local_status().epoch) {
-      return m_newest_map.map;
+    const auto known = std::find_if(m_known_maps.begin(), m_known_maps.end(), [&](const known_map& each) {
+      return each.version == version && each.epoch == local_status().epoch;
+    });
+    if (known != m_known_maps.end()) {
+      return known->map;
     }
     rank_map map(layout->layers, std::vector<std::vector<std::uint32_t>>(local_status().ranks));
     std::size_t filled = 0;
@@ -882,7 +893,7 @@
   std::uint64_t m_sequence = 0;
   std::uint64_t m_token = 0;           // Fencing token; 0 while another process leads.
   std::uint64_t m_followed_token = 0;  // Highest token of all directives so far.
-  known_map m_newest_map;              // The last map that the group was ordered to prepare.
+  std::deque<known_map> m_known_maps;  // The last maps that the group was ordered to prepare, newest first.
   std::uint64_t m_version_count = 0;   // Map versions issued with the token in use.
   bool m_may_lead = false;
   std::optional<planned_stop> m_stop;
--- a/source/core/balancer/rank_worker.cpp
+++ b/source/core/balancer/rank_worker.cpp
@@ -33,8 +33,8 @@
                        m_directive->round != value->round;
   m_highest_token = value->token;
   m_directive = *value;
-  const bool hold_ordered =
-      value->kind == phase::holding || value->kind == phase::arming || value->kind == phase::arming_leader;
+  const bool hold_ordered = value->kind == phase::holding || value->kind == phase::arming ||
+                            value->kind == phase::arming_holder || value->kind == phase::arming_leader;
   if (hold_ordered && token_of_version(value->version) == value->token &&
       value->version > m_latched.version) {
     m_latched = {.epoch = value->epoch, .version = value->version, .leader = value->leader};
@@ -76,10 +76,10 @@
       }
       return hold_order{wanted.step};
     case phase::arming:
+    case phase::arming_holder:
     case phase::arming_leader: {
-      const bool turn = status.rank != wanted.leader || wanted.kind == phase::arming_leader;
-      if (!turn || status.prepared != wanted.version || status.map_version == wanted.version ||
-          (status.armed && status.armed != target)) {
+      if (!is_turn_to_arm(status.rank, wanted) || status.prepared != wanted.version ||
+          status.map_version == wanted.version || (status.armed && status.armed != target)) {
         return std::nullopt;
       }
       // A rank that an earlier leader has armed is armed again, so that it refuses that leader's orders.
--- a/source/core/balancer/switch_coordinator.cpp
+++ b/source/core/balancer/switch_coordinator.cpp
@@ -83,6 +83,7 @@
   switch (m_directive.kind) {
     case phase::holding:
     case phase::arming:
+    case phase::arming_holder:
     case phase::arming_leader:
     case phase::disarming:
     case phase::releasing:
@@ -167,6 +168,7 @@
       step_holding(ranks, now);
       return;
     case phase::arming:
+    case phase::arming_holder:
     case phase::arming_leader:
       step_arming(ranks, now);
       return;
@@ -307,10 +309,12 @@
     require_new_token(now);
     return;
   }
-  const bool others_armed = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
-    return armed(view) || (view && view->status.rank == m_directive.leader);
+  const bool turn_done = std::all_of(ranks.begin(), ranks.end(), [&](const auto& view) {
+    return view && (armed(view) || !is_turn_to_arm(view->status.rank, m_directive));
   });
-  if (m_directive.kind == phase::arming && others_armed) {
+  if (turn_done && m_directive.kind == phase::arming) {
+    enter(m_directive.holder == m_directive.leader ? phase::arming_leader : phase::arming_holder, now);
+  } else if (turn_done && m_directive.kind == phase::arming_holder) {
     enter(phase::arming_leader, now);
   }
 }
--- a/source/core/balancer/switch_coordinator.h
+++ b/source/core/balancer/switch_coordinator.h
@@ -6,7 +6,7 @@
 //   check     every rank reads its engine anew; nothing else happens until all have answered within a short
 //   time; hold      one rank is ordered not to begin pass S, so that the group cannot begin it; arm every
 //   rank is ordered to use the new map from pass S on, until all report that they are armed;
-//             the leader's own rank is ordered last, once all others are armed;
+//             the held rank is ordered once all but it and the leader's are armed, the leader's rank last;
 //   go        the held rank is released.
 // After the first `arm` the switch is not rolled back: an order whose response was lost may arm a rank late,
 // which would then be the only one to switch. A leader that takes over first makes every rank refuse the
--- a/source/core/balancer/switch_directive.cpp
+++ b/source/core/balancer/switch_directive.cpp
@@ -14,6 +14,8 @@
       return "holding";
     case phase::arming:
       return "arming";
+    case phase::arming_holder:
+      return "arming_holder";
     case phase::arming_leader:
       return "arming_leader";
     case phase::going:
@@ -37,6 +39,19 @@
          (rank.armed_token == active.token && rank.armed_version == active.version);
 }
 
+bool is_turn_to_arm(std::uint32_t rank, const directive& active) {
+  switch (active.kind) {
+    case phase::arming:
+      return rank != active.leader && rank != active.holder;
+    case phase::arming_holder:
+      return rank != active.leader;
+    case phase::arming_leader:
+      return true;
+    default:
+      return false;
+  }
+}
+
 bool has_to_act(const rank_view& rank, const directive& active) {
   const engine_status& status = rank.status;
   if (active.absent == status.rank) {
@@ -54,9 +69,10 @@
     case phase::releasing:
       return status.held.has_value();
     case phase::arming:
+    case phase::arming_holder:
     case phase::arming_leader:
-      return (status.rank != active.leader || active.kind == phase::arming_leader) &&
-             status.map_version != active.version && !is_armed(rank, active);
+      return is_turn_to_arm(status.rank, active) && status.map_version != active.version &&
+             !is_armed(rank, active);
     case phase::fencing:
       return rank.fenced != token_use{active.token, active.epoch};
     case phase::disarming:
--- a/source/core/balancer/switch_directive.h
+++ b/source/core/balancer/switch_directive.h
@@ -15,9 +15,9 @@
   preparing,
   checking,  // Every rank reads its engine anew, so that none is silent when the group is held.
   holding,
-  arming,  // All ranks but the leader's.
-  // Also the leader's, once all others are armed. A rank whose balancer has restarted since is armed again.
-  arming_leader,
+  arming,         // All ranks but the held one and the leader's.
+  arming_holder,  // Also the held rank, once all those are armed.
+  arming_leader,  // Also the leader's rank, once all others are armed.
   going,
   fencing,  // Every rank refuses the orders of earlier leaders.
   disarming,
@@ -96,6 +96,10 @@
 // Whether the rank is armed as the directive orders, and no order of an earlier leader can still disarm it.
 bool is_armed(const rank_view& rank, const directive& active);
 
+// Whether the rank is to be armed in the phase of the directive. A rank of an earlier phase is armed again if
+// its balancer has restarted since.
+bool is_turn_to_arm(std::uint32_t rank, const directive& active);
+
 // Whether the directive must still be sent to the rank. False in phase `preparing`, in which the map is
 // relayed.
 bool has_to_act(const rank_view& rank, const directive& active);
--- a/source/unit_tests/balancer/rank_worker_test.cpp
+++ b/source/unit_tests/balancer/rank_worker_test.cpp
@@ -39,7 +39,7 @@
   EXPECT_EQ(next_order_name(worker), "hold");
   worker.on_result(order_result::accepted, k_now);
   status.held = 12;
-  const directive arm = make_directive(phase::arming);
+  const directive arm = make_directive(phase::arming_holder);
   worker.set_directive(&arm);
   worker.on_status(status);
   EXPECT_EQ(next_order_name(worker), "arm");
@@ -63,12 +63,16 @@
 
 // Guards against a leader's rank that is armed while another one is not, which its successor must be able to
 // exclude.
-TEST(rank_worker, arms_the_leaders_rank_only_in_its_own_phase) {
+TEST(rank_worker, arms_the_held_rank_after_the_others_and_the_leaders_rank_last) {
   rank_worker worker;
   engine_status status = make_status(1);
   status.prepared = 5;
   const directive arming = make_directive(phase::arming);
-  worker.set_directive(&arming);
+  EXPECT_TRUE(is_turn_to_arm(2, arming));
+  EXPECT_FALSE(is_turn_to_arm(arming.holder, arming));
+  const directive arming_holder = make_directive(phase::arming_holder);
+  EXPECT_TRUE(is_turn_to_arm(arming_holder.holder, arming_holder));
+  worker.set_directive(&arming_holder);
   worker.on_status(status);
   EXPECT_EQ(next_order_name(worker), "");
   const directive arming_leader = make_directive(phase::arming_leader);
@@ -82,7 +86,7 @@
   engine_status status = make_status(0);
   status.prepared = 5;
   status.armed = armed_switch{5, 12};
-  const directive arming = make_directive(phase::arming);
+  const directive arming = make_directive(phase::arming_holder);
   worker.set_directive(&arming);
   worker.on_status(status);
   EXPECT_EQ(next_order_name(worker), "arm");
