gateway: leave silent upstreams out by what all gateways see

Each gateway found upstreams that hang and answer health checks by itself, after 1.2 s: 16 to 31 first attempts a second went to 8 of 72 such upstreams.

gateway::silent_upstreams suspects an upstream that holds streams of an engine for 0.5 s without output while its service makes progress. The lists of suspected and of refuted upstreams go into the existing reports, at most 8 hashes each; while both are empty, reports are the same bytes as before. A gateway sends no first attempts to an upstream that it or another one suspects, unless it has progress of its own from it. One gateway at a time tries it, and output seen by any gateway ends the suspicion. At most a quarter of a service is left out. A held group and a pause of the own process raise no suspicion.

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -14,6 +14,22 @@
 constexpr milliseconds k_min_report_interval{50};
 constexpr milliseconds k_max_report_interval{20000};
 
+json to_json(std::span<const std::uint32_t> hashes) {
+  json list = json::array();
+  for (const std::uint32_t hash : hashes.first(std::min(hashes.size(), silence_report::k_max_upstreams))) {
+    list.push_back(hash);
+  }
+  return list;
+}
+
+std::vector<std::uint32_t> read_hashes(const json& list) {
+  std::vector<std::uint32_t> hashes;
+  for (std::size_t i = 0; i < std::min(list.size(), silence_report::k_max_upstreams); ++i) {
+    hashes.push_back(list[i].get<std::uint32_t>());
+  }
+  return hashes;
+}
+
 // Names are written to the platform as JSON, which holds no other bytes than UTF-8.
 bool is_host_name(std::string_view name) {
   return !name.empty() &&
@@ -28,6 +44,10 @@
     loads.push_back(report.loads[i].upstream_hash);
     loads.push_back(report.loads[i].outstanding);
   }
+  if (!report.silence.empty()) {
+    // An element without a second one ends the pairs; gateways that do not know it ignore it.
+    loads.push_back(json::array({to_json(report.silence.silent), to_json(report.silence.progressing)}));
+  }
   const json document =
       json::array({k_report_format, report.name, report.incarnation, report.sequence, report.caller_address,
                    report.report_address, report.mirror_address, report.availability_zone,
@@ -70,6 +90,10 @@
     for (std::size_t i = 0; i + 1 < loads.size() && i < 2 * k_max_loads; i += 2) {
       report.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
     }
+    if (loads.size() % 2 == 1) {
+      const json& silence = loads.back();
+      report.silence = {.silent = read_hashes(silence.at(0)), .progressing = read_hashes(silence.at(1))};
+    }
     return report;
   } catch (const json::exception& failure) {
     return make_error(error_code::invalid_input, failure.what());
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -11,6 +11,7 @@
 
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/gateway/silent_upstreams.h"
 #include "core/gateway/upstream_table.h"
 
 namespace cuminpath::gateway {
@@ -32,6 +33,7 @@
   bool store_disturbed = false;      // Recent calls of this gateway to the store have failed.
   milliseconds interval{200};        // Maximum time until the receiver gets the next report.
   std::vector<upstream_load> loads;
+  silence_report silence;
 };
 
 // Encodes a report as MessagePack; it fits into one datagram.
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -26,6 +26,9 @@
 // ms old on average: if all gateways chose the least loaded of all upstreams, the same few would receive all
 // requests until the next reports.
 constexpr std::size_t k_max_sampled_upstreams = 4;
+// Silent upstreams are left out up to this share of a service. The rest still holds the usual load, two
+// thirds of all slots.
+constexpr double k_max_silent_share = 0.25;
 // Each recent failure counts as load of this many slots, so that an upstream that fails immediately attracts
 // no requests.
 constexpr double k_slots_per_recent_failure = 3;
@@ -51,6 +54,12 @@
   return found == m_index.end() ? nullptr : &m_upstreams[found->second];
 }
 
+const upstream_table::upstream* upstream_table::find_by_hash(std::uint32_t hash) const {
+  const auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                                  [hash](const upstream& known) { return known.hash == hash; });
+  return found == m_upstreams.end() ? nullptr : &*found;
+}
+
 upstream_table::upstream* upstream_table::find_mutable(std::string_view id) {
   const auto found = m_index.find(std::string(id));
   return found == m_index.end() ? nullptr : &m_upstreams[found->second];
@@ -145,6 +154,7 @@
     }
   }
   mark_superseded();
+  mark_silent();
   return changes;
 }
 
@@ -168,6 +178,35 @@
   }
 }
 
+void upstream_table::set_silent(std::span<const std::uint32_t> hashes) {
+  if (!std::equal(hashes.begin(), hashes.end(), m_silent.begin(), m_silent.end())) {
+    m_silent.assign(hashes.begin(), hashes.end());
+    mark_silent();
+  }
+}
+
+void upstream_table::mark_silent() {
+  struct count {
+    std::size_t upstreams = 0;
+    std::size_t silent = 0;
+  };
+  std::unordered_map<std::string_view, count> counts;
+  for (upstream& known : m_upstreams) {
+    known.silent = false;
+    counts[known.record.service].upstreams += m_silent.empty() || known.leaving() ? 0 : 1;
+  }
+  for (const std::uint32_t hash : m_silent) {
+    for (upstream& known : m_upstreams) {
+      count& service = counts[known.record.service];
+      if (known.hash == hash && static_cast<double>(service.silent + 1) <=
+                                    k_max_silent_share * static_cast<double>(service.upstreams)) {
+        known.silent = true;
+        ++service.silent;
+      }
+    }
+  }
+}
+
 std::uint32_t upstream_table::local_requests_in(std::string_view availability_zone) const {
   std::uint32_t requests = 0;
   for (const upstream& known : m_upstreams) {
@@ -187,6 +226,11 @@
         known.superseded || known.rejects_requests(now) || !known.health.usable(now, k_ejection)) {
       continue;
     }
+    const bool trial =
+        std::find(options.trials.begin(), options.trials.end(), known.hash) != options.trials.end();
+    if (known.silent && !trial) {
+      continue;
+    }
     if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
       continue;
     }
@@ -194,6 +238,9 @@
     if (outstanding >= options.max_utilization * record.slots) {
       continue;
     }
+    if (trial) {
+      return &known;
+    }
     // Reservoir sampling: each eligible upstream has the same probability to be in the sample.
     const std::size_t position = eligible < sample.size() ? eligible : random_index(random, eligible + 1);
     ++eligible;
@@ -307,7 +354,8 @@
   service_totals sum;
   std::optional<time_point> first_available_at;
   for (const upstream& known : m_upstreams) {
-    if (known.record.service != service || known.leaving() || known.superseded || known.health.ejected(now)) {
+    if (known.record.service != service || known.leaving() || known.superseded || known.health.ejected(now) ||
+        known.silent) {
       continue;
     }
     if (known.evacuated) {
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -52,6 +52,8 @@
 struct choice_options {
   std::string_view availability_zone;     // Of this gateway.
   std::span<const std::string> excluded;  // Ids of upstreams that this request was already sent to.
+  // Hashes of upstreams that get the request before all others, also if they are silent; a full one does not.
+  std::span<const std::uint32_t> trials;
   // Maximum number of requests at one upstream, as a multiple of its slots; upstreams at or above it are not
   // chosen.
   double max_utilization = 1;
@@ -70,6 +72,7 @@
     bool announced_leaving = false;
     time_point rejects_until{};  // It rejects requests of this gateway until then.
     bool evacuated = false;      // The operator has evacuated its availability zone.
+    bool silent = false;         // It holds requests without progress; see silent_upstreams.
     bool superseded = false;  // A later instance is listed at the same address; this row has not expired yet.
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
@@ -94,11 +97,17 @@
   // Returns the number of requests of this gateway that run at upstreams of an availability zone.
   [[nodiscard]] std::uint32_t local_requests_in(std::string_view availability_zone) const;
 
+  // Replaces the set of silent upstreams, given by their hashes. They receive no new requests but trials. At
+  // most a quarter of the upstreams of a service are taken out, the first ones of `hashes`.
+  void set_silent(std::span<const std::uint32_t> hashes);
+
   // Returns an upstream of `service` with little load: the least loaded of a few chosen at random. Null if
   // none has a free slot.
   [[nodiscard]] const upstream* choose(std::string_view service, const choice_options& options,
                                        time_point now, random_source& random) const;
   [[nodiscard]] const upstream* find(std::string_view id) const;
+  // Null if there is none.
+  [[nodiscard]] const upstream* find_by_hash(std::uint32_t hash) const;
 
   void on_started(std::string_view id, time_point now);
   void on_ended(std::string_view id);
@@ -118,7 +127,7 @@
 
   struct service_totals {
     std::uint32_t upstreams =
-        0;  // Available: neither leaving nor ejected nor evacuated, and accepting requests.
+        0;  // Available: neither leaving nor ejected, silent or evacuated, and accepting requests.
     std::uint32_t slots = 0;
     std::uint32_t outstanding = 0;
     std::uint32_t evacuated = 0;  // Upstreams that would be available if their zone were not evacuated.
@@ -132,6 +141,7 @@
   upstream* find_mutable(std::string_view id);
   void add(const upstream_record& record);
   void mark_superseded();
+  void mark_silent();
   void erase_index(std::size_t index);
   [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
 
@@ -145,6 +155,7 @@
   std::unordered_map<std::string, std::vector<upstream_load>> m_member_loads;
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   evacuation::zone_states m_evacuated_zones;
+  std::vector<std::uint32_t> m_silent;  // Hashes.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -225,11 +225,16 @@
 
 const gateway::upstream_table::upstream* exchange::choose_upstream(time_point now) const {
   const double max_utilization = gateway::max_utilization(make_admission_request(now));
-  return m_state.upstreams.choose(m_service,
-                                  {.availability_zone = m_state.availability_zone,
-                                   .excluded = m_tried_upstreams,
-                                   .max_utilization = max_utilization},
-                                  now, m_state.random);
+  // Trials use streams of engines that have not run anywhere yet: their progress is seen at once, and another
+  // upstream may take them over.
+  const bool may_try = m_started_attempts == 0 && m_route->kind == call_kind::stream && is_engine_call();
+  return m_state.upstreams.choose(
+      m_service,
+      {.availability_zone = m_state.availability_zone,
+       .excluded = m_tried_upstreams,
+       .trials = may_try ? m_state.silent_upstreams.trials() : std::span<const std::uint32_t>{},
+       .max_utilization = max_utilization},
+      now, m_state.random);
 }
 
 void exchange::arm_deadline_timer() {
@@ -286,6 +291,7 @@
     if (attempt->connection && attempt->connection->paused()) {
       attempt->connection->resume_reading();
       attempt->last_progress = m_last_progress = clock::now();
+      set_awaits_progress(*attempt, true, attempt->last_progress);
     }
   }
 }
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -22,6 +22,7 @@
 // State of one attempt to have an upstream serve the request.
 struct upstream_attempt {
   std::string upstream_id;
+  std::uint32_t upstream_hash = 0;
   std::shared_ptr<upstream_connection> connection;
   time_point started;
   bool sent = false;
@@ -37,6 +38,7 @@
   std::string held_bytes;              // Comments and empty lines before its first event.
   std::size_t bytes_without_data = 0;  // Since the last event with data.
   bool output_recorded = false;
+  bool awaits_progress = false;  // Its silence is that of the upstream; see gateway::silent_upstreams.
 };
 
 // Authorizes and routes a request, dispatches it to upstreams, retries where that is allowed, and writes the
@@ -95,6 +97,9 @@
   void record_upstream_state(const std::string& upstream_id, const message_head& head, time_point now);
   void on_body(upstream_attempt& attempt, std::string_view bytes);
   void on_response_end(upstream_attempt& attempt);
+  // Tells gateway::silent_upstreams whether the upstream is to make progress. Only streams of engines have
+  // events at known intervals.
+  void set_awaits_progress(upstream_attempt& attempt, bool awaits, time_point now);
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
   void forward_event(upstream_attempt& attempt, const gateway::event_splitter::event& event);
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -98,11 +98,13 @@
 void exchange::begin_attempt(const gateway::upstream_table::upstream& target, time_point now) {
   const auto attempt = m_attempts.emplace_back(std::make_shared<upstream_attempt>());
   attempt->upstream_id = target.record.id;
+  attempt->upstream_hash = target.hash;
   attempt->started = now;
   ++m_started_attempts;
   m_tried_upstreams.push_back(target.record.id);
   const std::uint32_t load = target.local_requests + target.member_requests;
   m_state.upstreams.on_started(target.record.id, now);
+  set_awaits_progress(*attempt, true, now);
   telemetry::log(log_level::info, "request", "placed",
                  {{"request", m_request_id},
                   {"route", m_route->name},
@@ -112,6 +114,7 @@
                   {"load", static_cast<std::int64_t>(load)},
                   {"attempt", static_cast<std::int64_t>(m_started_attempts)},
                   {"beside", static_cast<std::int64_t>(m_attempts.size() - 1)},
+                  {"trial", target.silent},
                   {"resume_after", std::string_view(m_last_event_id)},
                   {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
                   {"time_left_ms", time_left(now).count()},
@@ -431,6 +434,7 @@
     m_stall_timer.cancel();
   }
   m_state.upstreams.on_ended(attempt.upstream_id);
+  set_awaits_progress(attempt, false, now);
   m_state.buffered_response_bytes -= attempt.buffered_bytes;
   if (!attempt.connection) {
     return;
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -147,6 +147,7 @@
   }
   if (m_caller->unsent_bytes() > k_max_unsent_bytes) {
     attempt.connection->pause_reading();
+    set_awaits_progress(attempt, false, clock::now());
   }
 }
 
@@ -172,6 +173,7 @@
       record_forward_pass(now - attempt.last_progress, now);
     }
     attempt.last_progress = m_last_progress = now;
+    m_state.silent_upstreams.on_progress(attempt.upstream_hash, now);
   }
   end_other_attempts(attempt);
   if (!m_response_started) {
@@ -211,6 +213,18 @@
   }
 }
 
+void exchange::set_awaits_progress(upstream_attempt& attempt, bool awaits, time_point now) {
+  if (attempt.awaits_progress == awaits || m_route->kind != call_kind::stream || !is_engine_call()) {
+    return;
+  }
+  attempt.awaits_progress = awaits;
+  if (awaits) {
+    m_state.silent_upstreams.on_started(attempt.upstream_hash, m_service, now);
+  } else {
+    m_state.silent_upstreams.on_ended(attempt.upstream_hash);
+  }
+}
+
 void exchange::record_forward_pass(duration gap, time_point now) {
   if (gap < k_min_forward_pass) {
     return;
@@ -263,6 +277,7 @@
   }
   if (head.status == 200) {
     record_output(attempt, clock::now());
+    m_state.silent_upstreams.on_progress(attempt.upstream_hash, clock::now());
   }
   m_state.upstreams.on_success(attempt.upstream_id, clock::now());
   m_state.service_state(m_service).on_served(clock::now());
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -22,6 +22,7 @@
 #include "core/proxy/caller_listener.h"
 #include "core/proxy/evidence_exchange.h"
 #include "core/proxy/proxy_state.h"
+#include "core/proxy/silence_exchange.h"
 #include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
@@ -88,6 +89,7 @@
                    [this](std::string_view bytes, std::span<const std::string> addresses) {
                      m_channel->send(bytes, addresses);
                    }),
+        m_silence(m_state, settings.name),
         m_callers(m_state),
         m_tick_timer(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
@@ -424,6 +426,7 @@
     const bool newer = report.mirror_version > m_mirror.content_version();
     const std::string name = report.name;
     const auto state = report.state;
+    const gateway::silence_report silence = std::move(report.silence);
     switch (m_members.on_report(std::move(report), now)) {
       case gateway::member_list::outcome::ignored:
         return;
@@ -443,6 +446,7 @@
                        {{"name", name}, {"state", static_cast<std::int64_t>(state)}});
         break;
     }
+    m_silence.on_report(name, silence, now);
     if (newer) {
       fetch_newer_changes(now);
     }
@@ -452,6 +456,7 @@
     ++m_local_report.sequence;
     m_local_report.mirror_version = m_mirror.content_version();
     m_local_report.loads = m_state.upstreams.local_loads();
+    m_local_report.silence = m_silence.report(now);
     const auto round = m_report_schedule.next(m_local_report.availability_zone, m_members.all());
     send_report_to(round.near.addresses, round.near.rounds);
     send_report_to(round.far.addresses, round.far.rounds);
@@ -485,6 +490,7 @@
     for (const std::string& name : m_members.take_suspected(now)) {
       telemetry::log(log_level::warning, "members", "gateway suspected", {{"name", name}});
       m_state.upstreams.set_member_loads(name, {});
+      m_silence.on_gateway_suspected(name);
       update_retry_limits();
     }
     for (const std::string& name : m_members.remove_expired(now)) {
@@ -527,7 +533,8 @@
     m_state.upstream_connections.close_expired(now);
     m_callers.tick(now);
     const bool has_news = m_evidence.tick(now);
-    if (has_news || now - m_last_report >= m_settings.report_interval) {
+    const bool has_silence_news = m_silence.tick(m_members, now);
+    if (has_news || has_silence_news || now - m_last_report >= m_settings.report_interval) {
       send_report(now);
     }
     if (m_state.stop && advance_stop(now)) {
@@ -663,6 +670,7 @@
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
   evidence_exchange m_evidence;
+  silence_exchange m_silence;
   caller_listener m_callers;
   asio::steady_timer m_tick_timer;
   gateway::recent_maximum m_loop_lag;  // How late ticks were.
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -14,6 +14,7 @@
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
 #include "core/gateway/recent_maximum.h"
+#include "core/gateway/silent_upstreams.h"
 #include "core/gateway/stop_schedule.h"
 #include "core/gateway/upstream_table.h"
 #include "core/proxy/upstream_check.h"
@@ -35,6 +36,7 @@
   std::optional<time_point> configured_at;                      // When the version came into force here.
   std::optional<time_point> reloaded_at;                        // When the settings were last reloaded.
   gateway::upstream_table upstreams;
+  gateway::silent_upstreams silent_upstreams;
   upstream_connection_pool upstream_connections;
   std::unique_ptr<upstream_check> upstream_checks;  // Null if the platform has no status to ask for.
   routing::prompt_quarantine prompt_quarantine;
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/common/json.h"
 #include "unit_tests/support/nested_input.h"
 #include "unit_tests/support/small_stack.h"
 
@@ -23,8 +24,11 @@
   member_report sent = report("a", 7, member_state::leaving);
   sent.mirror_version = 99;
   sent.loads = {{1, 2}, {3, 4}};
+  sent.silence = {.silent = {5, 6}, .progressing = {7}};
   const auto received = decode_report(encode_report(sent));
   ASSERT_TRUE(received);
+  EXPECT_EQ(received.value().silence.silent, sent.silence.silent);
+  EXPECT_EQ(received.value().silence.progressing, sent.silence.progressing);
   EXPECT_EQ(received.value().name, "a");
   EXPECT_EQ(received.value().sequence, 7U);
   EXPECT_EQ(received.value().state, member_state::leaving);
@@ -44,6 +48,29 @@
     sent.loads.push_back({~i, 2});
   }
   EXPECT_LE(encode_report(sent).size(), 200U);
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    sent.silence.silent.push_back(~i);
+    sent.silence.progressing.push_back(~i);
+  }
+  EXPECT_LE(encode_report(sent).size(), 290U);
+  EXPECT_EQ(decode_report(encode_report(sent)).value().silence.silent.size(),
+            silence_report::k_max_upstreams);
+  // Requests at each of 72 upstreams: still one datagram without fragments on links with an MTU of 1,500.
+  for (std::uint32_t i = 8; i < 72; ++i) {
+    sent.loads.push_back({~i, 300});
+  }
+  EXPECT_LE(encode_report(sent).size(), 1400U);
+}
+
+// Guards against peers that end the process or lose their whole report by what they say about silence.
+TEST(member_list, rejects_malformed_silence) {
+  for (const char* silence : {"[]", "[1]", "[[1]]", "[[1],2]", "[[\"a\"],[]]", "{}", "null", "7"}) {
+    json document = json::from_msgpack(encode_report(report("a", 1)));
+    document[13].push_back(json::parse(silence));
+    std::string bytes;
+    json::to_msgpack(document, bytes);
+    EXPECT_FALSE(decode_report(bytes)) << silence;
+  }
 }
 
 TEST(member_list, rejects_malformed_reports) {
--- a/source/unit_tests/proxy/silent_upstream_test.cpp
+++ b/source/unit_tests/proxy/silent_upstream_test.cpp
@@ -96,6 +96,39 @@
   scripted_upstream* m_second = nullptr;
 };
 
+// Guards against trials that are never sent, that are sent more than once, or whose output nobody hears of.
+TEST_F(silent_upstream, gets_one_stream_as_a_trial_and_its_output_refutes_the_suspicion) {
+  use_engine();
+  for (const char* id : {"i-1", "i-2", "i-3", "i-4"}) {
+    const std::string end = m_upstreams.empty() ? "" : "0\r\n\r\n";  // The stream of i-1 goes on.
+    add_upstream(id, [end](auto, const auto&) {
+      return upstream_action{std::string(k_stream_head) + events(1, 2) + end};
+    });
+  }
+  auto& silent = m_state.silent_upstreams;
+  const std::vector<std::uint32_t> hashes{m_state.upstreams.find("i-1")->hash};
+  const time_point now = clock::now();
+  const auto update = [&](milliseconds later) {
+    silent.update(now + later, "local", {});
+    m_state.upstreams.set_silent(silent.silent());
+  };
+  silent.on_report("other", {.silent = hashes}, now);
+  update(milliseconds{0});
+  EXPECT_TRUE(m_state.upstreams.find("i-1")->silent);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(send("POST", "/stream/x").whole);
+  }
+  EXPECT_TRUE(m_upstreams[0]->requests().empty());
+  update(milliseconds{600});
+  call(request("POST", "/stream/x", "a", "Content-Length: 0\r\n"),
+       [](const std::string& bytes) { return bytes.find("text 2") != std::string::npos; });
+  EXPECT_EQ(m_upstreams[0]->requests().size(), 1U);
+  EXPECT_TRUE(silent.trials().empty());
+  EXPECT_EQ(silent.report(now).progressing, hashes);
+  update(milliseconds{650});
+  EXPECT_FALSE(m_state.upstreams.find("i-1")->silent);
+}
+
 TEST_F(silent_upstream, a_begun_stream_is_not_cut_while_all_others_are_full) {
   add_pair(
       [this](scripted_upstream& self) {
