proxy: begin second attempts within the operator's shares

Cause: nothing used second_attempt_policy.

Change: new settings second_attempt_share and second_attempt_token_share, 0 by default.

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -22,6 +22,13 @@
   std::erase_if(seeds, [](const std::string& seed) { return !is_address(seed); });
 }
 
+void read_share(table_reader& reader, std::string_view key, double& field) {
+  reader.optional().read(key, field);
+  if (field < 0 || field > 1) {
+    reader.add_error(key, "must be from 0 to 1");
+  }
+}
+
 // Reads grace_s, which may have a fraction, or grace_ms, the key of earlier versions.
 void read_grace(table_reader& reader, milliseconds& field) {
   reader.optional().read("grace_ms", field, {k_min_grace_ms, k_max_grace_ms});
@@ -74,6 +81,8 @@
       m_root.add_error("retry_ratio", "must be from 0 to 1");
     }
     m_root.optional().read("retry_burst", value.retry_burst, {0U, k_max_retry_burst});
+    read_share(m_root, "second_attempt_share", value.second_attempt_share);
+    read_share(m_root, "second_attempt_token_share", value.second_attempt_token_share);
     read_log(value.log);
     m_root.report_unknown_keys();
   }
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -37,6 +37,10 @@
   milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_s.
   double retry_ratio = 0.2;           // Ratio of retries to requests of a service, over all gateways.
   std::uint32_t retry_burst = 100;    // Retries allowed beyond the ratio in one window, over all gateways.
+  // Second attempts beside slow ones, as a share of the requests of a service, and of the tokens of an
+  // engine.
+  double second_attempt_share = 0;        // 0: none.
+  double second_attempt_token_share = 0;  // 0: none at engines.
 
   log_settings log;
 };
--- a/source/core/gateway/header_names.h
+++ b/source/core/gateway/header_names.h
@@ -19,6 +19,7 @@
   std::string leaving;          // In a response: "1" if the responding upstream is leaving.
   std::string model;            // Name of the model that the request is for.
   std::string prompt_parts;     // Parts of the prompt in order: ID:TOKENS, separated by commas.
+  std::string token_counts;     // Of the prompt and at most of the output: PROMPT,MAX_OUTPUT.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -36,7 +36,8 @@
       m_arrived(arrived),
       m_deadline_timer(state.context),
       m_stall_timer(state.context),
-      m_wait_timer(state.context) {}
+      m_wait_timer(state.context),
+      m_second_attempt_timer(state.context) {}
 
 exchange::~exchange() = default;
 
@@ -72,6 +73,7 @@
     return;
   }
   m_state.budget(m_service).on_first_attempt();
+  count_request(now);
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
     refuse(503, "passes would get too long", now);
     return;
@@ -192,6 +194,19 @@
   return true;
 }
 
+void exchange::on_upstream_crash(const std::string& upstream_id, time_point crashed_at) {
+  const auto* ended = m_state.upstreams.find(upstream_id);
+  const auto crash = routing::hash_crash(upstream_id, ended == nullptr ? 0 : ended->record.started_ms);
+  telemetry::log(log_level::warning, "quarantine", "upstream ended before it sent output",
+                 {{"upstream", upstream_id},
+                  {"crash", fmt::format("{:08x}", crash)},
+                  {"request", m_request_id},
+                  {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
+                  {"parts", fmt::format("{:016x}", fmt::join(m_prompt_parts, ","))}});
+  m_state.metrics.add("cuminpath_requests_at_crashes_total");
+  m_state.prompt_quarantine.on_crash(crash, m_prompt_parts, crashed_at);
+}
+
 gateway::admission_request exchange::make_admission_request(time_point now) const {
   gateway::admission_request request{.priority = m_priority,
                                      .engine = is_engine_call(),
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -37,6 +37,9 @@
   std::string held_bytes;              // Comments and empty lines before its first event.
   std::size_t bytes_without_data = 0;  // Since the last event with data.
   bool output_recorded = false;
+  bool second = false;              // Begun by the second attempt policy.
+  bool answered = false;            // Has sent an event with data or a whole response.
+  bool no_answer_recorded = false;  // That it has waited too long for the next one.
 };
 
 // Authorizes and routes a request, dispatches it to upstreams, retries where that is allowed, and writes the
@@ -130,6 +133,28 @@
   // Called at the deadline, or earlier at the end of the planned stop.
   void on_deadline();
 
+  // Second attempts beside a slow one (exchange_second_attempt.cpp). Null if the operator allows none.
+  [[nodiscard]] gateway::second_attempt_policy* second_attempts() const;
+  [[nodiscard]] std::optional<std::uint64_t> token_count() const;
+  void count_request(time_point now);
+  void on_attempt_sent(time_point now);
+  void on_attempt_answered(upstream_attempt& attempt, gateway::awaited what, time_point now);
+  void on_attempt_released(upstream_attempt& attempt, time_point now);
+  // Called for an attempt that ends because a later one has answered.
+  void on_attempt_overtaken(upstream_attempt& attempt, const upstream_attempt& by, time_point now);
+  [[nodiscard]] gateway::second_attempt_facts describe_wait(const upstream_attempt& attempt,
+                                                            time_point now) const;
+  // Returns true if a second attempt may begin between two events of the stream.
+  [[nodiscard]] bool watches_event_gaps() const;
+  void arm_second_attempt_timer(time_point at);
+  void consider_second_attempt(time_point now);
+  void begin_second_attempt(const gateway::second_attempt_facts& facts,
+                            const gateway::upstream_table::upstream& target, time_point now);
+  // Records that no second attempt was begun, and looks again when the response is late.
+  void on_no_second_attempt(const gateway::second_attempt_facts& facts,
+                            gateway::second_attempt_refusal reason, time_point now);
+  void record_second_attempt_refusal(gateway::second_attempt_refusal reason);
+
   // Waits for an upstream that continues the stream. All attempts have ended.
   void await_upstream(milliseconds wait, time_point now);
   void try_again(time_point now);
@@ -180,6 +205,7 @@
   asio::steady_timer m_deadline_timer;
   asio::steady_timer m_stall_timer;
   asio::steady_timer m_wait_timer;
+  asio::steady_timer m_second_attempt_timer;
   std::vector<std::shared_ptr<upstream_attempt>>
       m_attempts;                              // That are running, in the order of their start.
   std::vector<std::string> m_tried_upstreams;  // Ids.
@@ -195,6 +221,8 @@
   bool m_response_started = false;
   std::optional<time_point> m_first_byte_time;
   time_point m_last_progress;  // The latest of all attempts.
+  bool m_second_attempt_begun = false;
+  bool m_second_attempt_refusal_recorded = false;
   bool m_done = false;
 };
 
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -209,6 +209,7 @@
                             .failed = while_running(running, &exchange::on_broken_connection)});
   attempt.last_progress = m_last_progress = now;
   arm_stall_timer(now);
+  on_attempt_sent(now);
 }
 
 bool exchange::may_run_again() const {
@@ -304,19 +305,6 @@
       });
 }
 
-void exchange::on_upstream_crash(const std::string& upstream_id, time_point crashed_at) {
-  const auto* ended = m_state.upstreams.find(upstream_id);
-  const auto crash = routing::hash_crash(upstream_id, ended == nullptr ? 0 : ended->record.started_ms);
-  telemetry::log(log_level::warning, "quarantine", "upstream ended before it sent output",
-                 {{"upstream", upstream_id},
-                  {"crash", fmt::format("{:08x}", crash)},
-                  {"request", m_request_id},
-                  {"prompt_parts", fmt::format("{}", fmt::join(shared_prompt_parts(), ","))},
-                  {"parts", fmt::format("{:016x}", fmt::join(m_prompt_parts, ","))}});
-  m_state.metrics.add("cuminpath_requests_at_crashes_total");
-  m_state.prompt_quarantine.on_crash(crash, m_prompt_parts, crashed_at);
-}
-
 void exchange::end_attempt(upstream_attempt& attempt, attempt_result end, std::string_view reason_view) {
   const std::string reason(reason_view);
   const time_point now = clock::now();
@@ -405,6 +393,7 @@
     if (other.get() == &kept) {
       continue;
     }
+    on_attempt_overtaken(*other, kept, now);
     release_attempt(*other, false);
     m_may_have_run = m_may_have_run || other->sent;
     const std::string_view end = other->silent ? attempt_result_name(attempt_result::stalled) : "not_needed";
@@ -431,6 +420,7 @@
     m_stall_timer.cancel();
   }
   m_state.upstreams.on_ended(attempt.upstream_id);
+  on_attempt_released(attempt, now);
   m_state.buffered_response_bytes -= attempt.buffered_bytes;
   if (!attempt.connection) {
     return;
--- a/source/core/proxy/exchange_outcome.cpp
+++ b/source/core/proxy/exchange_outcome.cpp
@@ -86,6 +86,7 @@
   m_done = true;
   m_deadline_timer.cancel();
   m_stall_timer.cancel();
+  m_second_attempt_timer.cancel();
   stop_waiting();
   const time_point now = clock::now();
   const std::string_view kind = m_route == nullptr ? std::string_view("none") : call_kind_name(m_route->kind);
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -171,6 +171,8 @@
     if (attempt.events > 0) {
       record_forward_pass(now - attempt.last_progress, now);
     }
+    on_attempt_answered(
+        attempt, attempt.events > 0 ? gateway::awaited::next_event : gateway::awaited::first_event, now);
     attempt.last_progress = m_last_progress = now;
   }
   end_other_attempts(attempt);
@@ -267,6 +269,7 @@
   m_state.upstreams.on_success(attempt.upstream_id, clock::now());
   m_state.service_state(m_service).on_served(clock::now());
   if (!attempt.streamed) {
+    on_attempt_answered(attempt, gateway::awaited::response, clock::now());
     end_other_attempts(attempt);
     deliver_buffered_response(attempt);
     return;
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -104,6 +104,8 @@
                       .mirror_address = settings.public_mirror_address,
                       .availability_zone = settings.availability_zone};
     update_retry_limits();
+    m_state.set_second_attempt_shares(
+        {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
   }
 
   int run() {
@@ -587,6 +589,8 @@
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
     update_retry_limits();
+    m_state.set_second_attempt_shares(
+        {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -14,6 +14,7 @@
 #include "core/gateway/configuration.h"
 #include "core/gateway/header_names.h"
 #include "core/gateway/recent_maximum.h"
+#include "core/gateway/second_attempt_policy.h"
 #include "core/gateway/stop_schedule.h"
 #include "core/gateway/upstream_table.h"
 #include "core/proxy/upstream_check.h"
@@ -44,6 +45,8 @@
   routing::retry_budget_options retry_options;
   std::unordered_map<std::string, routing::retry_budget> retry_budgets;  // By service.
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
+  gateway::second_attempt_shares second_attempt_shares;
+  std::unordered_map<std::string, gateway::second_attempt_policy> second_attempts;  // By service.
 
   std::optional<gateway::stop_schedule> stop;  // Absent until the planned stop of the process begins.
   bool other_gateway_ready = false;  // Callers that are refused can turn to another gateway at once.
@@ -66,6 +69,13 @@
   routing::retry_budget& budget(const std::string& service) {
     return retry_budgets.try_emplace(service, retry_options).first->second;
   }
+  // Drops what was learned if second attempts are switched off: what follows is not counted.
+  void set_second_attempt_shares(const gateway::second_attempt_shares& shares) {
+    second_attempt_shares = shares;
+    if (shares.requests <= 0) {
+      second_attempts.clear();
+    }
+  }
 };
 
 }  // namespace cuminpath::proxy
--- a/source/unit_tests/config/gateway_settings_test.cpp
+++ b/source/unit_tests/config/gateway_settings_test.cpp
@@ -57,5 +57,18 @@
   }
 }
 
+TEST(parse_gateway_settings, second_attempts_are_off_unless_a_share_is_given) {
+  EXPECT_EQ(parse("").value.second_attempt_share, 0);
+  EXPECT_EQ(parse("").value.second_attempt_token_share, 0);
+  const auto parsed = parse("second_attempt_share = 0.02\nsecond_attempt_token_share = 0.01");
+  EXPECT_TRUE(parsed.errors.empty());
+  EXPECT_EQ(parsed.value.second_attempt_share, 0.02);
+  EXPECT_EQ(parsed.value.second_attempt_token_share, 0.01);
+  for (const char* line :
+       {"second_attempt_share = 1.5", "second_attempt_token_share = -0.1", "second_attempt_share = \"2%\""}) {
+    EXPECT_EQ(parse(line).errors.size(), 1U) << line;
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::config
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -157,7 +157,8 @@
                           .stamp = "X-Stamp",
                           .leaving = "X-Leaving",
                           .model = "X-Model",
-                          .prompt_parts = "X-Prompt-Parts"};
+                          .prompt_parts = "X-Prompt-Parts",
+                          .token_counts = "X-Token-Counts"};
   m_state.availability_zone = "z";
   auto configuration = std::make_shared<gateway::configuration>();
   configuration->version = 1;
