--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -24,6 +24,13 @@
   std::erase_if(seeds, [](const std::string& seed) { return !is_address(seed); });
 }
 
+void read_share(table_reader& reader, std::string_view key, double& field) {
+  reader.optional().read(key, field);
+  if (field < 0 || field > 1) {
+    reader.add_error(key, "must be from 0 to 1");
+  }
+}
+
 // Reads grace_s, which may have a fraction, or grace_ms, the key of earlier versions.
 void read_grace(table_reader& reader, milliseconds& field) {
   reader.optional().read("grace_ms", field, {k_min_grace_ms, k_max_grace_ms});
@@ -81,6 +88,8 @@
       m_root.add_error("cold_rate_factor", fmt::format("must be from 0 to {}", k_max_cold_rate_factor));
     }
     m_root.optional().read("cold_rate_slack", value.cold_rate_slack, {0U, k_max_cold_rate_slack});
+    read_share(m_root, "second_attempt_share", value.second_attempt_share);
+    read_share(m_root, "second_attempt_token_share", value.second_attempt_token_share);
     read_log(value.log);
     m_root.report_unknown_keys();
   }
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -41,6 +41,10 @@
   // cold_rate_slack requests to a cold upstream. A factor of 0 disables the limit.
   double cold_rate_factor = 0;
   std::uint32_t cold_rate_slack = 0;
+  // Second attempts beside slow ones, as a share of the requests of a service, and of the tokens of an
+  // engine.
+  double second_attempt_share = 0;        // 0: none.
+  double second_attempt_token_share = 0;  // 0: none at engines.
 
   log_settings log;
 };
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -209,7 +209,7 @@
   cold_policies m_cold_policies;
   // Instances that are no longer listed, by id. A row that lapsed and comes back is no new instance.
   std::unordered_map<std::string, known_instance> m_known_instances;
-  bool m_listed_before = false;  // False until the first list with upstreams has been applied.
+  bool m_listed_before = false;         // False until the first list with upstreams has been applied.
   std::vector<std::uint32_t> m_silent;  // Hashes.
 };
 
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -109,6 +109,8 @@
                       .availability_zone = settings.availability_zone};
     m_state.cold_limiter = gateway::cold_rate_limiter(settings.name);
     update_retry_limits();
+    m_state.set_second_attempt_shares(
+        {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
   }
 
   int run() {
@@ -659,6 +661,8 @@
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
     update_retry_limits();
     apply_cold_policies();
+    m_state.set_second_attempt_shares(
+        {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
