--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -15,6 +15,10 @@
 constexpr std::int64_t k_min_grace_ms = 500;
 constexpr std::int64_t k_max_grace_ms = 60 * k_minute_ms;
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
+constexpr double k_max_memory_limit_mb = 1'000'000;
+// A gateway without callers has about 20 descriptors open, and one for each upstream in use.
+constexpr std::uint32_t k_min_descriptors = 64;
+constexpr std::uint32_t k_max_descriptors = 10'000'000;
 
 // Skips malformed seeds: the list may be stale, and the remaining seeds are still useful.
 void read_seeds(table_reader& reader, std::vector<std::string>& seeds) {
@@ -42,6 +46,17 @@
   field = std::chrono::floor<milliseconds>(std::chrono::duration<double>(grace_s));
 }
 
+// Reads the limits that the platform sets for the process. The memory may have a fraction.
+void read_process_limits(table_reader& reader, gateway_settings& value) {
+  const std::size_t errors_before = reader.error_count();
+  reader.optional().read("memory_limit_mb", value.memory_limit_mb);
+  if (reader.contains("memory_limit_mb") && reader.error_count() == errors_before &&
+      (value.memory_limit_mb < 1 || value.memory_limit_mb > k_max_memory_limit_mb)) {
+    reader.add_error("memory_limit_mb", fmt::format("must be from 1 to {}", k_max_memory_limit_mb));
+  }
+  reader.optional().read("max_descriptors", value.max_descriptors, {k_min_descriptors, k_max_descriptors});
+}
+
 class gateway_reader : private settings_reader {
 public:
   gateway_reader(const toml::table& table, diagnostic_list& diagnostics)
@@ -74,6 +89,7 @@
       m_root.add_error("retry_ratio", "must be from 0 to 1");
     }
     m_root.optional().read("retry_burst", value.retry_burst, {0U, k_max_retry_burst});
+    read_process_limits(m_root, value);
     read_log(value.log);
     m_root.report_unknown_keys();
   }
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -37,6 +37,8 @@
   milliseconds shutdown_grace{8000};  // Time from SIGTERM until the platform kills the process. Key grace_s.
   double retry_ratio = 0.2;           // Ratio of retries to requests of a service, over all gateways.
   std::uint32_t retry_burst = 100;    // Retries allowed beyond the ratio in one window, over all gateways.
+  double memory_limit_mb = 0;         // Memory in MB at which the process is killed; 0: that of the host.
+  std::uint32_t max_descriptors = 0;  // That the process may have open; 0: the limit of the operating system.
 
   log_settings log;
 };
--- a/source/unit_tests/config/gateway_settings_test.cpp
+++ b/source/unit_tests/config/gateway_settings_test.cpp
@@ -57,5 +57,18 @@
   }
 }
 
+// Guards against limits that the platform writes in another form, and against ones that mean nothing.
+TEST(parse_gateway_settings, checks_the_limits_of_the_process) {
+  const auto valid = parse("memory_limit_mb = 112.5\nmax_descriptors = 2870");
+  EXPECT_TRUE(valid.errors.empty());
+  EXPECT_EQ(valid.value.memory_limit_mb, 112.5);
+  EXPECT_EQ(valid.value.max_descriptors, 2870U);
+  EXPECT_TRUE(parse("memory_limit_mb = 112").errors.empty());
+  for (const char* line : {"memory_limit_mb = 0", "memory_limit_mb = -1", "memory_limit_mb = \"112\"",
+                           "max_descriptors = 0", "max_descriptors = 1e9", "max_descriptors = 63"}) {
+    EXPECT_EQ(parse(line).errors.size(), 1U) << line;
+  }
+}
+
 }  // namespace
 }  // namespace cuminpath::config
