proxy: bound the memory and descriptors that callers hold

A gateway had no bound on what all callers together hold: bodies were kept up to three times (a string grown by doubling, the serialized request, the buffer of the upstream connection), responses that a caller did not read without end, and connections up to the limit of the operating system.

caller_memory_budget charges what each connection holds. A body over 64 KB is read on only with a claim for its whole size; claims that wait are not read and get 503 after 1 s; callers that hold at least an average share and make no progress for 0.5 s give way while others wait. Heads and small bodies have a reserve. byte_blocks hold bodies, buffered responses and output in blocks that are neither copied nor allocated ahead. Pipelined requests wait until the responses before them have been read. Connections are bounded by 0.4 of the descriptors, requests in service by 0.25; at the bound a connection without progress is closed for a new one, and others end with their next response. malloc_trim returns memory after large releases.

Processor time per request was not measured.

--- a/source/core/proxy/caller_listener.cpp
+++ b/source/core/proxy/caller_listener.cpp
@@ -1,5 +1,7 @@
 #include "core/proxy/caller_listener.h"
 
+#include <malloc.h>
+
 #include <fmt/format.h>
 
 #include "core/net/socket_options.h"
@@ -11,6 +13,16 @@
 
 // While no descriptor is free, each attempt to accept fails at once.
 constexpr milliseconds k_accept_pause{50};
+// Connections with a request that has just arrived are passed over when one is closed for another.
+constexpr int k_max_candidates = 8;
+constexpr milliseconds k_min_retry_after{500};
+constexpr milliseconds k_retry_after_spread{1000};
+// The allocator keeps free blocks that lie between used ones. Returning them takes some milliseconds, so it
+// is done after a large release only.
+constexpr std::size_t k_min_trimmed_bytes = 16U << 20U;
+constexpr milliseconds k_min_time_between_trims{2000};
+constexpr std::string_view k_memory = "memory";
+constexpr std::string_view k_descriptors = "descriptors";
 
 }  // namespace
 
@@ -35,7 +47,7 @@
   if (failure) {
     return make_error(error_code::unreachable, address + ": " + failure.message());
   }
-  accept();
+  accept_next();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -57,15 +69,61 @@
       return;
     }
     add(std::move(socket), clock::now());
+    accept_next();
+  });
+}
+
+bool caller_listener::is_full() const {
+  return m_connections.size() - m_closed_connections.size() >= m_state.limits.caller_connections;
+}
+
+void caller_listener::accept_next() {
+  if (!is_full()) {
     accept();
+    return;
+  }
+  m_acceptor.async_wait(asio::ip::tcp::acceptor::wait_read, [this](std::error_code error) {
+    if (!m_acceptor.is_open() || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      accept_after_pause();
+    } else {
+      accept_in_place_of_another();
+    }
   });
 }
 
+void caller_listener::accept_in_place_of_another() {
+  const time_point now = clock::now();
+  for (int i = 0; i < k_max_candidates && is_full(); ++i) {
+    const auto found =
+        m_connections.find(static_cast<const caller_connection*>(m_state.caller_memory.find_idle(now)));
+    if (found == m_connections.end()) {
+      break;
+    }
+    const auto connection = found->second.connection;
+    const std::string_view phase = connection->phase_name();
+    if (connection->close_to_free_descriptor()) {
+      record_eviction(*connection, phase, k_descriptors);
+    }
+  }
+  if (!is_full()) {
+    accept();
+    return;
+  }
+  // A caller that sends request after request would otherwise keep its connection for as long as it likes.
+  for (const auto& [key, served] : m_connections) {
+    served.connection->close_after_next_response();
+  }
+  accept_after_pause();  // The connection waits in the queue of the operating system.
+}
+
 void caller_listener::accept_after_pause() {
   m_accept_timer.expires_after(k_accept_pause);
   m_accept_timer.async_wait([this](std::error_code cancelled) {
     if (!cancelled && m_acceptor.is_open()) {
-      accept();
+      accept_next();
     }
   });
 }
@@ -73,7 +131,11 @@
 void caller_listener::add(asio::ip::tcp::socket socket, time_point now) {
   caller_connection::handlers callbacks;
   callbacks.request = [this](const std::shared_ptr<caller_connection>& caller, http::request request,
-                             time_point arrived) { start_exchange(caller, std::move(request), arrived); };
+                             std::shared_ptr<const byte_blocks> body, time_point arrived) {
+    start_exchange(caller, std::move(request), std::move(body), arrived);
+  };
+  callbacks.make_room = [this](const caller_connection* caller) { return make_room(caller, clock::now()); };
+  callbacks.request_id_header = m_state.header_names.request_id;
   callbacks.disconnected = [this](caller_connection* connection) {
     if (const auto active = active_exchange(connection)) {
       active->on_caller_disconnected();
@@ -88,7 +150,8 @@
   callbacks.limits = [this] {
     return m_state.configuration ? m_state.configuration->limits : gateway::caller_limits{};
   };
-  auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks), now);
+  auto connection = std::make_shared<caller_connection>(std::move(socket), std::move(callbacks),
+                                                        m_state.caller_memory, now);
   if (m_state.stop) {
     connection->close_after_response();
   }
@@ -97,15 +160,16 @@
 }
 
 void caller_listener::start_exchange(const std::shared_ptr<caller_connection>& caller, http::request request,
-                                     time_point arrived) {
+                                     std::shared_ptr<const byte_blocks> body, time_point arrived) {
   const caller_connection* key = caller.get();
-  const auto started = std::make_shared<exchange>(m_state, caller, std::move(request), arrived, [this, key] {
-    --m_active_requests;
-    if (const auto found = m_connections.find(key); found != m_connections.end()) {
-      found->second.active.reset();
-    }
-  });
-  ++m_active_requests;
+  const auto started =
+      std::make_shared<exchange>(m_state, caller, std::move(request), std::move(body), arrived, [this, key] {
+        m_state.served_requests = --m_active_requests;
+        if (const auto found = m_connections.find(key); found != m_connections.end()) {
+          found->second.active.reset();
+        }
+      });
+  m_state.served_requests = ++m_active_requests;
   m_connections.at(key).active = started;
   started->start(clock::now());
 }
@@ -142,6 +206,13 @@
   for (const auto* closed : std::exchange(m_closed_connections, {})) {
     m_connections.erase(closed);
   }
+  for (const auto& decision : m_state.caller_memory.decide(now)) {
+    carry_out(decision, now);
+  }
+  if (!m_state.caller_memory.fits(0)) {
+    make_room(nullptr, now);
+  }
+  release_free_memory(now);
   for (const auto& [key, served] : m_connections) {
     served.connection->enforce_limits(now);
     if (m_state.stop && now >= m_state.stop->answers_expire_at()) {
@@ -150,6 +221,70 @@
   }
 }
 
+bool caller_listener::make_room(const caller_connection* except, time_point now) {
+  const std::size_t needed = net::read_buffer().size();
+  while (!m_state.caller_memory.fits(needed)) {
+    const auto found = m_connections.find(
+        static_cast<const caller_connection*>(m_state.caller_memory.find_stalled(now, except)));
+    if (found == m_connections.end()) {
+      m_state.metrics.add("cuminpath_caller_memory_exhausted_total");
+      return false;
+    }
+    carry_out({found->first, caller_memory_budget::action::evict}, now);
+  }
+  return true;
+}
+
+void caller_listener::carry_out(const caller_memory_budget::decision& decision, time_point now) {
+  const auto found = m_connections.find(static_cast<const caller_connection*>(decision.owner));
+  if (found == m_connections.end()) {
+    return;
+  }
+  const auto connection = found->second.connection;
+  switch (decision.to_take) {
+    case caller_memory_budget::action::resume:
+      connection->resume_reading(now);
+      return;
+    case caller_memory_budget::action::refuse:
+      record_eviction(*connection, "waiting", k_memory);
+      connection->evict("no memory for a body of this size", random_retry_after());
+      return;
+    case caller_memory_budget::action::evict:
+      record_eviction(*connection, connection->phase_name(), k_memory);
+      connection->evict("the request or its response makes no progress and others need its memory",
+                        random_retry_after());
+      return;
+  }
+}
+
+void caller_listener::record_eviction(const caller_connection& caller, std::string_view phase,
+                                      std::string_view cause) {
+  const caller_memory_budget& memory = m_state.caller_memory;
+  telemetry::log(telemetry::log_level::info, "callers", "caller gives way",
+                 {{"cause", cause},
+                  {"phase", phase},
+                  {"held_bytes", static_cast<std::int64_t>(memory.held(&caller))},
+                  {"used_bytes", static_cast<std::int64_t>(memory.used())},
+                  {"limit_bytes", static_cast<std::int64_t>(memory.limit())},
+                  {"waiting", static_cast<std::int64_t>(memory.waiting())},
+                  {"connections", static_cast<std::int64_t>(memory.holders())}});
+  m_state.metrics.add("cuminpath_callers_refused_total", {{"cause", std::string(cause)}});
+}
+
+milliseconds caller_listener::random_retry_after() {
+  return k_min_retry_after + milliseconds(random_index(m_state.random, k_retry_after_spread.count()));
+}
+
+void caller_listener::release_free_memory(time_point now) {
+  const std::size_t used = m_state.caller_memory.used();
+  m_peak_memory = std::max(m_peak_memory, used);
+  if (m_peak_memory - used >= k_min_trimmed_bytes && now - m_last_trim >= k_min_time_between_trims) {
+    static_cast<void>(::malloc_trim(0));
+    m_peak_memory = used;
+    m_last_trim = now;
+  }
+}
+
 void caller_listener::log_unfinished_requests() {
   for (const auto& [key, served] : m_connections) {
     if (const auto active = served.active) {
--- a/source/core/proxy/caller_listener.h
+++ b/source/core/proxy/caller_listener.h
@@ -65,10 +65,23 @@
   };
 
   void accept();
+  void accept_next();
   void accept_after_pause();
+  // Accepts the connection that waits, if one of the open ones can be closed for it.
+  void accept_in_place_of_another();
+  [[nodiscard]] bool is_full() const;
   void add(asio::ip::tcp::socket socket, time_point now);
   void start_exchange(const std::shared_ptr<caller_connection>& caller, http::request request,
-                      time_point arrived);
+                      std::shared_ptr<const byte_blocks> body, time_point arrived);
+  // Has callers without progress release what they hold until a read fits into the budget again. `except`
+  // goes on in any case. Returns false if it does not fit.
+  bool make_room(const caller_connection* except, time_point now);
+  void carry_out(const caller_memory_budget::decision& decision, time_point now);
+  void record_eviction(const caller_connection& caller, std::string_view action, std::string_view cause);
+  // Time after which a refused caller may come again.
+  milliseconds random_retry_after();
+  // Returns memory that callers have released to the operating system.
+  void release_free_memory(time_point now);
   [[nodiscard]] std::shared_ptr<exchange> active_exchange(const caller_connection* connection) const;
 
   proxy_state& m_state;
@@ -77,6 +90,8 @@
   std::unordered_map<const caller_connection*, served_connection> m_connections;
   std::vector<const caller_connection*> m_closed_connections;  // Released in the next tick.
   std::size_t m_active_requests = 0;
+  std::size_t m_peak_memory = 0;  // Largest use of the budget since memory was last returned.
+  time_point m_last_trim{};
 };
 
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -28,10 +28,12 @@
 }  // namespace
 
 exchange::exchange(proxy_state& state, std::shared_ptr<caller_connection> caller, http::request request,
-                   time_point arrived, std::function<void()> finished)
+                   std::shared_ptr<const byte_blocks> body, time_point arrived,
+                   std::function<void()> finished)
     : m_state(state),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
+      m_body(std::move(body)),
       m_on_finished(std::move(finished)),
       m_arrived(arrived),
       m_deadline_timer(state.context),
@@ -67,6 +69,11 @@
   if (!resolve_route(now) || !authorize() || !choose_service(now) || !fits_planned_stop(now)) {
     return;
   }
+  if (m_state.served_requests > m_state.limits.served_requests) {
+    m_state.metrics.add("cuminpath_callers_refused_total", {{"cause", "descriptors"}});
+    refuse(503, "no descriptor for a connection to an upstream", now);
+    return;
+  }
   arm_deadline_timer();
   if (refuse_quarantined(now)) {
     return;
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -26,7 +26,7 @@
   time_point started;
   bool sent = false;
   std::optional<message_head> head;
-  std::string body;                // Of a response that is not streamed.
+  byte_blocks body;                // Of a response that is not streamed.
   std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
   bool streamed = false;
   bool has_foreign_bytes = false;  // Those of another run or of another response follow.
@@ -47,8 +47,9 @@
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
   // Calls `finished` once, when the final response has been handed to the connection.
+  // `request` has no body of its own; `body` is null if there is none.
   exchange(proxy_state& state, std::shared_ptr<caller_connection> caller, http::request request,
-           time_point arrived, std::function<void()> finished);
+           std::shared_ptr<const byte_blocks> body, time_point arrived, std::function<void()> finished);
   ~exchange();
   exchange(const exchange&) = delete;
   exchange& operator=(const exchange&) = delete;
@@ -82,8 +83,9 @@
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
   void on_connected(upstream_attempt& attempt, std::string_view failure);
   void send_request(upstream_attempt& attempt, time_point now);
-  [[nodiscard]] std::string serialize_request(const gateway::upstream_table::upstream& target,
-                                              time_point now) const;
+  // Returns the head of the request as the upstream gets it.
+  [[nodiscard]] std::string serialize_head(const gateway::upstream_table::upstream& target,
+                                           time_point now) const;
   [[nodiscard]] bool is_running(const upstream_attempt& attempt) const;
   // Returns a callback that passes its arguments on to `method` as long as the attempt is running.
   template <typename method_type>
@@ -94,6 +96,8 @@
   // for a while.
   void record_upstream_state(const std::string& upstream_id, const message_head& head, time_point now);
   void on_body(upstream_attempt& attempt, std::string_view bytes);
+  // Charges what attempts hold of responses to the caller. Returns false if there is no memory for it.
+  bool charge_responses();
   void on_response_end(upstream_attempt& attempt);
   // Records the time between two events of a stream, which is the duration of a forward pass.
   void record_forward_pass(duration gap, time_point now);
@@ -166,6 +170,7 @@
   proxy_state& m_state;
   std::shared_ptr<caller_connection> m_caller;
   http::request m_request;
+  std::shared_ptr<const byte_blocks> m_body;
   std::function<void()> m_on_finished;
   std::shared_ptr<const gateway::configuration> m_configuration;
   const gateway::route* m_route = nullptr;
@@ -189,7 +194,7 @@
   std::uint32_t m_refusals = 0;       // Of the rest of the stream, in a row.
   bool m_waiting = false;             // Counted in proxy_state::waiting_streams.
   bool m_may_have_run = false;
-  std::optional<std::pair<message_head, std::string>> m_failure_response;  // Last 5xx response.
+  std::optional<std::pair<message_head, byte_blocks>> m_failure_response;  // Last 5xx response.
   std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
   std::string m_stream_media_type;
   bool m_response_started = false;
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -145,8 +145,7 @@
   send_request(attempt, now);
 }
 
-std::string exchange::serialize_request(const gateway::upstream_table::upstream& target,
-                                        time_point now) const {
+std::string exchange::serialize_head(const gateway::upstream_table::upstream& target, time_point now) const {
   const gateway::header_names& names = m_state.header_names;
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", m_request.method, m_request.target);
   const auto set_by_gateway = [&](std::string_view name) {
@@ -173,11 +172,10 @@
     text += fmt::format("{}: {}\r\n", names.resume_after, m_last_event_id);
   }
   const bool has_body_header = m_request.header("Content-Length") || m_request.header("Transfer-Encoding");
-  if (!m_request.body.empty() || has_body_header) {
-    text += fmt::format("Content-Length: {}\r\n", m_request.body.size());
+  if (m_body || has_body_header) {
+    text += fmt::format("Content-Length: {}\r\n", m_body ? m_body->size() : 0);
   }
   text += "\r\n";
-  text += m_request.body;
   return text;
 }
 
@@ -201,8 +199,8 @@
   ++m_sent_attempts;
   const auto running = *std::find_if(m_attempts.begin(), m_attempts.end(),
                                      [&attempt](const auto& each) { return each.get() == &attempt; });
-  attempt.connection->send(serialize_request(*target, now), m_state.header_names.request_id, m_request_id,
-                           m_request.method == "HEAD",
+  attempt.connection->send(serialize_head(*target, now), m_body, m_state.header_names.request_id,
+                           m_request_id, m_request.method == "HEAD",
                            {.head = while_running(running, &exchange::on_head),
                             .body = while_running(running, &exchange::on_body),
                             .end = while_running(running, &exchange::on_response_end),
@@ -392,9 +390,8 @@
       finish("broken_off", 0, reason);
       return;
   }
-  m_caller->respond({.status = m_failure_response->first.status,
-                     .headers = end_to_end_headers(m_failure_response->first.headers),
-                     .body = m_failure_response->second});
+  m_caller->respond(m_failure_response->first.status, end_to_end_headers(m_failure_response->first.headers),
+                    std::move(m_failure_response->second));
   finish("upstream_failure", m_failure_response->first.status, reason);
 }
 
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t k_max_bytes_without_data = 64U << 10U;
 // Reading from the upstream is paused while more bytes than this wait to be written to the caller.
 constexpr std::size_t k_max_unsent_bytes = 128U << 10U;
+constexpr std::size_t k_max_unsent_under_pressure = 16U << 10U;
 constexpr int k_bad_request = 400;
 constexpr int k_request_timeout = 408;
 constexpr int k_misdirected_request = 421;
@@ -120,7 +121,7 @@
     attempt.buffered_bytes += bytes.size();
     m_state.buffered_response_bytes += bytes.size();
     if (attempt.body.size() > k_max_response_bytes ||
-        m_state.buffered_response_bytes > k_max_buffered_response_bytes) {
+        m_state.buffered_response_bytes > k_max_buffered_response_bytes || !charge_responses()) {
       end_attempt(attempt, attempt_result::broken, "answer is too large");
     }
     return;
@@ -140,16 +141,30 @@
     end_attempt(attempt, attempt_result::broken, "event is too large");
     return;
   }
+  if (!charge_responses()) {
+    end_attempt(attempt, attempt_result::broken, "no memory for the answer");
+    return;
+  }
   const std::size_t empty_lines = attempt.splitter.inside_event() ? 0 : attempt.splitter.pending().size();
   if (attempt.bytes_without_data + empty_lines > k_max_bytes_without_data) {
     end_attempt(attempt, attempt_result::broken, "answer goes on without events");
     return;
   }
-  if (m_caller->unsent_bytes() > k_max_unsent_bytes) {
+  if (m_caller->unsent_bytes() >
+      (m_state.caller_memory.under_pressure() ? k_max_unsent_under_pressure : k_max_unsent_bytes)) {
     attempt.connection->pause_reading();
   }
 }
 
+bool exchange::charge_responses() {
+  std::size_t bytes = m_failure_response ? m_failure_response->second.allocated_bytes() : 0;
+  for (const auto& attempt : m_attempts) {
+    bytes +=
+        attempt->body.allocated_bytes() + attempt->held_bytes.capacity() + attempt->splitter.pending().size();
+  }
+  return m_caller->hold_response_bytes(bytes);
+}
+
 void exchange::forward_event(upstream_attempt& attempt, const gateway::event_splitter::event& event) {
   if (m_done || attempt.has_foreign_bytes) {
     return;
@@ -252,7 +267,7 @@
     return;
   }
   if (head.status >= 500) {
-    m_failure_response.emplace(head, attempt.body);
+    m_failure_response.emplace(head, std::move(attempt.body));
     end_attempt(attempt, attempt_result::failed, fmt::format("upstream answered {}", head.status));
     return;
   }
@@ -293,18 +308,17 @@
 
 void exchange::deliver_buffered_response(upstream_attempt& attempt) {
   const message_head head = std::move(*attempt.head);
-  std::string body = std::move(attempt.body);
+  byte_blocks body = std::move(attempt.body);
   release_attempt(attempt, true);
   m_first_byte_time = clock::now();
-  http::response response{
-      .status = head.status, .headers = end_to_end_headers(head.headers), .body = std::move(body)};
+  http::header_list headers = end_to_end_headers(head.headers);
   if (m_request.method == "HEAD") {
     if (const auto length = http::find_header(head.headers, "Content-Length")) {
-      response.headers.emplace_back("Content-Length", *length);
+      headers.emplace_back("Content-Length", *length);
     }
   }
-  const int status = response.status;
-  m_caller->respond(response);
+  const int status = head.status;
+  m_caller->respond(status, headers, std::move(body));
   finish(status < 400 ? "served" : "upstream_failure", status, "");
 }
 
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -104,6 +104,7 @@
                       .mirror_address = settings.public_mirror_address,
                       .availability_zone = settings.availability_zone};
     update_retry_limits();
+    apply_process_limits();
   }
 
   int run() {
@@ -219,6 +220,7 @@
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
     set_evacuation_metrics(clock::now());
+    set_caller_metrics();
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -504,6 +506,25 @@
     }
   }
 
+  void apply_process_limits() {
+    m_state.limits = derive_process_limits(m_settings.memory_limit_mb, m_settings.max_descriptors);
+    m_state.caller_memory.set_limit(m_state.limits.caller_memory);
+    telemetry::log(log_level::info, "callers", "limits of callers",
+                   {{"memory_bytes", static_cast<std::int64_t>(m_state.limits.caller_memory)},
+                    {"connections", static_cast<std::int64_t>(m_state.limits.caller_connections)},
+                    {"requests", static_cast<std::int64_t>(m_state.limits.served_requests)}});
+  }
+
+  void set_caller_metrics() {
+    const caller_memory_budget& memory = m_state.caller_memory;
+    m_state.metrics.set("cuminpath_caller_memory_bytes", static_cast<double>(memory.used()));
+    m_state.metrics.set("cuminpath_caller_memory_limit_bytes", static_cast<double>(memory.limit()));
+    m_state.metrics.set("cuminpath_caller_claimed_bytes", static_cast<double>(memory.outstanding_claims()));
+    m_state.metrics.set("cuminpath_callers_waiting", static_cast<double>(memory.waiting()));
+    m_state.metrics.set("cuminpath_caller_connection_limit",
+                        static_cast<double>(m_state.limits.caller_connections));
+  }
+
   // Periodic work.
 
   void schedule_tick() {
@@ -586,7 +607,10 @@
     m_settings.retry_burst = parsed.value.retry_burst;
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
+    m_settings.memory_limit_mb = parsed.value.memory_limit_mb;
+    m_settings.max_descriptors = parsed.value.max_descriptors;
     update_retry_limits();
+    apply_process_limits();
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -45,6 +45,7 @@
     m_no_body = no_body;
     m_head = {};
     m_head_bytes = 0;
+    m_header_capacity = 0;
     m_body_bytes = 0;
     m_head_done = m_complete = m_last_was_value = false;
     m_failure = parse_status::malformed;
@@ -73,6 +74,13 @@
     return m_complete;
   }
 
+  [[nodiscard]] std::size_t head_memory() const {
+    // Names and values are strings of their own, with what the allocator adds to each.
+    constexpr std::size_t k_allocated_per_byte = 2;
+    return k_allocated_per_byte * m_head_bytes +
+           std::max(m_head.headers.capacity(), m_header_capacity) * sizeof(http::header_list::value_type);
+  }
+
   message_parser* m_owner;
   bool m_head_done = false;
 
@@ -131,6 +139,7 @@
       m_failure = parse_status::body_too_large;
       return -1;
     }
+    m_header_capacity = m_head.headers.capacity();
     if (m_owner->on_head) {
       m_owner->on_head(std::move(m_head));
     }
@@ -159,6 +168,7 @@
   parse_limits m_limits;
   message_head m_head;
   std::uint64_t m_head_bytes = 0;
+  std::size_t m_header_capacity = 0;
   std::uint64_t m_body_bytes = 0;
   bool m_no_body = false;
   bool m_last_was_value = false;
@@ -183,5 +193,8 @@
 bool message_parser::head_done() const {
   return m_impl->m_head_done;
 }
+std::size_t message_parser::head_memory() const {
+  return m_impl->head_memory();
+}
 
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/message_parser.h
+++ b/source/core/proxy/message_parser.h
@@ -62,6 +62,9 @@
   bool finish_at_eof();
 
   [[nodiscard]] bool head_done() const;
+  // Returns an estimate of the memory of the head that was parsed last, also if it has been passed on. A
+  // header of a few bytes takes several times its size.
+  [[nodiscard]] std::size_t head_memory() const;
 
 private:
   class impl;
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -16,6 +16,8 @@
 #include "core/gateway/recent_maximum.h"
 #include "core/gateway/stop_schedule.h"
 #include "core/gateway/upstream_table.h"
+#include "core/proxy/caller_memory_budget.h"
+#include "core/proxy/process_limits.h"
 #include "core/proxy/upstream_check.h"
 #include "core/proxy/upstream_connection_pool.h"
 #include "core/routing/prompt_quarantine.h"
@@ -49,6 +51,10 @@
   bool other_gateway_ready = false;  // Callers that are refused can turn to another gateway at once.
   std::unordered_map<std::string, gateway::recent_maximum> service_times;  // By route.
 
+  process_limits limits;
+  caller_memory_budget caller_memory{limits.caller_memory};
+  std::size_t served_requests = 0;  // Including those that have not been sent to an upstream.
+
   std::size_t buffered_response_bytes = 0;  // Of responses that are forwarded only when complete.
 
   std::unordered_map<std::string, gateway::service_availability> service_states;       // By service.
--- a/source/core/proxy/upstream_check.cpp
+++ b/source/core/proxy/upstream_check.cpp
@@ -50,7 +50,7 @@
       return;
     }
     check->connection->send(
-        request, "", "", false,
+        request, nullptr, "", "", false,
         {.end = [this, check] { finish(check, upstream_state::running); },
          .failed = [this, check](std::string_view) { finish(check, upstream_state::ended); }});
   });
--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -93,9 +93,11 @@
   });
 }
 
-void upstream_connection::send(std::string bytes, std::string id_header, std::string request_id, bool no_body,
+void upstream_connection::send(std::string head, std::shared_ptr<const byte_blocks> body,
+                               std::string id_header, std::string request_id, bool no_body,
                                response_handlers events) {
-  m_outgoing = std::move(bytes);
+  m_outgoing_head = std::move(head);
+  m_outgoing_body = std::move(body);
   m_id_header = std::move(id_header);
   m_request_id = std::move(request_id);
   m_events = std::move(events);
@@ -104,10 +106,17 @@
   m_bytes_before_head = 0;
   m_no_body = no_body;
   m_parser.start({}, no_body);
-  asio::async_write(m_socket, asio::buffer(m_outgoing),
+  std::vector<asio::const_buffer> buffers{asio::buffer(m_outgoing_head)};
+  if (m_outgoing_body) {
+    for (const std::string_view view : m_outgoing_body->views()) {
+      buffers.emplace_back(view.data(), view.size());
+    }
+  }
+  asio::async_write(m_socket, buffers,
                     [self = shared_from_this()](std::error_code error, std::size_t /*size*/) {
                       self->m_request_written = !error;
-                      std::string().swap(self->m_outgoing);
+                      std::string().swap(self->m_outgoing_head);
+                      self->m_outgoing_body.reset();
                       if (error && self->m_request_active && self->m_open) {
                         self->on_write_failed(error.message());
                       }
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "core/common/time.h"
+#include "core/proxy/byte_blocks.h"
 #include "core/proxy/message_parser.h"
 
 namespace cuminpath::proxy {
@@ -35,10 +36,10 @@
   void connect(const asio::ip::tcp::endpoint& peer, milliseconds timeout,
                std::function<void(std::string_view)> done);
 
-  // Sends a request. Responses that have an `id_header` other than `request_id` belong to earlier requests on
-  // this connection and are skipped.
-  void send(std::string bytes, std::string id_header, std::string request_id, bool no_body,
-            response_handlers events);
+  // Sends a request; `body` may be null and is shared, not copied. Responses that have an `id_header` other
+  // than `request_id` belong to earlier requests on this connection and are skipped.
+  void send(std::string head, std::shared_ptr<const byte_blocks> body, std::string id_header,
+            std::string request_id, bool no_body, response_handlers events);
 
   void pause_reading() { m_paused = true; }
   void resume_reading();
@@ -73,7 +74,8 @@
   std::string m_upstream_id;
   std::function<void(std::string_view)> m_on_connected;
   message_parser m_parser;
-  std::string m_outgoing;
+  std::string m_outgoing_head;
+  std::shared_ptr<const byte_blocks> m_outgoing_body;
   std::string m_id_header;
   std::string m_request_id;
   response_handlers m_events;
--- a/source/unit_tests/config/templates_test.cpp
+++ b/source/unit_tests/config/templates_test.cpp
@@ -19,10 +19,12 @@
 }
 
 // Replaces the placeholders with example values of the same form as those of the platform.
-std::string fill_placeholders(std::string text, const std::string& grace_s) {
+std::string fill_placeholders(std::string text, const std::string& grace_s, bool has_limits) {
   const std::map<std::string, std::string> values = {{"bounds.graceS", grace_s},
                                                      {"bounds.retryBudgetRatio", "0.2"},
                                                      {"bounds.retryBudgetBurst", "207"},
+                                                     {"limits.memoryMb", "112"},
+                                                     {"limits.maxFds", "2870"},
                                                      {"internalPorts.0", "7340"},
                                                      {"internalPorts.1", "7355"},
                                                      {"ip", "10.1.0.40"},
@@ -38,6 +40,9 @@
                                                      {"listen.control", "10.1.0.40:4"}};
   text = std::regex_replace(text, std::regex(R"(\{\{#seeds\}\}.*\{\{/seeds\}\})"),
                             R"("10.1.0.41:4", "10.1.0.42:4")");
+  // A section of a missing value renders as nothing.
+  text = std::regex_replace(text, std::regex(R"(\{\{#(limits\.\w+)\}\}(.*)\{\{/\1\}\})"),
+                            has_limits ? "$2" : "");
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
@@ -49,9 +54,9 @@
 
 TEST(templates, become_valid_settings) {
   for (const char* name : {"gateway.toml.in", "balancer.toml.in"}) {
-    for (const char* grace_s : {"8", "7.5"}) {
-      const std::string text =
-          fill_placeholders(read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name), grace_s);
+    for (const auto& [grace_s, has_limits] : {std::pair{"8", true}, {"7.5", false}}) {
+      const std::string text = fill_placeholders(
+          read_file(std::string(CUMINPATH_SOURCE_DIR "/deploy/") + name), grace_s, has_limits);
       EXPECT_EQ(text.find("{{"), std::string::npos) << text;
       for (const auto& error : check_settings(text, name)) {
         ADD_FAILURE() << to_string(error);
--- a/source/unit_tests/proxy/upstream_connection_test.cpp
+++ b/source/unit_tests/proxy/upstream_connection_test.cpp
@@ -29,7 +29,7 @@
       asio::write(peer, asio::buffer(bytes));
       peer.set_option(asio::socket_base::linger(true, 0));
       peer.close();
-      connection->send("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "X-Id", "a", false,
+      connection->send("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", nullptr, "X-Id", "a", false,
                        {.head = [&](message_head&& head) { seen.status = head.status; },
                         .body = [&](std::string_view part) { seen.body += part; },
                         .end = [&] { seen.ended = true; },
