--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
 constexpr double k_max_cold_rate_factor = 1000;
 constexpr std::uint32_t k_max_cold_rate_slack = 1'000'000;
+constexpr double k_max_memory_limit_mb = 1'000'000;
+// A gateway without callers has about 20 descriptors open, and one for each upstream in use.
+constexpr std::uint32_t k_min_descriptors = 64;
+constexpr std::uint32_t k_max_descriptors = 10'000'000;
 
 // Skips malformed seeds: the list may be stale, and the remaining seeds are still useful.
 void read_seeds(table_reader& reader, std::vector<std::string>& seeds) {
@@ -51,6 +55,17 @@
   field = std::chrono::floor<milliseconds>(std::chrono::duration<double>(grace_s));
 }
 
+// Reads the limits that the platform sets for the process. The memory may have a fraction.
+void read_process_limits(table_reader& reader, gateway_settings& value) {
+  const std::size_t errors_before = reader.error_count();
+  reader.optional().read("memory_limit_mb", value.memory_limit_mb);
+  if (reader.contains("memory_limit_mb") && reader.error_count() == errors_before &&
+      (value.memory_limit_mb < 1 || value.memory_limit_mb > k_max_memory_limit_mb)) {
+    reader.add_error("memory_limit_mb", fmt::format("must be from 1 to {}", k_max_memory_limit_mb));
+  }
+  reader.optional().read("max_descriptors", value.max_descriptors, {k_min_descriptors, k_max_descriptors});
+}
+
 class gateway_reader : private settings_reader {
 public:
   gateway_reader(const toml::table& table, diagnostic_list& diagnostics)
@@ -90,6 +105,7 @@
     m_root.optional().read("cold_rate_slack", value.cold_rate_slack, {0U, k_max_cold_rate_slack});
     read_share(m_root, "second_attempt_share", value.second_attempt_share);
     read_share(m_root, "second_attempt_token_share", value.second_attempt_token_share);
+    read_process_limits(m_root, value);
     read_log(value.log);
     m_root.report_unknown_keys();
   }
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -111,6 +111,7 @@
     update_retry_limits();
     m_state.set_second_attempt_shares(
         {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
+    apply_process_limits();
   }
 
   int run() {
@@ -230,6 +231,7 @@
     metrics.set("cuminpath_cold_rate_settled", m_state.cold_limiter.settled() ? 1 : 0);
     metrics.set("cuminpath_cold_rate_known_gateways",
                 static_cast<double>(m_state.cold_limiter.known_names()));
+    set_caller_metrics();
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -569,6 +571,25 @@
     }
   }
 
+  void apply_process_limits() {
+    m_state.limits = derive_process_limits(m_settings.memory_limit_mb, m_settings.max_descriptors);
+    m_state.caller_memory.set_limit(m_state.limits.caller_memory);
+    telemetry::log(log_level::info, "callers", "limits of callers",
+                   {{"memory_bytes", static_cast<std::int64_t>(m_state.limits.caller_memory)},
+                    {"connections", static_cast<std::int64_t>(m_state.limits.caller_connections)},
+                    {"requests", static_cast<std::int64_t>(m_state.limits.served_requests)}});
+  }
+
+  void set_caller_metrics() {
+    const caller_memory_budget& memory = m_state.caller_memory;
+    m_state.metrics.set("cuminpath_caller_memory_bytes", static_cast<double>(memory.used()));
+    m_state.metrics.set("cuminpath_caller_memory_limit_bytes", static_cast<double>(memory.limit()));
+    m_state.metrics.set("cuminpath_caller_claimed_bytes", static_cast<double>(memory.outstanding_claims()));
+    m_state.metrics.set("cuminpath_callers_waiting", static_cast<double>(memory.waiting()));
+    m_state.metrics.set("cuminpath_caller_connection_limit",
+                        static_cast<double>(m_state.limits.caller_connections));
+  }
+
   // Periodic work.
 
   void schedule_tick() {
@@ -659,10 +680,13 @@
     m_settings.cold_rate_slack = parsed.value.cold_rate_slack;
     m_settings.directory_ttl = parsed.value.directory_ttl;
     m_settings.shutdown_grace = parsed.value.shutdown_grace;
+    m_settings.memory_limit_mb = parsed.value.memory_limit_mb;
+    m_settings.max_descriptors = parsed.value.max_descriptors;
     update_retry_limits();
     apply_cold_policies();
     m_state.set_second_attempt_shares(
         {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
+    apply_process_limits();
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
       schedule_stop(m_state.stop->signalled_at(), clock::now());
--- a/source/unit_tests/config/templates_test.cpp
+++ b/source/unit_tests/config/templates_test.cpp
@@ -18,14 +18,16 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
-// Replaces the placeholders with example values of the same form as those of the platform. Bounds that a
-// deployment does not have render nothing in their sections.
-std::string fill_placeholders(std::string text, const std::string& grace_s, bool has_cold_bounds) {
+// Replaces the placeholders with example values of the same form as those of the platform. Fields that
+// a deployment does not have render nothing in their sections.
+std::string fill_placeholders(std::string text, const std::string& grace_s, bool has_optional) {
   const std::map<std::string, std::string> values = {{"bounds.graceS", grace_s},
                                                      {"bounds.retryBudgetRatio", "0.2"},
                                                      {"bounds.retryBudgetBurst", "207"},
                                                      {"bounds.coldOver", "1.5"},
                                                      {"bounds.coldSlack", "5"},
+                                                     {"limits.memoryMb", "112"},
+                                                     {"limits.maxFds", "2870"},
                                                      {"internalPorts.0", "7340"},
                                                      {"internalPorts.1", "7355"},
                                                      {"ip", "10.1.0.40"},
@@ -41,8 +43,8 @@
                                                      {"listen.control", "10.1.0.40:4"}};
   text = std::regex_replace(text, std::regex(R"(\{\{#seeds\}\}.*\{\{/seeds\}\})"),
                             R"("10.1.0.41:4", "10.1.0.42:4")");
-  text = std::regex_replace(text, std::regex(R"(\{\{#(bounds\.cold\w+)\}\}(.*)\{\{/\1\}\})"),
-                            has_cold_bounds ? "$2" : "");
+  text = std::regex_replace(text, std::regex(R"(\{\{#(bounds\.cold\w+|limits\.\w+)\}\}(.*)\{\{/\1\}\})"),
+                            has_optional ? "$2" : "");
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
