gateway: make no second attempts at cold upstreams

A second attempt chose among cold upstreams too, and was held back only when it was sent. choice_options has a flag that leaves them out.

--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -314,6 +314,9 @@
         !options.cold_limiter->may_send(record.id, known.cold_rules.max_per_s, now)) {
       continue;
     }
+    if (options.exclude_cold && known.cold(now)) {
+      continue;
+    }
     if (trial) {
       return &known;
     }
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -77,6 +77,7 @@
   double max_utilization = 1;
   // Excludes cold upstreams that this gateway may not send to now; null if they are not limited.
   const cold_rate_limiter* cold_limiter = nullptr;
+  bool exclude_cold = false;  // Excludes all cold upstreams.
 };
 
 class upstream_table {
--- a/source/core/proxy/exchange_second_attempt.cpp
+++ b/source/core/proxy/exchange_second_attempt.cpp
@@ -160,7 +160,8 @@
                                {.availability_zone = m_state.availability_zone,
                                 .excluded = excluded,
                                 .max_utilization = std::min(gateway::max_utilization(admission),
-                                                            second_attempt_policy::k_max_utilization)},
+                                                            second_attempt_policy::k_max_utilization),
+                                .exclude_cold = true},
                                now, m_state.random);
   facts.slot_available = target != nullptr && gateway::keeps_passes_on_time(facts.totals, admission) &&
                          gateway::leaves_places(facts.totals, m_state.waiting(m_service));
--- a/source/unit_tests/gateway/cold_upstreams_test.cpp
+++ b/source/unit_tests/gateway/cold_upstreams_test.cpp
@@ -131,5 +131,14 @@
   EXPECT_EQ(m_table.take_cold_changes(k_start + milliseconds{3000}).front().remaining, milliseconds{0});
 }
 
+// Second attempts are extra work, and a cold upstream would be a slow choice for them.
+TEST_F(cold_upstreams, get_no_second_attempt_even_within_the_rate) {
+  apply({row("u", 1, 3000)}, milliseconds{0});
+  const choice_options options{.availability_zone = "z", .cold_limiter = &m_limiter, .exclude_cold = true};
+  EXPECT_NE(choose(k_start), nullptr);
+  EXPECT_EQ(m_table.choose("s", options, k_start, m_random), nullptr);
+  EXPECT_NE(m_table.choose("s", options, k_start + milliseconds{3000}, m_random), nullptr);
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
