--- a/source/unit_tests/proxy/caller_memory_test.cpp
+++ b/source/unit_tests/proxy/caller_memory_test.cpp
@@ -228,11 +228,17 @@
   for (int i = 0; i < 4000; ++i) {
     tiny_headers += "a:b\r\n";
   }
-  const std::pair<std::string, std::string> cases[] = {
+  struct test_case {
+    std::string name;
+    std::string sent;
+  };
+  const test_case cases[] = {
       {"idle", ""},
       {"head of tiny headers", tiny_headers},
       {"body", request("POST", "/safe/", "a", "Content-Length: 60000\r\n") + std::string(50'000, 'x')}};
-  for (const auto& [name, sent] : cases) {
+  for (const test_case& each : cases) {
+    const std::string& name = each.name;
+    const std::string& sent = each.sent;
     constexpr std::size_t k_connections = 40;
     m_sockets.reserve(k_connections);
     const std::size_t before = allocated();
