--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -251,7 +251,8 @@
       {.availability_zone = m_state.availability_zone,
        .excluded = m_tried_upstreams,
        .trials = may_try ? m_state.silent_upstreams.trials() : std::span<const std::uint32_t>{},
-       .max_utilization = max_utilization},
+       .max_utilization = max_utilization,
+       .cold_limiter = &m_state.cold_limiter},
       now, m_state.random);
 }
 
--- a/source/unit_tests/proxy/cold_upstream_test.cpp
+++ b/source/unit_tests/proxy/cold_upstream_test.cpp
@@ -64,6 +64,22 @@
   EXPECT_EQ(m_state.upstreams.find("i-1")->health.recent_failures(clock::now()), 0);
 }
 
+// Guards against requests that are placed at a cold upstream which may get none now, while others have free
+// slots: each costs a connection and an attempt.
+TEST_F(cold_upstream, is_not_chosen_while_it_may_get_no_request) {
+  m_state.upstreams.set_cold_policies({{"s", {.cold_start = milliseconds{0}, .max_per_s = 26}}});
+  const auto& cold =
+      add_upstream("i-1", [](auto, const auto&) { return upstream_action{response_text("a", "body")}; });
+  const auto& warm =
+      add_upstream("i-2", [](auto, const auto&) { return upstream_action{response_text("a", "body")}; });
+  m_state.upstreams.on_cold_statement("i-1", milliseconds{60'000}, clock::now());
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_THAT(call(request("GET", "/once/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 200"));
+  }
+  EXPECT_EQ(cold.accepted(), 0U);
+  EXPECT_EQ(warm.requests().size(), 8U);
+}
+
 // Requests before the upstream turned cold are in the same second as those after it.
 TEST_F(cold_upstream, is_known_from_a_response_and_its_earlier_requests_count) {
   settle();
