gateway: keep capacity for urgent requests only where a service has them

Cause: admission keeps 15% of the slots of engines, and 7% of the capacity for on-time passes, for requests of priority 0 also at services whose routes all have priority 1 or 2, where nobody could use them.

--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -13,8 +13,10 @@
 namespace cuminpath::gateway {
 
 struct admission_request {
-  std::uint32_t priority = 0;  // 0 is the most urgent.
-  bool engine = false;         // The service batches requests; otherwise each slot runs one.
+  // Relative to the most urgent priority of the service, so that no capacity is kept for requests that do not
+  // exist; 0 is the most urgent.
+  std::uint32_t priority = 0;
+  bool engine = false;  // The service batches requests; otherwise each slot runs one.
   milliseconds time_left{0};
   // Utilization of the engines at which their forward passes just meet the event gap target; absent if that
   // is not known. See concurrency_limiter.
--- a/source/core/gateway/configuration.cpp
+++ b/source/core/gateway/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace cuminpath::gateway {
 namespace {
@@ -26,6 +27,24 @@
   for (std::uint32_t i = 0; i < services.size(); ++i) {
     m_service_of_name.try_emplace(services[i].name, i);
   }
+  index_priorities();
+}
+
+void configuration::index_priorities() {
+  m_most_urgent_priority.clear();
+  std::uint32_t of_workspaces = std::numeric_limits<std::uint32_t>::max();
+  if (keys_required) {
+    for (const workspace& each : workspaces) {
+      of_workspaces = std::min(of_workspaces, each.priority.value_or(of_workspaces));
+    }
+  }
+  for (const route& each : routes) {
+    const std::uint32_t priority = each.is_public ? each.priority : std::min(each.priority, of_workspaces);
+    for (const service_share& share : each.shares) {
+      const auto entry = m_most_urgent_priority.try_emplace(share.service, priority).first;
+      entry->second = std::min(entry->second, priority);
+    }
+  }
 }
 
 const route* configuration::find_route(std::string_view host, std::string_view path) const {
@@ -62,4 +81,9 @@
   return found == m_service_of_name.end() ? nullptr : &services[found->second];
 }
 
+std::uint32_t configuration::most_urgent_priority(std::string_view service) const {
+  const auto found = m_most_urgent_priority.find(std::string(service));
+  return found == m_most_urgent_priority.end() ? 0 : found->second;
+}
+
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -99,11 +99,17 @@
   [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
   [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
   [[nodiscard]] const service* find_service(std::string_view name) const;
+  // Returns the most urgent priority that a request to the service can have by its route or workspace; 0 if
+  // no route leads there.
+  [[nodiscard]] std::uint32_t most_urgent_priority(std::string_view service) const;
 
 private:
+  void index_priorities();
+
   std::unordered_map<std::string, std::uint32_t> m_route_of_prefix;  // Key: host and prefix.
   std::size_t m_longest_prefix = 0;
   std::unordered_map<std::string, std::uint32_t> m_service_of_name;
+  std::unordered_map<std::string, std::uint32_t> m_most_urgent_priority;  // By service.
 };
 
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -212,7 +212,8 @@
 }
 
 gateway::admission_request exchange::make_admission_request(time_point now) const {
-  gateway::admission_request request{.priority = m_priority,
+  const std::uint32_t most_urgent = m_configuration->most_urgent_priority(m_service);
+  gateway::admission_request request{.priority = m_priority - std::min(m_priority, most_urgent),
                                      .engine = is_engine_call(),
                                      .time_left = time_left(now),
                                      .is_retry = m_is_retry};
--- a/source/unit_tests/gateway/configuration_test.cpp
+++ b/source/unit_tests/gateway/configuration_test.cpp
@@ -68,5 +68,29 @@
   EXPECT_EQ(value.find_workspace(""), nullptr);
 }
 
+// Guards against capacity that is kept for more urgent requests than any route of the service has.
+TEST(configuration, finds_the_most_urgent_priority_of_each_service) {
+  configuration value;
+  value.routes = {
+      {.name = "a", .host = "h", .path_prefix = "/a/", .priority = 2, .shares = {{"engines"}, {"both"}}},
+      {.name = "b", .host = "h", .path_prefix = "/b/", .priority = 1, .shares = {{"engines"}}},
+      {.name = "c",
+       .host = "h",
+       .path_prefix = "/c/",
+       .is_public = true,
+       .priority = 3,
+       .shares = {{"open"}}}};
+  value.workspaces = {{.name = "plain"}, {.name = "urgent", .priority = 0}};
+  value.build_index();
+  EXPECT_EQ(value.most_urgent_priority("engines"), 1U);
+  EXPECT_EQ(value.most_urgent_priority("both"), 2U);
+  EXPECT_EQ(value.most_urgent_priority("open"), 3U);
+  EXPECT_EQ(value.most_urgent_priority("unknown"), 0U);
+  value.keys_required = true;  // Requests have the priority of their workspace now.
+  value.build_index();
+  EXPECT_EQ(value.most_urgent_priority("engines"), 0U);
+  EXPECT_EQ(value.most_urgent_priority("open"), 3U);
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
