routing: keep the quarantine of a prompt part while sound parts meet its crashes

Change: parts that are known to have produced output do not count there.

Measured: the new test fails without the condition and passes with it; 16 of 16 tests of the quarantine pass.

--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -222,15 +222,17 @@
     return count;
   }
 
-  // Number of suspects, this one included, that were in flight at each of its crashes.
+  // Number of suspects, this one included, that were in flight at each of its crashes and are not known to
+  // have produced output. If a whole group is down, parts that are known as sound soon meet all its crashes.
   [[nodiscard]] std::size_t count_parts_at_same_crashes(const suspect& known) const {
     return static_cast<std::size_t>(
         std::count_if(m_suspects.begin(), m_suspects.end(), [&known](const auto& entry) {
           const auto& others = entry.second.crashes;
-          return std::all_of(known.crashes.begin(), known.crashes.end(), [&others](const crash& each) {
-            return std::any_of(others.begin(), others.end(),
-                               [&each](const crash& other) { return other.id == each.id; });
-          });
+          return !entry.second.last_output &&
+                 std::all_of(known.crashes.begin(), known.crashes.end(), [&others](const crash& each) {
+                   return std::any_of(others.begin(), others.end(),
+                                      [&each](const crash& other) { return other.id == each.id; });
+                 });
         }));
   }
 
--- a/source/unit_tests/routing/prompt_quarantine_test.cpp
+++ b/source/unit_tests/routing/prompt_quarantine_test.cpp
@@ -93,6 +93,25 @@
   EXPECT_TRUE(admitted({12}));
 }
 
+// Guards against a quarantine that ends while a whole group is down: requests with sound parts fail at each
+// crashed upstream as well, and the crashing part looked like one of many at the same crashes.
+TEST_F(prompt_quarantine_test, parts_known_as_sound_do_not_end_the_quarantine_of_another) {
+  constexpr prompt_part k_other_sound = 3;
+  output({k_shared, k_other_sound});
+  for (int i = 0; i < 2; ++i) {
+    crash({k_shared, k_crashing});
+    wait(milliseconds{200});
+  }
+  ASSERT_FALSE(admitted({k_shared, k_crashing}));
+  for (const crash_id id : {1U, 2U}) {
+    m_quarantine.on_crash(id, std::vector{k_shared}, m_now);
+    m_quarantine.on_crash(id, std::vector{k_other_sound}, m_now);
+  }
+  wait(milliseconds{200});
+  EXPECT_FALSE(admitted({k_shared, k_crashing}));
+  EXPECT_TRUE(admitted({k_shared, k_other_sound}));
+}
+
 TEST_F(prompt_quarantine_test, a_crash_of_many_upstreams_at_once_counts_once) {
   for (int i = 0; i < 20; ++i) {
     crash({k_shared});
