--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -22,6 +22,11 @@
   std::string address = "127.0.0.1:0";  // IP:PORT; port 0 selects a free port.
   std::size_t max_body_bytes = 8U << 20U;
   std::size_t max_header_bytes = 16U << 10U;
+  // Bound on open connections. Not applied yet.
+  std::size_t max_connections = 512;
+  // Bound on the bytes of requests, over all connections, that have not been received completely. Not applied
+  // yet.
+  std::size_t max_incomplete_bytes = 64U << 20U;
   seconds read_timeout{10};  // For a whole request; limits slow senders.
   // Max time between two parts of a response, after which RESTinio closes the connection.
   seconds response_timeout{900};
