http: accept again after a failed accept

RESTinio's acceptor does not accept again after an error, so one moment without a descriptor ended a server for good. acceptor_t is specialized for the traits of the server: its own accept loop hands sockets to RESTinio's connections and pauses for 100 ms after an error.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -235,6 +235,107 @@
   using connection_state_listener_t = state_listener;
 };
 
+}  // namespace
+}  // namespace cuminpath::http
+
+namespace restinio::impl {
+
+// Accepts connections. RESTinio's own acceptor does not accept again after an error, for instance when the
+// process had no descriptor left for one connection.
+template <>
+class acceptor_t<cuminpath::http::server_traits> final
+    : public std::enable_shared_from_this<acceptor_t<cuminpath::http::server_traits>> {
+public:
+  using traits = cuminpath::http::server_traits;
+  using factory_handle = std::shared_ptr<connection_factory_t<traits>>;
+  using lifetime_monitor = connection_count_limit_types<traits>::lifetime_monitor_t;
+
+  template <typename Settings>
+  acceptor_t(Settings& settings, asio_ns::io_context& context, factory_handle connections,
+             traits::logger_t& /*logger*/)
+      : m_endpoint(std::get<asio_ns::ip::address>(settings.address()), settings.port()),
+        m_set_options(settings.acceptor_options_setter()),
+        m_after_bind(settings.giveaway_acceptor_post_bind_hook()),
+        m_acceptor(context),
+        m_executor(context.get_executor()),
+        m_pause(context),
+        m_limiter(nullptr, connection_count_limits::max_parallel_connections_t{0},
+                  connection_count_limits::max_active_accepts_t{0}),
+        m_connections(std::move(connections)) {}
+
+  void open() {
+    m_acceptor.open(m_endpoint.protocol());
+    acceptor_options_t options{m_acceptor};
+    (*m_set_options)(options);
+    m_acceptor.bind(m_endpoint);
+    m_after_bind(m_acceptor);
+    m_acceptor.listen(asio_ns::socket_base::max_connections);
+    accept_next();
+  }
+  void close() {
+    m_pause.cancel();
+    asio_ns::error_code ignored;
+    m_acceptor.close(ignored);
+  }
+  auto& get_open_close_operations_executor() noexcept { return m_executor; }
+
+private:
+  // Long enough that a process without descriptors does not spend its time on accepting, and short beside
+  // the time-outs of callers.
+  static constexpr std::chrono::milliseconds k_pause_after_error{100};
+
+  void accept_next() {
+    m_acceptor.async_accept(
+        [self = shared_from_this()](const asio_ns::error_code& failure, asio_ns::ip::tcp::socket socket) {
+          if (!self->m_acceptor.is_open()) {
+            return;
+          }
+          if (failure) {
+            self->accept_after_pause();
+            return;
+          }
+          self->serve(std::move(socket));
+          self->accept_next();
+        });
+  }
+
+  void accept_after_pause() {
+    m_pause.expires_after(k_pause_after_error);
+    m_pause.async_wait([self = shared_from_this()](const asio_ns::error_code& cancelled) {
+      if (!cancelled && self->m_acceptor.is_open()) {
+        self->accept_next();
+      }
+    });
+  }
+
+  void serve(asio_ns::ip::tcp::socket socket) {
+    asio_ns::error_code failure;
+    const auto remote = socket.remote_endpoint(failure);
+    if (failure) {
+      return;  // The peer has closed the connection already.
+    }
+    try {
+      m_connections->create_new_connection(std::move(socket), remote, lifetime_monitor{&m_limiter})->init();
+    } catch (const std::exception&) {
+      return;  // The connection closes with its socket.
+    }
+  }
+
+  asio_ns::ip::tcp::endpoint m_endpoint;
+  std::unique_ptr<acceptor_options_setter_t> m_set_options;
+  acceptor_post_bind_hook_t m_after_bind;
+  asio_ns::ip::tcp::acceptor m_acceptor;
+  default_asio_executor m_executor;
+  asio_ns::steady_timer m_pause;
+  connection_count_limit_types<traits>::limiter_t m_limiter;
+  factory_handle m_connections;
+};
+
+}  // namespace restinio::impl
+
+namespace cuminpath::http {
+namespace {
+
 using restinio_server = restinio::http_server_t<server_traits>;
 
 request to_request(const restinio::request_t& source) {
@@ -276,7 +377,9 @@
       : m_table(std::make_shared<connection_table>()), m_handler(std::move(handler)) {
     m_server = std::make_unique<restinio_server>(
         restinio::external_io_context(context), [&](restinio::server_settings_t<server_traits>& settings) {
-          settings.address(address.ip)
+          settings
+              .address(
+                  restinio::asio_ns::ip::make_address(address.ip == "localhost" ? "127.0.0.1" : address.ip))
               .port(address.port)
               .request_handler(
                   [this](restinio::request_handle_t handle) { return on_request(std::move(handle)); })
