http: bound the connections of a server and the bytes of incomplete requests

Neither had a bound beyond that of one body, so callers that stop short of the end of their requests could take the memory and the descriptors of the process. At max_connections a new connection takes the place of one that has sent nothing for 0.5 s and has no request in service. Above max_incomplete_bytes the connection without progress for longest closes, of those that hold an average share. The builder of streamed responses and the table of connections move to headers of their own.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -3,82 +3,11 @@
 #include <asio.hpp>
 #include <charconv>
 #include <restinio/all.hpp>
-#include <unordered_map>
-#include <unordered_set>
 
-namespace cuminpath::http {
-struct streamed_output {};
-}  // namespace cuminpath::http
-
-namespace restinio {
-
-// Builder for a chunked response that can also be aborted. RESTinio's own builder always sends the last
-// chunk, after which the response looks complete to the client.
-template <>
-class response_builder_t<cuminpath::http::streamed_output> final
-    : public base_response_builder_t<response_builder_t<cuminpath::http::streamed_output>> {
-public:
-  using base_type_t = base_response_builder_t<response_builder_t<cuminpath::http::streamed_output>>;
-  using base_type_t::base_type_t;
-  response_builder_t(response_builder_t&&) = default;
-
-  void send_header() {
-    m_header.add_field(http_field::transfer_encoding, "chunked");
-    write_group_t group{writable_items_container_t{}};
-    group.items().emplace_back(
-        impl::create_header_string(m_header, impl::content_length_field_presence_t::skip_content_length));
-    group.status_line_size(calculate_status_line_size());
-    send(std::move(group), response_parts_attr_t::not_final_parts, m_header.should_keep_alive());
-  }
-
-  void send_chunk(std::string_view data, write_status_cb_t written) {
-    write_group_t group{writable_items_container_t{}};
-    group.items().emplace_back(fmt::format("{:X}\r\n{}\r\n", data.size(), data));
-    group.after_write_notificator(std::move(written));
-    send(std::move(group), response_parts_attr_t::not_final_parts, m_header.should_keep_alive());
-  }
-
-  void send_last_chunk() {
-    write_group_t group{writable_items_container_t{}};
-    group.items().emplace_back(std::string("0\r\n\r\n"));
-    send(std::move(group), response_parts_attr_t::final_parts, m_header.should_keep_alive());
-    m_connection.reset();
-  }
-
-  void abort_body() {
-    write_group_t group{writable_items_container_t{}};
-    // RESTinio closes the connection only after a write. An incomplete chunk header cannot be mistaken for
-    // the end of the body.
-    group.items().emplace_back(std::string("1"));
-    send(std::move(group), response_parts_attr_t::final_parts, false);
-    m_connection.reset();
-  }
-
-private:
-  void send(write_group_t group, response_parts_attr_t parts, bool keep_alive) {
-    if (m_connection) {
-      m_connection->write_response_parts(m_request_id,
-                                         response_output_flags_t{parts, response_connection_attr(keep_alive)},
-                                         std::move(group));
-    }
-  }
-};
-
-}  // namespace restinio
+#include "core/http/connection_table.h"
+#include "core/http/streamed_response.h"
 
 namespace cuminpath::http {
-namespace {
-
-using connection_id = restinio::connection_id_t;
-
-class connection_responder;
-
-struct connection_table {
-  std::unordered_set<connection_id> open;
-  // Responses in progress, used to notify them when their connection closes.
-  std::unordered_map<connection_id, std::weak_ptr<connection_responder>> responders;
-  bool close_after_responses = false;
-};
 
 using stream_builder = restinio::response_builder_t<streamed_output>;
 
@@ -201,6 +130,8 @@
   std::function<void()> m_on_closed;
 };
 
+namespace {
+
 // Keeps the table of connections, and marks the response in progress as closed when RESTinio reports that its
 // connection has closed.
 class state_listener {
@@ -212,7 +143,7 @@
       m_table->open.insert(notice.connection_id());
       return;
     }
-    m_table->open.erase(notice.connection_id());
+    m_table->on_closed(notice.connection_id());
     const auto found = m_table->responders.find(notice.connection_id());
     if (found == m_table->responders.end()) {
       return;
@@ -224,6 +155,8 @@
     }
   }
 
+  [[nodiscard]] const std::shared_ptr<connection_table>& table() const { return m_table; }
+
 private:
   std::shared_ptr<connection_table> m_table;
 };
@@ -233,6 +166,7 @@
   using logger_t = restinio::null_logger_t;
   using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
   using connection_state_listener_t = state_listener;
+  using stream_socket_t = counted_socket;
 };
 
 }  // namespace
@@ -261,7 +195,8 @@
         m_pause(context),
         m_limiter(nullptr, connection_count_limits::max_parallel_connections_t{0},
                   connection_count_limits::max_active_accepts_t{0}),
-        m_connections(std::move(connections)) {}
+        m_connections(std::move(connections)),
+        m_table(settings.connection_state_listener()->table()) {}
 
   void open() {
     m_acceptor.open(m_endpoint.protocol());
@@ -284,14 +219,24 @@
   // the time-outs of callers.
   static constexpr std::chrono::milliseconds k_pause_after_error{100};
 
+  // A connection that was given up closes with its pending read, in the next round of the event loop.
+  static constexpr std::chrono::milliseconds k_time_to_close{5};
+  // A connection has this long to send something before another one may take its place.
+  static constexpr std::chrono::milliseconds k_min_time_without_progress{500};
+
   void accept_next() {
+    if (m_table->open.size() >= m_table->max_connections) {
+      const bool given_up = m_table->give_up_one(0, cuminpath::clock::now() - k_min_time_without_progress);
+      accept_after(given_up ? k_time_to_close : k_pause_after_error);
+      return;
+    }
     m_acceptor.async_accept(
         [self = shared_from_this()](const asio_ns::error_code& failure, asio_ns::ip::tcp::socket socket) {
           if (!self->m_acceptor.is_open()) {
             return;
           }
           if (failure) {
-            self->accept_after_pause();
+            self->accept_after(k_pause_after_error);
             return;
           }
           self->serve(std::move(socket));
@@ -299,8 +244,8 @@
         });
   }
 
-  void accept_after_pause() {
-    m_pause.expires_after(k_pause_after_error);
+  void accept_after(std::chrono::milliseconds pause) {
+    m_pause.expires_after(pause);
     m_pause.async_wait([self = shared_from_this()](const asio_ns::error_code& cancelled) {
       if (!cancelled && self->m_acceptor.is_open()) {
         self->accept_next();
@@ -315,7 +260,13 @@
       return;  // The peer has closed the connection already.
     }
     try {
-      m_connections->create_new_connection(std::move(socket), remote, lifetime_monitor{&m_limiter})->init();
+      auto use = std::make_shared<cuminpath::http::connection_use>(cuminpath::http::connection_use{
+          .descriptor = socket.native_handle(), .last_progress = cuminpath::clock::now()});
+      const auto connection = m_connections->create_new_connection(
+          cuminpath::http::counted_socket(std::move(socket), m_table, use), remote,
+          lifetime_monitor{&m_limiter});
+      m_table->uses.emplace(connection->connection_id(), std::move(use));
+      connection->init();
     } catch (const std::exception&) {
       return;  // The connection closes with its socket.
     }
@@ -329,6 +280,7 @@
   asio_ns::steady_timer m_pause;
   connection_count_limit_types<traits>::limiter_t m_limiter;
   factory_handle m_connections;
+  std::shared_ptr<cuminpath::http::connection_table> m_table;
 };
 
 }  // namespace restinio::impl
@@ -375,6 +327,8 @@
   impl(asio::io_context& context, const server_options& options, const ip_and_port& address,
        request_handler handler)
       : m_table(std::make_shared<connection_table>()), m_handler(std::move(handler)) {
+    m_table->max_connections = options.max_connections;
+    m_table->max_incomplete_bytes = options.max_incomplete_bytes;
     m_server = std::make_unique<restinio_server>(
         restinio::external_io_context(context), [&](restinio::server_settings_t<server_traits>& settings) {
           settings
@@ -421,6 +375,7 @@
   restinio::request_handling_status_t on_request(restinio::request_handle_t handle) {
     auto value = to_request(*handle);
     const auto id = handle->connection_id();
+    m_table->on_request(id, clock::now());
     auto open = std::make_shared<connection_responder>(std::move(handle), m_table);
     m_table->responders[id] = open;
     m_handler(std::move(value), std::move(open));
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -22,10 +22,11 @@
   std::string address = "127.0.0.1:0";  // IP:PORT; port 0 selects a free port.
   std::size_t max_body_bytes = 8U << 20U;
   std::size_t max_header_bytes = 16U << 10U;
-  // Bound on open connections. Not applied yet.
+  // Bound on open connections. At the bound a new one takes the place of one without a request in service
+  // that has sent nothing for 0.5 s, or waits in the queue of the operating system.
   std::size_t max_connections = 512;
-  // Bound on the bytes of requests, over all connections, that have not been received completely. Not applied
-  // yet.
+  // Bound on the bytes of requests, over all connections, that have not been received completely. Above it,
+  // the connection without progress for longest closes, of those that hold at least an average share.
   std::size_t max_incomplete_bytes = 64U << 20U;
   seconds read_timeout{10};  // For a whole request; limits slow senders.
   // Max time between two parts of a response, after which RESTinio closes the connection.
