entry, http: derive the bounds of an entry from its settings

The default bound of 512 connections was below entry.max_requests (20,000), so callers within the limits would have reached it. Entries get 2 x max_requests + 1,000 connections and 32 of their largest bodies, other servers 4,096 connections.

--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -136,7 +136,13 @@
     }
     m_admin = std::move(admin).value();
     auto server = http::server::start(
-        m_context, {.address = m_settings.address, .max_body_bytes = m_settings.entry.max_body_bytes},
+        m_context,
+        {.address = m_settings.address,
+         .max_body_bytes = m_settings.entry.max_body_bytes,
+         // Callers that keep a connection beside those with a request in service.
+         .max_connections = 2 * std::size_t{m_settings.entry.max_requests} + 1000,
+         .max_incomplete_bytes = std::max(http::server_options{}.max_incomplete_bytes,
+                                          32 * std::size_t{m_settings.entry.max_body_bytes})},
         [this](http::request request, std::shared_ptr<http::responder> responder) {
           on_request(std::move(request), std::move(responder));
         });
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -24,7 +24,7 @@
   std::size_t max_header_bytes = 16U << 10U;
   // Bound on open connections. At the bound a new one takes the place of one without a request in service
   // that has sent nothing for 0.5 s, or waits in the queue of the operating system.
-  std::size_t max_connections = 512;
+  std::size_t max_connections = 4096;
   // Bound on the bytes of requests, over all connections, that have not been received completely. Above it,
   // the connection without progress for longest closes, of those that hold at least an average share.
   std::size_t max_incomplete_bytes = 64U << 20U;
