gateway, proxy: divide scarce slots among workspaces

Admission considered the rank only, so requests of small workspaces were refused as often as those of the large ones that cause an overload.

gateway::workspace_shares refuses new requests of a workspace above its share while slots are scarce (setting workspace_shares, off by default).

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -105,6 +105,7 @@
     m_root.optional().read("cold_rate_slack", value.cold_rate_slack, {0U, k_max_cold_rate_slack});
     read_share(m_root, "second_attempt_share", value.second_attempt_share);
     read_share(m_root, "second_attempt_token_share", value.second_attempt_token_share);
+    m_root.optional().read("workspace_shares", value.workspace_shares);
     read_process_limits(m_root, value);
     read_log(value.log);
     m_root.report_unknown_keys();
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -45,6 +45,7 @@
   // engine.
   double second_attempt_share = 0;        // 0: none.
   double second_attempt_token_share = 0;  // 0: none at engines.
+  bool workspace_shares = false;          // Refuse workspaces above their share while slots are scarce.
   double memory_limit_mb = 0;             // Memory in MB at which the process is killed; 0: that of the host.
   std::uint32_t max_descriptors = 0;  // That the process may have open; 0: the limit of the operating system.
 
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace cuminpath::gateway {
 namespace {
@@ -40,6 +41,21 @@
 // other upstreams in the meantime.
 constexpr milliseconds k_cold_retry_after{500};
 
+// Slots are scarce if fewer are free than this times the square root of the usable ones. Some of them stay
+// free under overload, so there are no more than the number in use varies by: a limit of 0.02 of 720 slots
+// left 2% of them unused; see docs/design/workspace-shares.md.
+constexpr double k_scarce_slot_factor = 0.25;
+// Lower bound for services with few slots.
+constexpr double k_min_scarce_slots = 2;
+
+// Returns the mean utilization of engines at which passes would get too long. Requires max_pass_utilization.
+double pass_limit(const admission_request& request) {
+  const double share = k_max_pass_capacity_share.at(
+                           std::min<std::size_t>(request.priority, k_max_pass_capacity_share.size() - 1)) +
+                       (request.is_retry ? k_retry_share_bonus : 0);
+  return std::max(k_min_engine_utilization, share * *request.max_pass_utilization);
+}
+
 }  // namespace
 
 bool service_availability::unavailable(time_point now) const {
@@ -74,11 +90,21 @@
   if (!request.max_pass_utilization || totals.slots == 0) {
     return true;
   }
-  const double share = k_max_pass_capacity_share.at(
-                           std::min<std::size_t>(request.priority, k_max_pass_capacity_share.size() - 1)) +
-                       (request.is_retry ? k_retry_share_bonus : 0);
   const double utilization = static_cast<double>(totals.outstanding) / totals.slots;
-  return utilization < std::max(k_min_engine_utilization, share * *request.max_pass_utilization);
+  return utilization < pass_limit(request);
+}
+
+double scarcity(const upstream_table::service_totals& totals, const admission_request& request) {
+  if (totals.slots == 0) {
+    return 0;
+  }
+  double utilization = max_utilization(request);
+  if (request.max_pass_utilization) {
+    utilization = std::min(utilization, pass_limit(request));
+  }
+  const double usable = utilization * totals.slots;
+  const double headroom = std::max(k_scarce_slot_factor * std::sqrt(usable), k_min_scarce_slots);
+  return std::clamp(1 - (usable - totals.outstanding) / headroom, 0.0, 1.0);
 }
 
 bool leaves_places(const upstream_table::service_totals& totals, std::uint32_t waiting) {
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -64,6 +64,11 @@
 // requests.
 bool keeps_passes_on_time(const upstream_table::service_totals& totals, const admission_request& request);
 
+// Returns how scarce slots are for requests of this priority: 0 while more are free than those that come
+// before others need, 1 if none is free within the limits above. Without upstreams it is 0; such requests are
+// refused for that reason.
+double scarcity(const upstream_table::service_totals& totals, const admission_request& request);
+
 // Returns false if all free places of the service's upstreams are needed for `waiting` streams that have lost
 // their upstream.
 bool leaves_places(const upstream_table::service_totals& totals, std::uint32_t waiting);
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -74,11 +74,16 @@
   }
   m_state.budget(m_service).on_first_attempt();
   count_request(now);
+  count_workspace_request(now);
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
     m_state.metrics.add("cuminpath_pass_limit_refusals_total", {{"service", m_service}});
     refuse(503, "passes would get too long", now);
     return;
   }
+  if (!within_workspace_share(now)) {
+    refuse(503, "workspace uses more than its share", now);
+    return;
+  }
   const auto* target = leaves_places_to_waiting_streams(now) ? choose_upstream(now) : nullptr;
   if (target == nullptr) {
     if (m_state.upstreams.totals(m_service, now).cold > 0) {
@@ -87,6 +92,7 @@
     refuse(503, "no upstream has a free place", now);
     return;
   }
+  charge_workspace(now);
   begin_attempt(*target, now);
 }
 
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -147,6 +147,15 @@
   // Called at the deadline, or earlier at the end of the planned stop.
   void on_deadline();
 
+  // Shares among workspaces (exchange_shares.cpp). Null if they are off, and for requests that are not
+  // subject to them: those without a workspace and the rest of streams that have begun.
+  [[nodiscard]] gateway::workspace_shares* workspace_shares() const;
+  [[nodiscard]] gateway::share_request make_share_request() const;
+  void count_workspace_request(time_point now);
+  // Counts the refusal if it returns false.
+  [[nodiscard]] bool within_workspace_share(time_point now);
+  void charge_workspace(time_point now);
+
   // Second attempts beside a slow one (exchange_second_attempt.cpp). Null if the operator allows none.
   [[nodiscard]] gateway::second_attempt_policy* second_attempts() const;
   [[nodiscard]] std::optional<std::uint64_t> token_count() const;
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -111,6 +111,7 @@
     update_retry_limits();
     m_state.set_second_attempt_shares(
         {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
+    m_state.enable_workspace_shares(settings.workspace_shares);
     apply_process_limits();
   }
 
@@ -686,6 +687,7 @@
     apply_cold_policies();
     m_state.set_second_attempt_shares(
         {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
+    m_state.enable_workspace_shares(parsed.value.workspace_shares);
     apply_process_limits();
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -19,6 +19,7 @@
 #include "core/gateway/silent_upstreams.h"
 #include "core/gateway/stop_schedule.h"
 #include "core/gateway/upstream_table.h"
+#include "core/gateway/workspace_shares.h"
 #include "core/proxy/caller_memory_budget.h"
 #include "core/proxy/process_limits.h"
 #include "core/proxy/upstream_check.h"
@@ -53,6 +54,8 @@
   std::unordered_map<std::string, milliseconds> mean_service_times;      // By service.
   gateway::second_attempt_shares second_attempt_shares;
   std::unordered_map<std::string, gateway::second_attempt_policy> second_attempts;  // By service.
+  bool workspace_shares_enabled = false;
+  std::unordered_map<std::string, gateway::workspace_shares> workspace_shares;  // By service.
 
   std::optional<gateway::stop_schedule> stop;  // Absent until the planned stop of the process begins.
   bool other_gateway_ready = false;  // Callers that are refused can turn to another gateway at once.
@@ -79,6 +82,13 @@
   routing::retry_budget& budget(const std::string& service) {
     return retry_budgets.try_emplace(service, retry_options).first->second;
   }
+  // Drops the recorded use if shares are switched off: what follows is not counted.
+  void enable_workspace_shares(bool enabled) {
+    workspace_shares_enabled = enabled;
+    if (!enabled) {
+      workspace_shares.clear();
+    }
+  }
   // Drops what was learned if second attempts are switched off: what follows is not counted.
   void set_second_attempt_shares(const gateway::second_attempt_shares& shares) {
     second_attempt_shares = shares;
--- a/source/unit_tests/config/gateway_settings_test.cpp
+++ b/source/unit_tests/config/gateway_settings_test.cpp
@@ -70,6 +70,12 @@
   }
 }
 
+TEST(parse_gateway_settings, workspace_shares_are_off_unless_enabled) {
+  EXPECT_FALSE(parse("").value.workspace_shares);
+  EXPECT_TRUE(parse("workspace_shares = true").value.workspace_shares);
+  EXPECT_EQ(parse("workspace_shares = 1").errors.size(), 1U);
+}
+
 // Guards against limits that the platform writes in another form, and against ones that mean nothing.
 TEST(parse_gateway_settings, checks_the_limits_of_the_process) {
   const auto valid = parse("memory_limit_mb = 112.5\nmax_descriptors = 2870");
