proxy: let requests wait for a place, and give refused callers a time to return

Cause: a request is placed or refused at once, and a refused caller returns after 50 to 100 ms, before a place is free for it.

Not run with real processes.

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint32_t k_max_retry_burst = 1'000'000;
 constexpr double k_max_cold_rate_factor = 1000;
 constexpr std::uint32_t k_max_cold_rate_slack = 1'000'000;
+constexpr std::uint32_t k_max_queue_requests = 100'000;
 constexpr double k_max_memory_limit_mb = 1'000'000;
 // A gateway without callers has about 20 descriptors open, and one for each upstream in use.
 constexpr std::uint32_t k_min_descriptors = 64;
@@ -105,6 +106,9 @@
     m_root.optional().read("cold_rate_slack", value.cold_rate_slack, {0U, k_max_cold_rate_slack});
     read_share(m_root, "second_attempt_share", value.second_attempt_share);
     read_share(m_root, "second_attempt_token_share", value.second_attempt_token_share);
+    read_share(m_root, "admission_queue_share", value.admission_queue_share);
+    m_root.optional().read("admission_queue_requests", value.admission_queue_requests,
+                           {1U, k_max_queue_requests});
     read_process_limits(m_root, value);
     read_log(value.log);
     m_root.report_unknown_keys();
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -45,7 +45,10 @@
   // engine.
   double second_attempt_share = 0;        // 0: none.
   double second_attempt_token_share = 0;  // 0: none at engines.
-  double memory_limit_mb = 0;             // Memory in MB at which the process is killed; 0: that of the host.
+  // Longest wait of a request for a place, as a share of the latency target of its route; 0: nothing waits.
+  double admission_queue_share = 0;
+  std::uint32_t admission_queue_requests = 256;  // That wait at one time.
+  double memory_limit_mb = 0;         // Memory in MB at which the process is killed; 0: that of the host.
   std::uint32_t max_descriptors = 0;  // That the process may have open; 0: the limit of the operating system.
 
   log_settings log;
--- a/source/core/gateway/admission_queue.cpp
+++ b/source/core/gateway/admission_queue.cpp
@@ -149,6 +149,16 @@
   return false;
 }
 
+std::vector<std::string> admission_queue::services() const {
+  std::vector<std::string> names;
+  for (const auto& [name, queue] : m_impl->services) {
+    if (!queue.entries.empty()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 std::vector<admission_queue::ticket> admission_queue::order(std::string_view service) const {
   std::vector<ticket> ids;
   if (const auto* queue = m_impl->find(service)) {
--- a/source/core/gateway/admission_queue.h
+++ b/source/core/gateway/admission_queue.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -68,6 +69,8 @@
   [[nodiscard]] outcome join(const queue_candidate& candidate, time_point now);
   // Removes a request. Returns false if it does not wait.
   bool leave(ticket id);
+  // Returns the services with waiting requests.
+  [[nodiscard]] std::vector<std::string> services() const;
   // Returns the requests of a service in their order.
   [[nodiscard]] std::vector<ticket> order(std::string_view service) const;
   // Returns how many waiting requests of a service go before a new one.
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -74,13 +74,25 @@
   }
   m_state.budget(m_service).on_first_attempt();
   count_request(now);
+  if (goes_behind_others(now)) {
+    if (!wait_for_place(now)) {
+      refuse(503, "free places are kept for requests that go first", now);
+    }
+    return;
+  }
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
+    if (wait_for_place(now)) {
+      return;
+    }
     m_state.metrics.add("cuminpath_pass_limit_refusals_total", {{"service", m_service}});
     refuse(503, "passes would get too long", now);
     return;
   }
   const auto* target = leaves_places_to_waiting_streams(now) ? choose_upstream(now) : nullptr;
   if (target == nullptr) {
+    if (wait_for_place(now)) {
+      return;
+    }
     if (m_state.upstreams.totals(m_service, now).cold > 0) {
       m_state.metrics.add("cuminpath_cold_requests_held_back_total", {{"at", "placement"}});
     }
@@ -286,6 +298,9 @@
 void exchange::on_stop_scheduled() {
   if (!m_done && m_route != nullptr) {
     arm_deadline_timer();
+    if (m_queue_ticket) {
+      arm_queue_timer(clock::now());  // It is refused, but not while the connections are being visited.
+    }
   }
 }
 
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -86,6 +86,28 @@
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
   // Returns false if the places that are free are owed to streams that wait for one.
   [[nodiscard]] bool leaves_places_to_waiting_streams(time_point now) const;
+
+  // The queue of requests that wait for a place (exchange_admission.cpp).
+  [[nodiscard]] gateway::queue_rank queue_rank() const;
+  // Returns true if the places that are free now are for requests that go before this new one.
+  [[nodiscard]] bool goes_behind_others(time_point now);
+  // Has the request wait in the queue for a place. Returns false if it may not.
+  [[nodiscard]] bool wait_for_place(time_point now);
+  void arm_queue_timer(time_point at);
+  void on_queue_wait_over(time_point now);
+  // Returns true if the request has left the queue because it cannot be served any more.
+  bool leave_queue_if_hopeless(bool upstream_left, time_point now);
+  // Returns true if the request has got a place.
+  bool take_place(time_point now);
+  void leave_queue(std::string_view end);
+  void on_place_freed(const upstream_attempt& attempt, time_point now);
+  // Returns when the refused caller should return; absent if a place cannot be promised.
+  [[nodiscard]] std::optional<milliseconds> promise_return(
+      const gateway::upstream_table::service_totals& totals, const gateway::admission_request& admission,
+      time_point now);
+  static void schedule_queue_check(proxy_state& state, time_point at);
+  static void serve_queue(proxy_state& state, time_point now);
+
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
   void on_connected(upstream_attempt& attempt, std::string_view failure);
   void send_request(upstream_attempt& attempt, time_point now);
@@ -229,6 +251,9 @@
   std::uint32_t m_sent_attempts = 0;  // Without those that were refused after the response had begun.
   std::uint32_t m_refusals = 0;       // Of the rest of the stream, in a row.
   bool m_waiting = false;             // Counted in proxy_state::waiting_streams.
+  std::optional<gateway::admission_queue::ticket> m_queue_ticket;  // While it waits for a place.
+  time_point m_queued_at;
+  time_point m_queue_until;
   bool m_may_have_run = false;
   std::optional<std::pair<message_head, byte_blocks>> m_failure_response;  // Last 5xx response.
   std::string m_last_event_id;  // Of the last event that was forwarded; empty if it had none.
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -430,6 +430,7 @@
   m_state.upstreams.on_ended(attempt.upstream_id);
   set_awaits_progress(attempt, false, now);
   on_attempt_released(attempt, now);
+  on_place_freed(attempt, now);
   m_state.buffered_response_bytes -= attempt.buffered_bytes;
   if (!attempt.connection) {
     return;
--- a/source/core/proxy/exchange_outcome.cpp
+++ b/source/core/proxy/exchange_outcome.cpp
@@ -43,7 +43,8 @@
     const bool unavailable = m_state.service_state(m_service).unavailable(now);
     gateway::admission_request admission = make_admission_request(now);
     admission.service_unavailable = unavailable;
-    wait = gateway::retry_after(totals, mean, admission, m_state.random);
+    wait = promise_return(totals, admission, now)
+               .value_or(gateway::retry_after(totals, mean, admission, m_state.random));
     telemetry::log(log_level::info, "request", "refused",
                    {{"request", m_request_id},
                     {"reason", reason},
@@ -88,6 +89,7 @@
   m_stall_timer.cancel();
   m_second_attempt_timer.cancel();
   stop_waiting();
+  leave_queue(outcome == "caller_gone" ? "caller_gone" : "refused");
   const time_point now = clock::now();
   const std::string_view kind = m_route == nullptr ? std::string_view("none") : call_kind_name(m_route->kind);
   telemetry::log(
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -111,6 +111,8 @@
     update_retry_limits();
     m_state.set_second_attempt_shares(
         {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
+    m_state.admission_queue.set_options({.max_wait_share = settings.admission_queue_share,
+                                         .max_requests = settings.admission_queue_requests});
     apply_process_limits();
   }
 
@@ -232,6 +234,7 @@
     metrics.set("cuminpath_cold_rate_known_gateways",
                 static_cast<double>(m_state.cold_limiter.known_names()));
     set_caller_metrics();
+    metrics.set("cuminpath_admission_queue_requests", static_cast<double>(m_state.admission_queue.size()));
     metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
     return metrics.prometheus_text();
   }
@@ -686,6 +689,8 @@
     apply_cold_policies();
     m_state.set_second_attempt_shares(
         {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
+    m_state.admission_queue.set_options({.max_wait_share = parsed.value.admission_queue_share,
+                                         .max_requests = parsed.value.admission_queue_requests});
     apply_process_limits();
     m_state.reloaded_at = clock::now();
     if (m_state.stop) {
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "core/common/random.h"
 #include "core/gateway/admission.h"
+#include "core/gateway/admission_queue.h"
 #include "core/gateway/cold_rate_limiter.h"
 #include "core/gateway/concurrency_limiter.h"
 #include "core/gateway/configuration.h"
@@ -29,6 +31,8 @@
 
 namespace cuminpath::proxy {
 
+class exchange;
+
 // Configuration, upstreams, connections and statistics that exchanges use.
 struct proxy_state {
   explicit proxy_state(asio::io_context& io) : context(io) {}
@@ -68,6 +72,10 @@
   std::unordered_map<std::string, gateway::concurrency_limiter> concurrency_limiters;  // By service.
   std::unordered_map<std::string, gateway::retry_detector> caller_retries;             // By route.
 
+  gateway::admission_queue admission_queue;
+  std::unordered_map<gateway::admission_queue::ticket, std::weak_ptr<exchange>> queued_requests;
+  asio::steady_timer queue_timer{context};  // Runs while requests wait in the queue.
+
   // Streams whose upstream was lost and whose rest waits for a free place at another one, by service.
   std::unordered_map<std::string, std::uint32_t> waiting_streams;
 
--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -97,6 +97,17 @@
     return std::nullopt;
   }
 
+  [[nodiscard]] bool quarantined(std::span<const prompt_part> parts, time_point now) const {
+    return std::any_of(parts.begin(), parts.end(), [&](prompt_part part) {
+      const auto found = m_suspects.find(part);
+      if (found == m_suspects.end()) {
+        return false;
+      }
+      const auto until = quarantined_until(found->second);
+      return until && now >= found->second.crashes.front().at + m_options.exchange_time && now < *until;
+    });
+  }
+
   void on_output(std::span<const prompt_part> parts, time_point now) {
     for (const prompt_part part : parts) {
       m_news = record_output(part, now, now) || m_news;
@@ -378,6 +389,9 @@
                                                                    time_point now) {
   return m_implementation->admit(parts, now);
 }
+bool prompt_quarantine::quarantined(std::span<const prompt_part> parts, time_point now) const {
+  return m_implementation->quarantined(parts, now);
+}
 void prompt_quarantine::on_output(std::span<const prompt_part> parts, time_point now) {
   m_implementation->on_output(parts, now);
 }
--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -78,6 +78,9 @@
   // Returns why a request with these parts must not be sent to an upstream; absent if it may be. A part whose
   // quarantine has ended is tested with one request at a time.
   [[nodiscard]] std::optional<verdict> admit(std::span<const prompt_part> parts, time_point now);
+  // Returns true if a part is in quarantine. For requests that admit() has let pass and that wait since, also
+  // those that test a part.
+  [[nodiscard]] bool quarantined(std::span<const prompt_part> parts, time_point now) const;
 
   // A request with these parts has produced output.
   void on_output(std::span<const prompt_part> parts, time_point now);
--- a/source/unit_tests/config/gateway_settings_test.cpp
+++ b/source/unit_tests/config/gateway_settings_test.cpp
@@ -70,6 +70,19 @@
   }
 }
 
+// Guards against requests that wait without the operator's consent, and against waits beyond the target.
+TEST(parse_gateway_settings, nothing_waits_in_the_admission_queue_unless_a_share_is_given) {
+  EXPECT_EQ(parse("").value.admission_queue_share, 0);
+  EXPECT_EQ(parse("").value.admission_queue_requests, 256U);
+  const auto parsed = parse("admission_queue_share = 0.35\nadmission_queue_requests = 64");
+  EXPECT_TRUE(parsed.errors.empty());
+  EXPECT_EQ(parsed.value.admission_queue_share, 0.35);
+  EXPECT_EQ(parsed.value.admission_queue_requests, 64U);
+  for (const char* line : {"admission_queue_share = 1.5", "admission_queue_requests = 0"}) {
+    EXPECT_EQ(parse(line).errors.size(), 1U) << line;
+  }
+}
+
 // Guards against limits that the platform writes in another form, and against ones that mean nothing.
 TEST(parse_gateway_settings, checks_the_limits_of_the_process) {
   const auto valid = parse("memory_limit_mb = 112.5\nmax_descriptors = 2870");
