proxy: explain where a gateway would place a request

Operators could not see why a gateway refuses a request or leaves out an upstream without sending one.

The checks of exchange::start() move into functions without side effects (placement.h), upstream_table::why_excluded() decides for choose(), and the page /explain beside the metrics and the command cuminpath explain use the same functions.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -49,8 +49,13 @@
 
 bool retry_detector::observe(milliseconds time_left) {
   m_max_time_left = std::max(m_max_time_left, time_left);
+  return is_retry(time_left);
+}
+
+bool retry_detector::is_retry(milliseconds time_left) const {
+  const milliseconds longest = std::max(m_max_time_left, time_left);
   return static_cast<double>(time_left.count()) <
-         k_min_first_attempt_time_share * static_cast<double>(m_max_time_left.count());
+         k_min_first_attempt_time_share * static_cast<double>(longest.count());
 }
 
 double max_utilization(const admission_request& request) {
@@ -85,16 +90,16 @@
   return totals.outstanding + waiting < totals.slots;
 }
 
-milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
-                         const admission_request& request, random_source& random) {
+retry_wait retry_wait_range(const upstream_table::service_totals& totals, milliseconds mean_service,
+                            const admission_request& request) {
   const double capacity = std::max(1.0, max_utilization(request) * totals.slots);
   const double excess = std::max(0.0, totals.outstanding - capacity) + 1;
   const double queue_ms = static_cast<double>(mean_service.count()) * excess / capacity;
   if (totals.all_reject_for) {
     // No caller is served before the first upstream accepts requests again.
-    const double jitter = 1 + std::uniform_real_distribution<double>(0, k_max_backoff_jitter)(random);
-    return milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(totals.all_reject_for->count()) * jitter));
+    return {.base_ms = static_cast<double>(totals.all_reject_for->count()),
+            .min_factor = 1,
+            .max_factor = 1 + k_max_backoff_jitter};
   }
   // Callers cannot be served before the operator restores a zone.
   const bool unavailable = request.service_unavailable || (totals.upstreams == 0 && totals.evacuated > 0);
@@ -103,11 +108,19 @@
                          : all_cold  ? std::max(queue_ms, static_cast<double>(k_cold_retry_after.count()))
                                      : queue_ms;
   const double max_wait_ms = k_max_retry_after_time_share * static_cast<double>(request.time_left.count());
-  // Jitter over the second half of the wait, so that callers refused together do not retry together.
-  const double jitter = 0.5 + std::uniform_real_distribution<double>(0, 0.5)(random);
   const double min_wait_ms = static_cast<double>(k_min_retry_after.count());
-  return milliseconds(static_cast<std::int64_t>(
-      std::clamp(wait_ms, min_wait_ms, std::max(min_wait_ms, max_wait_ms)) * jitter));
+  // Jitter over the second half of the wait.
+  return {.base_ms = std::clamp(wait_ms, min_wait_ms, std::max(min_wait_ms, max_wait_ms)),
+          .min_factor = 0.5,
+          .max_factor = 1};
+}
+
+milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
+                         const admission_request& request, random_source& random) {
+  const retry_wait wait = retry_wait_range(totals, mean_service, request);
+  const double factor =
+      wait.min_factor + std::uniform_real_distribution<double>(0, wait.max_factor - wait.min_factor)(random);
+  return milliseconds(static_cast<std::int64_t>(wait.base_ms * factor));
 }
 
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -50,6 +50,8 @@
 public:
   // Records the time left that a request states. Returns true if the request has been refused before.
   bool observe(milliseconds time_left);
+  // Returns what observe() would return, without recording anything.
+  [[nodiscard]] bool is_retry(milliseconds time_left) const;
 
 private:
   milliseconds m_max_time_left{0};  // The largest value stated by a caller of the route.
@@ -68,6 +70,16 @@
 // their upstream.
 bool leaves_places(const upstream_table::service_totals& totals, std::uint32_t waiting);
 
+// The time that a refused caller is told to wait: `base_ms` (milliseconds) multiplied by a random factor from
+// `min_factor` to `max_factor`, which keeps callers that are refused together from retrying together.
+struct retry_wait {
+  double base_ms = 0;
+  double min_factor = 1;
+  double max_factor = 1;
+};
+retry_wait retry_wait_range(const upstream_table::service_totals& totals, milliseconds mean_service,
+                            const admission_request& request);
+
 // Returns the time after which a refused caller finds a free slot if requests keep ending at the present
 // rate. `mean_service` is the mean duration of a request at an upstream of the service.
 milliseconds retry_after(const upstream_table::service_totals& totals, milliseconds mean_service,
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -40,7 +40,7 @@
 
 struct candidate {
   const upstream_table::upstream* known = nullptr;
-  double load = 0;  // Requests divided by slots.
+  double load = 0;  // As upstream_table::placement_load() returns it.
 };
 
 std::uint32_t short_hash(std::string_view id) {
@@ -287,6 +287,57 @@
   return requests;
 }
 
+bool upstream_table::gets_trial(const upstream& known, const choice_options& options) {
+  return std::find(options.trials.begin(), options.trials.end(), known.hash) != options.trials.end();
+}
+
+std::optional<exclusion> upstream_table::why_excluded(const upstream& known, const choice_options& options,
+                                                      time_point now) {
+  const upstream_record& record = known.record;
+  if (known.leaving()) {
+    return exclusion::leaving;
+  }
+  if (known.evacuated) {
+    return exclusion::evacuated;
+  }
+  if (known.wrong_instance) {
+    return exclusion::wrong_instance;
+  }
+  if (known.superseded) {
+    return exclusion::superseded;
+  }
+  if (known.rejects_requests(now)) {
+    return exclusion::rejects;
+  }
+  if (!known.health.usable(now, k_ejection)) {
+    return exclusion::ejected;
+  }
+  if (known.silent && !gets_trial(known, options)) {
+    return exclusion::silent;
+  }
+  if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
+    return exclusion::tried;
+  }
+  if (known.outstanding() >= options.max_utilization * record.slots) {
+    return exclusion::full;
+  }
+  if (options.cold_limiter != nullptr && known.cold(now) &&
+      !options.cold_limiter->may_send(record.id, known.cold_rules.max_per_s, now)) {
+    return exclusion::cold;
+  }
+  if (options.exclude_cold && known.cold(now)) {
+    return exclusion::cold;
+  }
+  return std::nullopt;
+}
+
+double upstream_table::placement_load(const upstream& known, const choice_options& options, time_point now) {
+  const double distance =
+      known.record.availability_zone == options.availability_zone ? 0 : k_remote_zone_penalty_slots;
+  return (known.outstanding() + distance + k_slots_per_recent_failure * known.health.recent_failures(now)) /
+         known.record.slots;
+}
+
 const upstream_table::upstream* upstream_table::choose(std::string_view service,
                                                        const choice_options& options, time_point now,
                                                        random_source& random) const {
@@ -294,41 +345,17 @@
   std::size_t eligible = 0;
   for (const upstream& known : m_upstreams) {
     const upstream_record& record = known.record;
-    if (record.service != service || known.leaving() || known.evacuated || known.wrong_instance ||
-        known.superseded || known.rejects_requests(now) || !known.health.usable(now, k_ejection)) {
-      continue;
-    }
-    const bool trial =
-        std::find(options.trials.begin(), options.trials.end(), known.hash) != options.trials.end();
-    if (known.silent && !trial) {
-      continue;
-    }
-    if (std::find(options.excluded.begin(), options.excluded.end(), record.id) != options.excluded.end()) {
-      continue;
-    }
-    const double outstanding = known.local_requests + known.member_requests;
-    if (outstanding >= options.max_utilization * record.slots) {
-      continue;
-    }
-    if (options.cold_limiter != nullptr && known.cold(now) &&
-        !options.cold_limiter->may_send(record.id, known.cold_rules.max_per_s, now)) {
-      continue;
-    }
-    if (options.exclude_cold && known.cold(now)) {
+    if (record.service != service || why_excluded(known, options, now)) {
       continue;
     }
-    if (trial) {
+    if (gets_trial(known, options)) {
       return &known;
     }
     // Reservoir sampling: each eligible upstream has the same probability to be in the sample.
     const std::size_t position = eligible < sample.size() ? eligible : random_index(random, eligible + 1);
     ++eligible;
     if (position < sample.size()) {
-      const double distance =
-          record.availability_zone == options.availability_zone ? 0 : k_remote_zone_penalty_slots;
-      sample[position] = {
-          &known, (outstanding + distance + k_slots_per_recent_failure * known.health.recent_failures(now)) /
-                      record.slots};
+      sample[position] = {&known, placement_load(known, options, now)};
     }
   }
   const std::span<const candidate> drawn(sample.data(), std::min(eligible, sample.size()));
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -80,6 +80,20 @@
   bool exclude_cold = false;  // Excludes all cold upstreams.
 };
 
+// Why an upstream may not receive a request now. If several reasons apply, the first in this order is given.
+enum class exclusion : std::uint8_t {
+  leaving,
+  evacuated,       // The operator has evacuated its availability zone.
+  wrong_instance,  // Another instance responds at its address.
+  superseded,      // A later instance is listed at its address.
+  rejects,         // It has asked this gateway to send no requests for a while.
+  ejected,         // After failures; also while a trial request runs.
+  silent,          // It holds requests without progress.
+  tried,           // The request was already sent to it.
+  full,
+  cold,  // It is cold, and this gateway may not send to it now.
+};
+
 class upstream_table {
 public:
   struct upstream {
@@ -101,6 +115,7 @@
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
 
+    [[nodiscard]] double outstanding() const { return local_requests + member_requests; }
     [[nodiscard]] bool leaving() const { return record.leaving || announced_leaving; }
     [[nodiscard]] bool cold(time_point now) const { return cold_start.cold(cold_rules, now); }
     [[nodiscard]] bool rejects_requests(time_point now) const { return now < rejects_until; }
@@ -142,6 +157,16 @@
   // most a quarter of the upstreams of a service are taken out, the first ones of `hashes`.
   void set_silent(std::span<const std::uint32_t> hashes);
 
+  // Returns why an upstream may not receive a request of its service; absent if it is eligible. choose()
+  // takes these upstreams only.
+  [[nodiscard]] static std::optional<exclusion> why_excluded(const upstream& known,
+                                                             const choice_options& options, time_point now);
+  // Returns true if the request is a trial whether the upstream makes progress again.
+  [[nodiscard]] static bool gets_trial(const upstream& known, const choice_options& options);
+  // Returns the load by which upstreams are compared: requests, with an addition for other availability zones
+  // and for recent failures, divided by slots.
+  [[nodiscard]] static double placement_load(const upstream& known, const choice_options& options,
+                                             time_point now);
   // Returns an upstream of `service` with little load: the least loaded of a few chosen at random. Null if
   // none has a free slot.
   [[nodiscard]] const upstream* choose(std::string_view service, const choice_options& options,
@@ -181,6 +206,8 @@
   };
   [[nodiscard]] service_totals totals(std::string_view service, time_point now) const;
   [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
+  // In no particular order; valid until the next change of the list.
+  [[nodiscard]] std::span<const upstream> all() const { return m_upstreams; }
 
 private:
   upstream* find_mutable(std::string_view id);
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -1,5 +1,6 @@
 #include "core/http/server.h"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <charconv>
 #include <restinio/all.hpp>
@@ -359,13 +360,20 @@
   return m_impl->connection_count();
 }
 
+result<std::unique_ptr<server>> serve_pages(asio::io_context& context, const std::string& address,
+                                            std::vector<page> pages) {
+  return server::start(
+      context, {.address = address},
+      [pages = std::move(pages)](const request& value, const std::shared_ptr<responder>& out) {
+        const auto found = std::find_if(pages.begin(), pages.end(),
+                                        [&value](const page& each) { return each.path == value.path(); });
+        out->respond(found == pages.end() ? response{.status = 404} : found->handler(value));
+      });
+}
+
 result<std::unique_ptr<server>> serve_page(asio::io_context& context, const std::string& address,
                                            std::string path, page_handler handler) {
-  return server::start(context, {.address = address},
-                       [path = std::move(path), handler = std::move(handler)](
-                           const request& value, const std::shared_ptr<responder>& out) {
-                         out->respond(value.path() == path ? handler(value) : response{.status = 404});
-                       });
+  return serve_pages(context, address, {{std::move(path), std::move(handler)}});
 }
 
 }  // namespace cuminpath::http
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/common/error.h"
 #include "core/common/time.h"
@@ -83,7 +84,14 @@
 
 // Produces the response to a request for a page.
 using page_handler = std::function<response(const request&)>;
-// Serves one path at an address and responds with 404 to other paths. Errors as for server::start().
+// Serves pages at an address and responds with 404 to other paths. Errors as for server::start().
+struct page {
+  std::string path;
+  page_handler handler;
+};
+result<std::unique_ptr<server>> serve_pages(asio::io_context& context, const std::string& address,
+                                            std::vector<page> pages);
+// The same for one path.
 result<std::unique_ptr<server>> serve_page(asio::io_context& context, const std::string& address,
                                            std::string path, page_handler handler);
 
--- a/source/core/operation/command_line.cpp
+++ b/source/core/operation/command_line.cpp
@@ -32,6 +32,9 @@
     {"manifest status", "",
      "Show the current version; with --hosts also the number of processes on each version."},
     {"manifest history", "", "Show the most recent versions (--limit, default 10)."},
+    {"explain", "",
+     "Show where each gateway given by --at would place a request now, and why, without sending it.\n"
+     "Requires --at, --host and --path; differences between gateways are marked with *."},
     {"expert-map show", "GROUP", "Show the expert map of a group."},
     {"expert-map plan", "GROUP", "Show the changes that the planner proposes and their expected gain."},
     {"expert-map apply", "GROUP",
@@ -49,7 +52,15 @@
       "operator", text(), "operator name recorded in the history (default: $USER)")(
       "based-on", program_options::value<std::uint64_t>(), "version that the change is based on")(
       "limit", program_options::value<std::uint32_t>(), "number of events or versions to show")(
-      "json", "print JSON instead of text")("help,h", "print this help");
+      "at", program_options::value<std::vector<std::string>>(),
+      "explain: IP:PORT of the metrics address of a gateway; may be repeated")(
+      "method", text(), "explain: method of the request (default: GET)")(
+      "host", text(), "explain: host of the request")("path", text(), "explain: path of the request")(
+      "workspace", text(), "explain: name of the workspace of the caller")(
+      "key-file", text(), "explain: file with the API key of the caller")(
+      "header", program_options::value<std::vector<std::string>>(),
+      "explain: header of the request, 'NAME: VALUE'; may be repeated")("json", "print JSON instead of text")(
+      "help,h", "print this help");
   return options;
 }
 
@@ -67,7 +78,7 @@
   text = trim_end(std::move(text));
   if (text.empty() || text.size() > k_max_key_bytes) {
     return make_error(error_code::invalid_input,
-                      file + ": cannot be read, is empty or exceeds the size limit of an operator key");
+                      file + ": cannot be read, is empty or exceeds the size limit of a key");
   }
   return text;
 }
@@ -79,6 +90,31 @@
   return url;
 }
 
+result<explain_arguments> read_explain_arguments(const program_options::variables_map& values) {
+  const auto text = [&values](const char* option) {
+    return values.count(option) > 0 ? values[option].as<std::string>() : std::string();
+  };
+  const auto list = [&values](const char* option) {
+    return values.count(option) > 0 ? values[option].as<std::vector<std::string>>()
+                                    : std::vector<std::string>();
+  };
+  explain_arguments out{.gateways = list("at"),
+                        .method = values.count("method") > 0 ? text("method") : "GET",
+                        .host = text("host"),
+                        .path = text("path"),
+                        .workspace = text("workspace"),
+                        .api_key = {},
+                        .headers = list("header")};
+  if (values.count("key-file") > 0) {
+    auto key = read_key(text("key-file"));
+    if (!key) {
+      return key.error();
+    }
+    out.api_key = std::move(key.value());
+  }
+  return out;
+}
+
 }  // namespace
 
 result<command_line> parse_command_line(std::span<const std::string> arguments,
@@ -122,6 +158,11 @@
     }
     line.operator_key = std::move(key.value());
   }
+  auto explain = read_explain_arguments(values);
+  if (!explain) {
+    return explain.error();
+  }
+  line.explain = std::move(explain.value());
   if (values.count("based-on") > 0) {
     line.based_on = values["based-on"].as<std::uint64_t>();
   }
--- a/source/core/operation/command_line.h
+++ b/source/core/operation/command_line.h
@@ -17,10 +17,22 @@
 // Returns the value of an environment variable; empty if it is not set.
 using environment = std::function<std::string(const std::string& name)>;
 
+// The request that `explain` asks gateways about, and the gateways.
+struct explain_arguments {
+  std::vector<std::string> gateways;  // IP:PORT of their metrics addresses.
+  std::string method;
+  std::string host;
+  std::string path;
+  std::string workspace;
+  std::string api_key;               // Must not be printed.
+  std::vector<std::string> headers;  // NAME: VALUE.
+};
+
 // The parsed arguments.
 struct command_line {
   std::vector<std::string> words;  // The command and its arguments.
   endpoints urls;
+  explain_arguments explain;
   std::string operator_key;
   std::string operator_name;
   std::optional<std::uint64_t> based_on;
--- a/source/core/operation/commands.cpp
+++ b/source/core/operation/commands.cpp
@@ -11,6 +11,7 @@
 #include "core/config/settings_check.h"
 #include "core/config/settings_reader.h"
 #include "core/operation/apply.h"
+#include "core/operation/explain.h"
 #include "core/operation/fleet.h"
 
 namespace cuminpath::operation {
@@ -55,6 +56,9 @@
     if (first == "manifest") {
       return run_manifest(second);
     }
+    if (first == "explain" && words.size() == 1) {
+      return explain(m_session, m_line.explain, m_line.json, m_out, m_err);
+    }
     if (first == "expert-map" && words.size() == 3) {
       return run_expert_map(second, words[2]);
     }
--- a/source/core/operation/fleet.cpp
+++ b/source/core/operation/fleet.cpp
@@ -17,6 +17,21 @@
   return value.is_object() && found != value.end() && found->is_string() ? found->get<std::string>() : "";
 }
 
+std::vector<telemetry::event> to_events(const json& body) {
+  std::vector<telemetry::event> events;
+  const json list = body.is_object() ? body.value("events", json()) : json();
+  for (const json& item : list.is_array() ? list : json::array()) {
+    const json time = item.is_object() ? item.value("time", json()) : json();
+    if (time.is_number_unsigned()) {
+      events.push_back({time.get<std::uint64_t>(), get_string(item, "process"), get_string(item, "kind"),
+                        get_string(item, "detail")});
+    }
+  }
+  return events;
+}
+
+}  // namespace
+
 result<json> to_result(const http::client::call_result& response) {
   if (response.failure) {
     return make_error(response.failure->code, response.failure->message);
@@ -35,21 +50,6 @@
   return make_error(status == k_conflict ? error_code::conflict : error_code::refused, std::move(message));
 }
 
-std::vector<telemetry::event> to_events(const json& body) {
-  std::vector<telemetry::event> events;
-  const json list = body.is_object() ? body.value("events", json()) : json();
-  for (const json& item : list.is_array() ? list : json::array()) {
-    const json time = item.is_object() ? item.value("time", json()) : json();
-    if (time.is_number_unsigned()) {
-      events.push_back({time.get<std::uint64_t>(), get_string(item, "process"), get_string(item, "kind"),
-                        get_string(item, "detail")});
-    }
-  }
-  return events;
-}
-
-}  // namespace
-
 std::vector<host_response> query_all(platform_session& session, const std::vector<storage::host_entry>& hosts,
                                      const std::string& path) {
   std::vector<host_response> responses;
--- a/source/core/operation/fleet.h
+++ b/source/core/operation/fleet.h
@@ -21,6 +21,10 @@
 std::vector<host_response> query_all(platform_session& session, const std::vector<storage::host_entry>& hosts,
                                      const std::string& path);
 
+// Returns the JSON body of a response. Errors: those of the call, refused with the status and the detail of
+// the problem, conflict for status 409.
+result<json> to_result(const http::client::call_result& response);
+
 // Returns the events of all responses in causal order. Malformed responses and events are skipped.
 std::vector<telemetry::event> merge_timelines(const std::vector<host_response>& responses);
 
--- a/source/core/proxy/exchange.cpp
+++ b/source/core/proxy/exchange.cpp
@@ -16,8 +16,6 @@
 using gateway::call_kind;
 using telemetry::log_level;
 
-constexpr std::string_view k_quarantined = "a part of the prompt crashes upstreams";
-
 }  // namespace
 
 exchange::exchange(proxy_state& state, std::shared_ptr<caller_connection> caller, http::request request,
@@ -41,7 +39,7 @@
 }
 
 milliseconds exchange::time_left(time_point now) const {
-  return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(end_of_time() - now));
+  return proxy::time_left(m_state, m_deadline, now);
 }
 
 std::vector<std::string_view> exchange::shared_prompt_parts() const {
@@ -49,23 +47,22 @@
 }
 
 bool exchange::is_engine_call() const {
-  const gateway::service* service = m_configuration->find_service(m_service);
-  return service != nullptr && service->engine.has_value();
+  return proxy::is_engine(*m_configuration, m_service);
 }
 
 void exchange::start(time_point now) {
   m_configuration = m_state.configuration;
   m_deadline = now;
   if (!m_configuration) {
-    refuse(503, "no configuration yet", now);
+    refuse(503, k_no_configuration, now);
     return;
   }
   if (!resolve_route(now) || !authorize() || !choose_service(now) || !fits_planned_stop(now)) {
     return;
   }
-  if (m_state.served_requests > m_state.limits.served_requests) {
+  if (lacks_descriptors(m_state, m_state.served_requests)) {
     m_state.metrics.add("cuminpath_callers_refused_total", {{"cause", "descriptors"}});
-    refuse(503, "no descriptor for a connection to an upstream", now);
+    refuse(503, k_no_descriptor, now);
     return;
   }
   arm_deadline_timer();
@@ -76,7 +73,7 @@
   count_request(now);
   if (!gateway::keeps_passes_on_time(m_state.upstreams.totals(m_service, now), make_admission_request(now))) {
     m_state.metrics.add("cuminpath_pass_limit_refusals_total", {{"service", m_service}});
-    refuse(503, "passes would get too long", now);
+    refuse(503, k_passes_too_long, now);
     return;
   }
   const auto* target = leaves_places_to_waiting_streams(now) ? choose_upstream(now) : nullptr;
@@ -84,7 +81,7 @@
     if (m_state.upstreams.totals(m_service, now).cold > 0) {
       m_state.metrics.add("cuminpath_cold_requests_held_back_total", {{"at", "placement"}});
     }
-    refuse(503, "no upstream has a free place", now);
+    refuse(503, k_no_free_place, now);
     return;
   }
   begin_attempt(*target, now);
@@ -96,7 +93,7 @@
   const auto host = m_request.header("Host");
   m_route = m_configuration->find_route(host.value_or(""), m_request.path());
   if (m_route == nullptr) {
-    respond_with_problem(404, "no route", "not_run", milliseconds{0});
+    respond_with_problem(404, k_no_route, "not_run", milliseconds{0});
     finish("no_route", 404, "no route matches host and path");
     return false;
   }
@@ -106,15 +103,13 @@
     return false;
   }
   milliseconds timeout = m_route->timeout;
-  if (const auto header = m_request.header(m_state.header_names.time_left_ms)) {
-    const milliseconds caller_timeout(
-        std::max<std::int64_t>(0, parse_integer(*header).value_or(timeout.count())));
-    m_is_retry = m_state.caller_retries[m_route->name].observe(caller_timeout);
-    timeout = std::min(timeout, caller_timeout);
+  if (const auto caller_timeout = stated_time_left(m_state, m_request, *m_route)) {
+    m_is_retry = m_state.caller_retries[m_route->name].observe(*caller_timeout);
+    timeout = std::min(timeout, *caller_timeout);
   }
   m_deadline = m_arrived + timeout;
   if (m_deadline <= now) {
-    refuse(503, "deadline has passed", now);
+    refuse(503, k_deadline_passed, now);
     return false;
   }
   return true;
@@ -122,16 +117,16 @@
 
 bool exchange::authorize() {
   m_priority = m_route->priority;
-  if (m_route->is_public || !m_configuration->keys_required) {
+  if (!requires_key(*m_configuration, *m_route)) {
     return true;
   }
   m_workspace = m_configuration->find_workspace(m_request.header(m_state.header_names.api_key).value_or(""));
   if (m_workspace == nullptr) {
-    respond_with_problem(401, "unknown key", "not_run", milliseconds{0});
+    respond_with_problem(401, k_unknown_key, "not_run", milliseconds{0});
     finish("unknown_key", 401, "no workspace has this key");
     return false;
   }
-  m_priority = m_workspace->priority.value_or(m_priority);
+  m_priority = priority_of(*m_route, m_workspace);
   return true;
 }
 
@@ -149,23 +144,14 @@
     }
   }
   if (m_service.empty()) {
-    refuse(503, "route has no service", now);
+    refuse(503, k_no_service, now);
     return false;
   }
   return true;
 }
 
 bool exchange::fits_planned_stop(time_point now) {
-  if (!m_state.stop) {
-    return true;
-  }
-  const auto service_time = m_state.service_times.find(m_route->name);
-  const auto longest =
-      service_time == m_state.service_times.end() ? std::nullopt : service_time->second.value(now);
-  const gateway::late_request request{.deadline = m_deadline,
-                                      .longest_service_time = longest,
-                                      .streamed = m_route->kind == call_kind::stream};
-  if (m_state.stop->accepts(request, m_state.other_gateway_ready, now)) {
+  if (proxy::fits_planned_stop(m_state, *m_route, m_deadline, now)) {
     return true;
   }
   refuse_for_stop();
@@ -176,11 +162,8 @@
   if (!is_engine_call()) {
     return false;
   }
-  const auto model = m_request.header(m_state.header_names.model).value_or("");
   const auto ids = shared_prompt_parts();
-  for (const auto id : ids) {
-    m_prompt_parts.push_back(routing::hash_prompt_part(model, id));
-  }
+  m_prompt_parts = hash_prompt_parts(m_state, m_request);
   const auto verdict = m_state.prompt_quarantine.admit(m_prompt_parts, now);
   if (!verdict) {
     return false;
@@ -212,49 +195,29 @@
 }
 
 gateway::admission_request exchange::make_admission_request(time_point now) const {
-  const std::uint32_t most_urgent = m_configuration->most_urgent_priority(m_service);
-  gateway::admission_request request{.priority = m_priority - std::min(m_priority, most_urgent),
-                                     .engine = is_engine_call(),
-                                     .time_left = time_left(now),
-                                     .is_retry = m_is_retry};
-  const auto limiter = m_state.concurrency_limiters.find(m_service);
-  // The rest of a partly served stream is not subject to the forward-pass limit and goes before new requests.
-  request.resumes = m_response_started || m_request.header(m_state.header_names.resume_after).has_value();
-  if (request.engine && !request.resumes && limiter != m_state.concurrency_limiters.end()) {
-    const auto totals = m_state.upstreams.totals(m_service, now);
-    const auto capacity = limiter->second.max_requests(
-        m_route->max_event_gap, *m_configuration->find_service(m_service)->engine, now);
-    if (capacity && totals.slots > 0) {
-      request.slot_share = static_cast<double>(totals.upstreams) / totals.slots;
-      request.max_pass_utilization = *capacity * request.slot_share;
-    }
-  }
-  return request;
+  return proxy::make_admission_request(m_state, describe_placement(now), now);
+}
+
+placement_facts exchange::describe_placement(time_point now) const {
+  return {.configuration = *m_configuration,
+          .route = *m_route,
+          .service = m_service,
+          .priority = m_priority,
+          .time_left = time_left(now),
+          .is_retry = m_is_retry,
+          .resumes = m_response_started || m_request.header(m_state.header_names.resume_after).has_value(),
+          .resumed_by_caller = m_request.header(m_state.header_names.resume_after).has_value(),
+          .first_attempt = m_started_attempts == 0,
+          .tried_upstreams = m_tried_upstreams};
 }
 
 bool exchange::leaves_places_to_waiting_streams(time_point now) const {
-  // Streams without a retry left could not use the places.
-  const auto retries = m_state.retry_budgets.find(m_service);
-  const std::uint32_t waiting =
-      std::min(m_state.waiting(m_service),
-               retries == m_state.retry_budgets.end() ? 0U : retries->second.retries_left());
-  return waiting == 0 || m_request.header(m_state.header_names.resume_after) ||
-         gateway::leaves_places(m_state.upstreams.totals(m_service, now), waiting);
+  return proxy::leaves_places_to_waiting_streams(m_state, describe_placement(now), now);
 }
 
 const gateway::upstream_table::upstream* exchange::choose_upstream(time_point now) const {
-  const double max_utilization = gateway::max_utilization(make_admission_request(now));
-  // Trials use streams of engines that have not run anywhere yet: their progress is seen at once, and another
-  // upstream may take them over.
-  const bool may_try = m_started_attempts == 0 && m_route->kind == call_kind::stream && is_engine_call();
-  return m_state.upstreams.choose(
-      m_service,
-      {.availability_zone = m_state.availability_zone,
-       .excluded = m_tried_upstreams,
-       .trials = may_try ? m_state.silent_upstreams.trials() : std::span<const std::uint32_t>{},
-       .max_utilization = max_utilization,
-       .cold_limiter = &m_state.cold_limiter},
-      now, m_state.random);
+  return m_state.upstreams.choose(m_service, make_choice_options(m_state, describe_placement(now), now), now,
+                                  m_state.random);
 }
 
 bool exchange::take_cold_allowance(const gateway::upstream_table::upstream& target, time_point now) {
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -14,6 +14,7 @@
 #include "core/gateway/event_splitter.h"
 #include "core/http/message.h"
 #include "core/proxy/caller_connection.h"
+#include "core/proxy/placement.h"
 #include "core/proxy/proxy_state.h"
 #include "core/proxy/upstream_connection.h"
 
@@ -84,6 +85,7 @@
   // If no other upstream has a free place, those that have refused the request are asked again.
   [[nodiscard]] const gateway::upstream_table::upstream* choose_upstream_again(time_point now);
   [[nodiscard]] gateway::admission_request make_admission_request(time_point now) const;
+  [[nodiscard]] placement_facts describe_placement(time_point now) const;
   // Returns false if the places that are free are owed to streams that wait for one.
   [[nodiscard]] bool leaves_places_to_waiting_streams(time_point now) const;
   void begin_attempt(const gateway::upstream_table::upstream& target, time_point now);
--- a/source/core/proxy/exchange_detail.h
+++ b/source/core/proxy/exchange_detail.h
@@ -16,7 +16,6 @@
 // A single event may have been sent before the upstream crashed on the request.
 constexpr std::uint32_t k_events_of_sound_request = 2;
 constexpr std::string_view k_timed_out = "timeout of the route or the caller";
-constexpr std::string_view k_stopping = "the gateway is being stopped";
 
 inline std::int64_t ms_between(time_point from, time_point to) {
   return std::chrono::duration_cast<milliseconds>(to - from).count();
--- a/source/core/proxy/exchange_outcome.cpp
+++ b/source/core/proxy/exchange_outcome.cpp
@@ -14,21 +14,13 @@
 
 using telemetry::log_level;
 
-// Retry-After while there is no configuration: gateways read it within a second of their start.
-constexpr milliseconds k_retry_after_without_service{1000};
-// Another gateway can take a refused request at once; the spread keeps its callers from coming together.
-constexpr milliseconds k_max_wait_for_other_gateway{50};
-
 }  // namespace
 
 void exchange::refuse_for_stop() {
   m_state.metrics.add("cuminpath_requests_refused_by_stop_total");
-  const auto random_wait = [this](milliseconds longest) {
-    return milliseconds(random_index(m_state.random, static_cast<std::size_t>(longest.count())));
-  };
-  const milliseconds wait = m_state.other_gateway_ready
-                                ? random_wait(k_max_wait_for_other_gateway) + milliseconds{1}
-                                : random_wait(k_retry_after_without_service) + k_retry_after_without_service;
+  const wait_range range = wait_after_stop(m_state);
+  const auto spread = static_cast<std::size_t>((range.max - range.min).count()) + 1;
+  const milliseconds wait = range.min + milliseconds(random_index(m_state.random, spread));
   respond_with_problem(503, k_stopping, "not_run", wait);
   finish("refused", 503, k_stopping);
 }
@@ -36,13 +28,7 @@
 void exchange::refuse(int status, std::string_view reason, time_point now) {
   milliseconds wait = k_retry_after_without_service;
   if (!m_service.empty()) {
-    const auto totals = m_state.upstreams.totals(m_service, now);
-    const auto mean_time = m_state.mean_service_times.find(m_service);
-    const milliseconds mean =
-        mean_time == m_state.mean_service_times.end() ? k_default_service_time : mean_time->second;
-    const bool unavailable = m_state.service_state(m_service).unavailable(now);
-    gateway::admission_request admission = make_admission_request(now);
-    admission.service_unavailable = unavailable;
+    const auto [totals, mean, admission] = describe_refusal(m_state, describe_placement(now), now);
     wait = gateway::retry_after(totals, mean, admission, m_state.random);
     telemetry::log(log_level::info, "request", "refused",
                    {{"request", m_request_id},
@@ -53,7 +39,7 @@
                     {"outstanding", static_cast<std::int64_t>(totals.outstanding)},
                     {"mean_ms", mean.count()},
                     {"pass_fill", admission.max_pass_utilization.value_or(1)},
-                    {"service_away", unavailable},
+                    {"service_away", admission.service_unavailable},
                     {"retry_after_ms", wait.count()}});
   }
   respond_with_problem(status, reason, "not_run", wait);
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -21,6 +21,7 @@
 #include "core/net/socket_options.h"
 #include "core/proxy/caller_listener.h"
 #include "core/proxy/evidence_exchange.h"
+#include "core/proxy/placement_explanation.h"
 #include "core/proxy/proxy_state.h"
 #include "core/proxy/silence_exchange.h"
 #include "core/telemetry/log.h"
@@ -168,15 +169,25 @@
     if (!bound) {
       return false;
     }
+    const auto metrics_page = [this](const http::request&) {
+      return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                            .body = metrics_text()};
+    };
+    const auto explain = [this](const http::request& request) {
+      m_state.metrics.add("cuminpath_explain_pages_total");
+      return explain_page(m_state, m_settings.name, request, clock::now());
+    };
     return m_settings.metrics_address.empty() ||
-           serve(m_settings.metrics_address, "/metrics", [this](const http::request&) {
-             return http::response{.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                                   .body = metrics_text()};
-           });
+           serve(m_settings.metrics_address,
+                 {{"/metrics", metrics_page}, {std::string(k_explain_path), explain}});
   }
 
   bool serve(const std::string& address, std::string_view path, http::page_handler handler) {
-    auto started = http::serve_page(m_context, address, std::string(path), std::move(handler));
+    return serve(address, {{std::string(path), std::move(handler)}});
+  }
+
+  bool serve(const std::string& address, std::vector<http::page> pages) {
+    auto started = http::serve_pages(m_context, address, std::move(pages));
     if (!started) {
       telemetry::log(log_level::error, "process", "address cannot be bound",
                      {{"address", address}, {"reason", started.error().message}});
--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -76,23 +76,32 @@
       : m_options(options), m_random(seed) {}
 
   std::optional<verdict> admit(std::span<const prompt_part> parts, time_point now) {
+    for (const prompt_part part : parts) {
+      if (auto refused = judge({&part, 1}, now)) {
+        return refused;
+      }
+      if (const auto found = m_suspects.find(part);
+          found != m_suspects.end() && quarantine_applies(found->second, now)) {
+        found->second.trial_started = now;
+      }
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] std::optional<verdict> judge(std::span<const prompt_part> parts, time_point now) const {
     for (const prompt_part part : parts) {
       const auto found = m_suspects.find(part);
-      if (found == m_suspects.end()) {
+      if (found == m_suspects.end() || !quarantine_applies(found->second, now)) {
         continue;
       }
-      suspect& known = found->second;
+      const suspect& known = found->second;
       const auto until = quarantined_until(known);
-      if (!until || now < known.crashes.front().at + m_options.exchange_time) {
-        continue;
-      }
       if (now < *until) {
         return make_verdict(part, known, *until - now);
       }
       if (known.trial_started && now < *known.trial_started + m_options.max_trial_time) {
         return make_verdict(part, known, *known.trial_started + m_options.max_trial_time - now);
       }
-      known.trial_started = now;
     }
     return std::nullopt;
   }
@@ -251,6 +260,12 @@
                                          quarantine_duration(count - threshold) * (1 + known.extension));
   }
 
+  // Returns true if the part is quarantined or about to be tested: until the other processes have had time to
+  // say that they know it as sound, it is not.
+  [[nodiscard]] bool quarantine_applies(const suspect& known, time_point now) const {
+    return quarantined_until(known) && now >= known.crashes.front().at + m_options.exchange_time;
+  }
+
   [[nodiscard]] seconds quarantine_duration(std::size_t doublings) const {
     seconds length = m_options.base_duration;
     for (std::size_t i = 0; i < doublings && length < m_options.max_duration; ++i) {
@@ -378,6 +393,10 @@
                                                                    time_point now) {
   return m_implementation->admit(parts, now);
 }
+std::optional<prompt_quarantine::verdict> prompt_quarantine::judge(std::span<const prompt_part> parts,
+                                                                   time_point now) const {
+  return m_implementation->judge(parts, now);
+}
 void prompt_quarantine::on_output(std::span<const prompt_part> parts, time_point now) {
   m_implementation->on_output(parts, now);
 }
--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -78,6 +78,8 @@
   // Returns why a request with these parts must not be sent to an upstream; absent if it may be. A part whose
   // quarantine has ended is tested with one request at a time.
   [[nodiscard]] std::optional<verdict> admit(std::span<const prompt_part> parts, time_point now);
+  // Returns what admit() would return, without beginning a test.
+  [[nodiscard]] std::optional<verdict> judge(std::span<const prompt_part> parts, time_point now) const;
 
   // A request with these parts has produced output.
   void on_output(std::span<const prompt_part> parts, time_point now);
