proxy: let the test of explanations reach refusals of a planned stop

The property passed for 400 states, but no state was refused because of a planned stop, so the check that every reason occurs failed. Half of the stops now began 3 s ago. Not run since this change.

--- a/source/unit_tests/proxy/placement_explanation_test.cpp
+++ b/source/unit_tests/proxy/placement_explanation_test.cpp
@@ -106,7 +106,8 @@
     m_state.stop.reset();
     m_state.other_gateway_ready = one_in(2);
     if (one_in(10)) {
-      m_state.stop.emplace(now - seconds{1}, milliseconds{4000}, milliseconds{100});
+      m_state.stop.emplace(now - (one_in(2) ? seconds{1} : seconds{3}), milliseconds{4000},
+                           milliseconds{100});
     }
   }
 
