--- a/source/core/routing/prompt_quarantine.h
+++ b/source/core/routing/prompt_quarantine.h
@@ -81,6 +81,8 @@
   // Returns true if a part is in quarantine. For requests that admit() has let pass and that wait since, also
   // those that test a part.
   [[nodiscard]] bool quarantined(std::span<const prompt_part> parts, time_point now) const;
+  // Returns what admit() would return, without beginning a test.
+  [[nodiscard]] std::optional<verdict> judge(std::span<const prompt_part> parts, time_point now) const;
 
   // A request with these parts has produced output.
   void on_output(std::span<const prompt_part> parts, time_point now);
