proxy: keep connections whose response is read before their write completes

Cause: m_request_written was set by the completion handler of asio::async_write. If the connection was readable before the last of several writes (a late response to an earlier request), the event loop read the response first, and the connection was closed instead of being used again.

Change: requests are written without an asynchronous operation, at most 64 KB at a time, so that the flag is set in the write that hands over the last byte. A request that was not handed over as a whole still ends the connection.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 #include <charconv>
+#include <span>
 
 #include "core/net/socket_options.h"
 
@@ -15,6 +15,24 @@
 // upstream can send that way.
 constexpr std::size_t k_max_bytes_before_head = 1U << 20U;
 
+// A larger write would hand a whole request to the socket before an early refusal of it can be read. The
+// refused request would then reach the upstream.
+constexpr std::size_t k_max_write_bytes = 64U << 10U;
+
+// Returns the first bytes of `buffers`, at most `max_bytes`.
+std::vector<asio::const_buffer> take_front(std::span<const asio::const_buffer> buffers,
+                                           std::size_t max_bytes) {
+  std::vector<asio::const_buffer> front;
+  for (const asio::const_buffer& each : buffers) {
+    if (max_bytes == 0) {
+      break;
+    }
+    front.push_back(asio::buffer(each, max_bytes));
+    max_bytes -= front.back().size();
+  }
+  return front;
+}
+
 // Returns the `timeout` parameter of the Keep-Alive header, if there is one.
 std::optional<seconds> parse_keep_alive_timeout(const http::header_list& headers) {
   const auto value = http::find_header(headers, "Keep-Alive");
@@ -106,21 +124,60 @@
   m_bytes_before_head = 0;
   m_no_body = no_body;
   m_parser.start({}, no_body);
-  std::vector<asio::const_buffer> buffers{asio::buffer(m_outgoing_head)};
+  m_unwritten.assign({asio::buffer(m_outgoing_head)});
   if (m_outgoing_body) {
     for (const std::string_view view : m_outgoing_body->views()) {
-      buffers.emplace_back(view.data(), view.size());
+      m_unwritten.emplace_back(view.data(), view.size());
+    }
+  }
+  write_request();
+}
+
+// Writes without an asynchronous operation, so that m_request_written is true before any response to the last
+// byte can be read. The completion of an asynchronous write can be handled after that response.
+void upstream_connection::write_request() {
+  std::error_code error;
+  const std::size_t written = m_socket.write_some(take_front(m_unwritten, k_max_write_bytes), error);
+  if (error && error != asio::error::would_block && error != asio::error::try_again) {
+    m_unwritten.clear();
+    release_outgoing();
+    // send() calls none of its callbacks before it returns.
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), error] {
+      if (self->m_request_active && self->m_open) {
+        self->on_write_failed(error.message());
+      }
+    });
+    return;
+  }
+  std::size_t rest = written;
+  const auto first_left = std::find_if(m_unwritten.begin(), m_unwritten.end(), [&rest](const auto& buffer) {
+    if (rest < buffer.size()) {
+      return true;
     }
+    rest -= buffer.size();
+    return false;
+  });
+  m_unwritten.erase(m_unwritten.begin(), first_left);
+  if (m_unwritten.empty()) {
+    m_request_written = true;
+    release_outgoing();
+    return;
   }
-  asio::async_write(m_socket, buffers,
-                    [self = shared_from_this()](std::error_code error, std::size_t /*size*/) {
-                      self->m_request_written = !error;
-                      std::string().swap(self->m_outgoing_head);
-                      self->m_outgoing_body.reset();
-                      if (error && self->m_request_active && self->m_open) {
-                        self->on_write_failed(error.message());
-                      }
-                    });
+  m_unwritten.front() += rest;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_write,
+                      [self = shared_from_this()](std::error_code failure) {
+                        if (!failure && self->m_open) {
+                          self->write_request();
+                        } else {
+                          self->m_unwritten.clear();
+                          self->release_outgoing();
+                        }
+                      });
+}
+
+void upstream_connection::release_outgoing() {
+  std::string().swap(m_outgoing_head);
+  m_outgoing_body.reset();
 }
 
 bool upstream_connection::reusable() const {
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -1,6 +1,7 @@
 // Client side of one connection to an upstream.
 #pragma once
 
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -8,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/common/time.h"
 #include "core/proxy/byte_blocks.h"
@@ -59,6 +61,8 @@
   std::function<void()> on_idle_close;
 
 private:
+  void write_request();
+  void release_outgoing();
   void wait_readable();
   void on_readable();
   // Reads what has arrived before it ends the request.
@@ -76,6 +80,7 @@
   message_parser m_parser;
   std::string m_outgoing_head;
   std::shared_ptr<const byte_blocks> m_outgoing_body;
+  std::vector<asio::const_buffer> m_unwritten;  // Parts of the two that the socket has not taken yet.
   std::string m_id_header;
   std::string m_request_id;
   response_handlers m_events;
--- a/source/unit_tests/proxy/upstream_connection_test.cpp
+++ b/source/unit_tests/proxy/upstream_connection_test.cpp
@@ -42,6 +42,89 @@
   asio::io_context m_context;
 };
 
+constexpr std::string_view k_other_response = "HTTP/1.1 503 X\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view k_own_response = "HTTP/1.1 200 X\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n";
+
+// A request with a large body. A late response to an earlier request arrives while it is written, so that the
+// connection is readable before the last write.
+class upstream_connection_with_large_request : public ::testing::Test {
+protected:
+  void send(std::size_t body_size) {
+    asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
+    bool connected = false;
+    m_connection->connect(acceptor.local_endpoint(), milliseconds{1000},
+                          [&](std::string_view failure) { connected = failure.empty(); });
+    m_peer = acceptor.accept();
+    while (!connected) {
+      ASSERT_EQ(m_context.run_one_for(milliseconds{1000}), 1U);
+    }
+    m_context.poll();
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+    m_request_size = head.size() + body_size;
+    m_connection->send(head, std::make_shared<byte_blocks>(std::string(body_size, 'x')), "X-Id", "a", false,
+                       {.end = [this] { m_ended = true; },
+                        .failed = [this](std::string_view reason) { m_failure = reason; }});
+    asio::write(m_peer, asio::buffer(k_other_response));
+  }
+  void respond() {
+    asio::write(m_peer, asio::buffer(k_own_response));
+    while (!m_ended && m_failure.empty()) {
+      ASSERT_EQ(m_context.run_one_for(milliseconds{1000}), 1U);
+    }
+    EXPECT_EQ(m_failure, "");
+  }
+
+  asio::io_context m_context;
+  std::shared_ptr<upstream_connection> m_connection = std::make_shared<upstream_connection>(m_context, "i-1");
+  asio::ip::tcp::socket m_peer{m_context};
+  std::size_t m_request_size = 0;
+  bool m_ended = false;
+  std::string m_failure;
+};
+
+// Guards against a connection that is closed instead of being used again because the response was read before
+// the event loop came to the completion of the last write. One write takes 64 KB.
+TEST_F(upstream_connection_with_large_request,
+       is_reusable_if_the_response_is_read_right_after_the_last_write) {
+  send(64U << 10U);
+  const time_point end = clock::now() + seconds{2};
+  while (m_peer.available() < m_request_size) {
+    ASSERT_LT(clock::now(), end);
+    m_context.run_one_for(milliseconds{20});
+  }
+  respond();
+  EXPECT_TRUE(m_connection->reusable());
+}
+
+// Guards against a connection that carries a second request behind a part of the first one. The body is
+// larger than what the socket buffers hold.
+TEST_F(upstream_connection_with_large_request,
+       is_not_reusable_if_the_response_is_read_before_the_last_write) {
+  send(32U << 20U);
+  respond();
+  EXPECT_LT(m_peer.available(), m_request_size);
+  EXPECT_FALSE(m_connection->reusable());
+}
+
+// Guards against bytes that are lost or repeated where a write takes only a part of a block.
+TEST_F(upstream_connection_with_large_request, arrives_as_a_whole_at_an_upstream_that_reads_slowly) {
+  send(32U << 20U);
+  std::vector<char> buffer(1U << 20U);
+  std::size_t received = 0;
+  const time_point end = clock::now() + seconds{5};
+  while (received < m_request_size && clock::now() < end) {
+    if (m_peer.available() == 0) {
+      m_context.run_one_for(milliseconds{20});
+      continue;
+    }
+    received += m_peer.read_some(asio::buffer(buffer));
+  }
+  EXPECT_EQ(received, m_request_size);
+  respond();
+  EXPECT_EQ(m_peer.available(), 0U);
+  EXPECT_TRUE(m_connection->reusable());
+}
+
 TEST_F(upstream_connection_test, an_answer_that_arrived_before_a_failed_write_is_read) {
   const auto seen = send_after_reset("HTTP/1.1 503 X\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nfull");
   EXPECT_EQ(seen.status, 503);
