gateway: leave out as silent at most a quarter of what an evacuation leaves

Cause: mark_silent() counted upstreams of evacuated zones, which take no requests. Up to a quarter of the whole service could be left out of the other zones, or upstreams of evacuated zones used up the quarter. The rest of the service could not hold its load.

Change: only upstreams of zones that are not evacuated count, and the marks are set anew when evacuations change.

Measured: evacuated_table.at_most_a_quarter_of_the_other_zones_is_left_out_as_silent failed (1 of 4 upstreams left, 3 expected) and passes, with the tests of evacuat*, upstream_table* and the quarter of a service.

--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -243,6 +243,7 @@
   for (upstream& known : m_upstreams) {
     known.evacuated = m_evacuated_zones.contains(known.record.availability_zone);
   }
+  mark_silent();
 }
 
 std::size_t upstream_table::count_cold(time_point now) const {
@@ -265,13 +266,15 @@
   std::unordered_map<std::string_view, count> counts;
   for (upstream& known : m_upstreams) {
     known.silent = false;
-    counts[known.record.service].upstreams += m_silent.empty() || known.leaving() ? 0 : 1;
+    counts[known.record.service].upstreams += m_silent.empty() || known.leaving() || known.evacuated ? 0 : 1;
   }
   for (const std::uint32_t hash : m_silent) {
     for (upstream& known : m_upstreams) {
       count& service = counts[known.record.service];
-      if (known.hash == hash && static_cast<double>(service.silent + 1) <=
-                                    k_max_silent_share * static_cast<double>(service.upstreams)) {
+      // Those of evacuated zones are left out anyway.
+      if (known.hash == hash && !known.evacuated &&
+          static_cast<double>(service.silent + 1) <=
+              k_max_silent_share * static_cast<double>(service.upstreams)) {
         known.silent = true;
         ++service.silent;
       }
--- a/source/unit_tests/gateway/evacuation_test.cpp
+++ b/source/unit_tests/gateway/evacuation_test.cpp
@@ -100,6 +100,21 @@
   EXPECT_EQ(choose()->record.availability_zone, "a");
 }
 
+// Guards against silent upstreams that take more than a quarter of what an evacuation leaves, and against
+// those of the evacuated zones that use up this quarter.
+TEST_F(evacuated_table, at_most_a_quarter_of_the_other_zones_is_left_out_as_silent) {
+  std::vector<std::uint32_t> hashes;
+  for (const char* id : {"u2", "u5", "u8", "u11", "u0"}) {  // All of zone c, and one of zone a.
+    hashes.push_back(m_table.find(id)->hash);
+  }
+  m_table.set_silent(hashes);
+  EXPECT_EQ(m_table.totals("s", k_start).upstreams, 9U);
+  evacuate({{"a", 1}, {"b", 2}});
+  EXPECT_EQ(m_table.totals("s", k_start).upstreams, 3U);
+  evacuate({});
+  EXPECT_EQ(m_table.totals("s", k_start).upstreams, 9U);
+}
+
 // With all zones evacuated, callers must not come back within the queueing time of an idle service.
 TEST_F(evacuated_table, asks_callers_to_wait_while_all_zones_are_evacuated) {
   evacuate({{"a", 1}, {"b", 2}, {"c", 3}, {"unknown zone", 4}});
