proxy: count no failure of an upstream whose zone was evacuated during a connect

Cause: an attempt that was not sent because the zone had been evacuated counted as a failure of its upstream. Three of them eject it, so that a zone that is restored has upstreams that take only trial requests.

Change: such an attempt is held back, as one at a cold upstream.

Measured: evacuated_zone.gets_no_request_whose_connection_was_being_made failed with one recent failure, and passes with the tests of evacuated_zone* and cold_upstream*.

--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -34,7 +34,7 @@
   std::uint32_t events = 0;        // That the caller has received.
   gateway::event_splitter splitter;
   time_point last_progress;            // When it was sent, or when its last event with data arrived.
-  bool held_back = false;              // The rate limit of cold upstreams did not allow to send it.
+  bool held_back = false;              // Not sent: the upstream is cold or evacuated, which is no failure.
   bool silent = false;                 // Another attempt was begun because it made no progress.
   std::string held_bytes;              // Comments and empty lines before its first event.
   std::size_t bytes_without_data = 0;  // Since the last event with data.
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -191,6 +191,7 @@
     return;
   }
   if (target->evacuated) {
+    attempt.held_back = true;
     end_attempt(attempt, attempt_result::not_sent,
                 "availability zone was evacuated while the connection was being made");
     return;
--- a/source/unit_tests/proxy/evacuated_zone_test.cpp
+++ b/source/unit_tests/proxy/evacuated_zone_test.cpp
@@ -39,6 +39,8 @@
   EXPECT_THAT(response.bytes, HasSubstr("Retry-After: "));
   EXPECT_THAT(response.bytes, HasSubstr("not_run"));
   EXPECT_EQ(upstream.requests().size(), 0U);
+  // Guards against an upstream that counts as failed after its zone is restored, because it got no request.
+  EXPECT_EQ(m_state.upstreams.find("i-1")->health.recent_failures(clock::now()), 0);
 }
 
 // Guards against streams that are cut because their zone is evacuated, and against the rest of a lost stream
