proxy: read from the status check for how long an upstream stays cold

Cause: the check of an upstream whose connection broke asks for its status, but ignored the header in which it states that it is cold, so requests went on until a row or a response said so.

Change: upstream_check hands the header over, and the exchange records it as it does for responses.

--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -128,6 +128,8 @@
   void on_head(upstream_attempt& attempt, message_head&& head);
   // Records what a response says about the upstream itself: that it is leaving, or that it rejects requests
   // for a while.
+  void record_cold_statement(const std::string& upstream_id, const http::header_list& headers,
+                             time_point now);
   void record_upstream_state(const std::string& upstream_id, const message_head& head, time_point now);
   void on_body(upstream_attempt& attempt, std::string_view bytes);
   // Charges what attempts hold of responses to the caller. Returns false if there is no memory for it.
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -299,8 +299,9 @@
                                      [&attempt](const auto& each) { return each.get() == &attempt; });
   m_state.upstream_checks->start(
       attempt.upstream_id, *peer,
-      [self = shared_from_this(), reason = std::string(reason_view), running,
-       broken_at = clock::now()](upstream_state state) {
+      [self = shared_from_this(), reason = std::string(reason_view), running, broken_at = clock::now()](
+          upstream_state state, const http::header_list& headers) {
+        self->record_cold_statement(running->upstream_id, headers, clock::now());
         if (!self->is_running(*running)) {
           return;  // The deadline has passed, the caller has disconnected, or another upstream has answered.
         }
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -95,6 +95,13 @@
                      !contradicts_itself(received);
 }
 
+void exchange::record_cold_statement(const std::string& upstream_id, const http::header_list& headers,
+                                     time_point now) {
+  if (const auto cold = http::find_header(headers, m_state.header_names.cold_for_ms)) {
+    m_state.upstreams.on_cold_statement(upstream_id, milliseconds(parse_integer(*cold).value_or(0)), now);
+  }
+}
+
 void exchange::record_upstream_state(const std::string& id, const message_head& head, time_point now) {
   // A 421 response comes from another instance than the one that the request was sent to.
   if (head.status != k_misdirected_request &&
@@ -104,9 +111,8 @@
     telemetry::log(log_level::info, "upstreams", "says that it leaves",
                    {{"upstream", id}, {"request", m_request_id}});
   }
-  if (const auto cold = http::find_header(head.headers, m_state.header_names.cold_for_ms);
-      cold && head.status != k_misdirected_request) {
-    m_state.upstreams.on_cold_statement(id, milliseconds(parse_integer(*cold).value_or(0)), now);
+  if (head.status != k_misdirected_request) {
+    record_cold_statement(id, head.headers, now);
   }
   if (head.status == k_service_unavailable) {
     const auto retry_after = http::find_header(head.headers, "Retry-After");
--- a/source/core/proxy/upstream_check.cpp
+++ b/source/core/proxy/upstream_check.cpp
@@ -17,6 +17,7 @@
   std::string upstream_id;
   std::shared_ptr<upstream_connection> connection;
   asio::steady_timer timer;
+  http::header_list headers;        // Of the response.
   std::vector<callback> callbacks;  // Empty once the check has finished.
 };
 
@@ -51,7 +52,8 @@
     }
     check->connection->send(
         request, nullptr, "", "", false,
-        {.end = [this, check] { finish(check, upstream_state::running); },
+        {.head = [check](message_head&& head) { check->headers = std::move(head.headers); },
+         .end = [this, check] { finish(check, upstream_state::running); },
          .failed = [this, check](std::string_view) { finish(check, upstream_state::ended); }});
   });
 }
@@ -62,7 +64,7 @@
   check->timer.cancel();
   check->connection->close();
   for (const callback& done : callbacks) {
-    done(state);
+    done(state, state == upstream_state::running ? check->headers : http::header_list{});
   }
 }
 
--- a/source/core/proxy/upstream_check.h
+++ b/source/core/proxy/upstream_check.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/proxy/message_parser.h"
 
 namespace cuminpath::proxy {
 
@@ -20,7 +21,8 @@
 // Asks upstreams for their status. Checks of one upstream that overlap share one connection.
 class upstream_check {
 public:
-  using callback = std::function<void(upstream_state)>;
+  // The headers are those of the status; empty if there was none.
+  using callback = std::function<void(upstream_state, const http::header_list& headers)>;
 
   // `path` is the HTTP path of the status that every upstream serves without delay.
   upstream_check(asio::io_context& context, std::string path, milliseconds time_limit);
--- a/source/unit_tests/proxy/cold_upstream_test.cpp
+++ b/source/unit_tests/proxy/cold_upstream_test.cpp
@@ -94,5 +94,23 @@
   EXPECT_THAT(call(request("GET", "/safe/x", "a"), is_complete).bytes, StartsWith("HTTP/1.1 503"));
 }
 
+// Guards against an instance that has restarted under its id and gets requests at the full rate until its row
+// arrives, although it said in the status check after its crash that it is cold.
+TEST_F(cold_upstream, is_known_from_the_status_check_after_a_broken_connection) {
+  use_engine();
+  m_state.header_names.cold_for_ms = "X-Cold";
+  m_state.upstreams.set_cold_policies({{"s", {.cold_start = milliseconds{0}, .max_per_s = 26}}});
+  add_upstream("i-1", [](auto, const std::string& received) {
+    return received.starts_with("GET /status ")
+               ? upstream_action{"HTTP/1.1 200 X\r\nX-Cold: 60000\r\nContent-Length: 0\r\n\r\n"}
+               : upstream_action{"", upstream_action::after::reset};
+  });
+  EXPECT_FALSE(m_state.upstreams.find("i-1")->cold(clock::now()));
+  call(request("POST", "/once/x", "a", "X-Model: m\r\nX-Prompt-Parts: p:10,own:5\r\nContent-Length: 0\r\n"),
+       is_complete);
+  EXPECT_EQ(m_upstreams.back()->requests().size(), 2U);
+  EXPECT_TRUE(m_state.upstreams.find("i-1")->cold(clock::now()));
+}
+
 }  // namespace
 }  // namespace cuminpath::proxy
