--- a/source/core/operation/explain.cpp
+++ b/source/core/operation/explain.cpp
@@ -24,7 +24,7 @@
 // Facts of one gateway in the order of their rows.
 class fact_list {
 public:
-  void add(std::string name, std::string cell) { m_facts.push_back({std::move(name), cell, cell}); }
+  void add(std::string name, const std::string& cell) { m_facts.push_back({std::move(name), cell, cell}); }
   void add(std::string name, std::string cell, std::string compared) {
     m_facts.push_back({std::move(name), std::move(cell), std::move(compared)});
   }
