--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import pathlib
 import random
@@ -22,6 +23,7 @@
 HOST = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
+logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # Writes to connections that the peer has closed.
 
 
 class Record:
