--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -62,6 +62,27 @@
             continue
 
 
+class Watch:
+    """Measures for how long the script itself was held up; a run in which that was long shows nothing."""
+
+    LONGEST_S = 0.5
+
+    def __init__(self, record):
+        self.record, self.worst = record, 0.0
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.05)
+            self.worst = max(self.worst, time.monotonic() - before - 0.05)
+
+    def held_up(self):
+        self.task.cancel()
+        self.record(f"longest time for which this script was held up: {self.worst:.2f} s")
+        return self.worst > self.LONGEST_S
+
+
 async def read_head(reader):
     """Returns the first line and the headers (lower-case names); None at the end of the connection."""
     try:
