--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "support-2"))
-from standins import Gateway, Record, Replica, Store, configuration, read_head, request_bytes, route  # noqa: E402
+from standins import Gateway, Record, Replica, Store, Watch, configuration, read_head, request_bytes, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RECOVER_S = 12.0  # bounds.recoverS
@@ -62,6 +62,7 @@
                 if not await gateway.wait_ready():
                     return 2
             await asyncio.sleep(3.5)
+            watch = Watch(record)
             before, after = [], []
             await traffic(gateways, record, 4, "before", before)
 
@@ -90,6 +91,8 @@
         record(f"served: {sum(before)} of {len(before)} before the fault, {sum(after)} of {len(after)} later than recoverS")
         if 4 * sum(before) < len(before):
             return 2
+        if watch.held_up():
+            return 2
         return 1 if 4 * sum(after) < len(after) else 0
 
 
