gateway: rows of services that are not configured describe no upstream

A running gateway refuses as soon as it reads such rows; a restart is not needed.

Cause: upstream_table::mark_superseded() compared the starts of all rows with one address, whatever their service. Ruled out: 421 by the instance at the address (upstreams see no request), readiness (the directory names the gateways). /explain shows the state "superseded"; rows that cannot be decoded do no harm.

Change: the table knows which services are configured. Other rows take no address, are no part of the number and share of rows that vanish together, do not make a gateway ready, have no grace period, and are logged and counted apart. They stay known, so that places, failures and times of start survive when a configuration drops and names a service again. The rule stands at set_services().

--- a/source/core/gateway/configuration.cpp
+++ b/source/core/gateway/configuration.cpp
@@ -81,6 +81,19 @@
   return found == m_service_of_name.end() ? nullptr : &services[found->second];
 }
 
+std::unordered_set<std::string> configuration::service_names() const {
+  std::unordered_set<std::string> names;
+  for (const service& each : services) {
+    names.insert(each.name);
+  }
+  for (const route& each : routes) {
+    for (const service_share& share : each.shares) {
+      names.insert(share.service);
+    }
+  }
+  return names;
+}
+
 std::uint32_t configuration::most_urgent_priority(std::string_view service) const {
   const auto found = m_most_urgent_priority.find(std::string(service));
   return found == m_most_urgent_priority.end() ? 0 : found->second;
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/common/time.h"
@@ -99,6 +100,8 @@
   [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
   [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
   [[nodiscard]] const service* find_service(std::string_view name) const;
+  // Returns the names of all services that are configured or to which a route leads.
+  [[nodiscard]] std::unordered_set<std::string> service_names() const;
   // Returns the most urgent priority that a request to the service can have by its route or workspace; 0 if
   // no route leads there.
   [[nodiscard]] std::uint32_t most_urgent_priority(std::string_view service) const;
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <unordered_set>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -104,14 +103,41 @@
 void upstream_table::mark_superseded() {
   std::unordered_map<std::string_view, std::uint64_t> latest;
   for (const upstream& known : m_upstreams) {
-    auto& start = latest[known.record.address];
-    start = std::max(start, known.record.started_ms);
+    if (known.configured) {
+      auto& start = latest[known.record.address];
+      start = std::max(start, known.record.started_ms);
+    }
   }
   for (upstream& known : m_upstreams) {
     known.superseded = known.record.started_ms < latest[known.record.address];
   }
 }
 
+std::optional<upstream_table::change> upstream_table::update_configured(upstream& known) const {
+  const bool configured = !m_services || m_services->contains(known.record.service);
+  if (std::exchange(known.configured, configured) == configured) {
+    return std::nullopt;
+  }
+  return change{configured ? change::kind::added : change::kind::not_configured, known.record.id};
+}
+
+std::vector<upstream_table::change> upstream_table::set_services(service_names names) {
+  m_services = std::move(names);
+  std::vector<change> changes;
+  for (upstream& known : m_upstreams) {
+    if (auto changed = update_configured(known)) {
+      changes.push_back(std::move(*changed));
+    }
+  }
+  mark_superseded();
+  return changes;
+}
+
+std::size_t upstream_table::size() const {
+  return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                                [](const upstream& known) { return known.configured; }));
+}
+
 std::vector<upstream_table::change> upstream_table::apply(std::span<const upstream_record> records,
                                                           time_point now, bool store_disturbed) {
   using kind = change::kind;
@@ -122,7 +148,7 @@
     upstream* known = find_mutable(record.id);
     if (known == nullptr) {
       add(record, now);
-      changes.push_back({kind::added, record.id});
+      changes.push_back(update_configured(m_upstreams.back()).value_or(change{kind::added, record.id}));
       continue;
     }
     known->removed_at.reset();
@@ -145,22 +171,25 @@
     }
     known->wrong_instance = false;
     known->record = record;
+    if (auto changed = update_configured(*known)) {
+      changes.push_back(std::move(*changed));
+    }
     known->cold_rules = cold_policy_of(record.service);
     known->evacuated = m_evacuated_zones.contains(record.availability_zone);
   }
   const auto vanished = static_cast<std::size_t>(
       std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const upstream& known) {
-        return !known.leaving() && !known.removed_at && !listed.contains(known.record.id);
+        return known.configured && !known.leaving() && !known.removed_at && !listed.contains(known.record.id);
       }));
-  const bool expired = store_disturbed || (vanished >= k_min_expired_rows &&
-                                           static_cast<double>(vanished) >=
-                                               k_min_expired_share * static_cast<double>(m_upstreams.size()));
+  const bool expired =
+      store_disturbed || (vanished >= k_min_expired_rows &&
+                          static_cast<double>(vanished) >= k_min_expired_share * static_cast<double>(size()));
   for (std::size_t i = m_upstreams.size(); i-- > 0;) {
     upstream& known = m_upstreams[i];
     if (listed.contains(known.record.id) || known.removed_at) {
       continue;
     }
-    if (expired && !known.leaving()) {
+    if (expired && known.configured && !known.leaving()) {
       known.removed_at = now;
       changes.push_back({kind::kept_after_expiry, known.record.id});
     } else {
@@ -493,4 +522,23 @@
   return sum;
 }
 
+std::string_view to_string(upstream_table::change::kind kind) {
+  using change = upstream_table::change::kind;
+  switch (kind) {
+    case change::added:
+      return "added";
+    case change::removed:
+      return "removed";
+    case change::leaving:
+      return "leaving";
+    case change::restarted:
+      return "restarted";
+    case change::kept_after_expiry:
+      return "kept after lapse";
+    case change::not_configured:
+      return "service not configured";
+  }
+  return "";
+}
+
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/common/random.h"
@@ -111,6 +112,7 @@
     bool reported_cold = false;  // By take_cold_changes().
     bool evacuated = false;      // The operator has evacuated its availability zone.
     bool silent = false;         // It holds requests without progress; see silent_upstreams.
+    bool configured = true;      // The configuration names its service; see set_services().
     bool superseded = false;  // A later instance is listed at the same address; this row has not expired yet.
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
@@ -122,7 +124,14 @@
   };
 
   struct change {
-    enum class kind : std::uint8_t { added, removed, leaving, restarted, kept_after_expiry } type;
+    enum class kind : std::uint8_t {
+      added,
+      removed,
+      leaving,
+      restarted,
+      kept_after_expiry,
+      not_configured,  // The configuration does not name its service, or no longer does.
+    } type;
     std::string id;
   };
 
@@ -131,6 +140,13 @@
   // Removes upstreams whose grace period has ended.
   std::vector<change> expire(time_point now);
 
+  // Sets the services that the configuration names; all of them before the first call. Rows of other services
+  // may come from another writer, so they describe no upstream to use: they count nowhere and take no address
+  // from another row. They stay known, because requests may still run there under the configuration before,
+  // and the next one may name their service.
+  using service_names = std::unordered_set<std::string>;
+  std::vector<change> set_services(service_names names);
+
   // Marks the upstreams of the availability zones under evacuation. They receive no new requests; what runs
   // there goes on. Applies to upstreams that are added later, too.
   void set_evacuations(const evacuation& evacuations);
@@ -205,8 +221,11 @@
     std::optional<milliseconds> all_reject_for;
   };
   [[nodiscard]] service_totals totals(std::string_view service, time_point now) const;
-  [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
-  // In no particular order; valid until the next change of the list.
+  // Returns the number of upstreams of configured services.
+  [[nodiscard]] std::size_t size() const;
+  [[nodiscard]] std::size_t count_not_configured() const { return m_upstreams.size() - size(); }
+  // All that are listed, also those of services that are not configured. In no particular order; valid until
+  // the next change of the list.
   [[nodiscard]] std::span<const upstream> all() const { return m_upstreams; }
 
 private:
@@ -215,6 +234,8 @@
   // Takes what the row of a listed upstream says about it being cold.
   void apply_cold_statement(upstream& known, const upstream_record& record, time_point now);
   [[nodiscard]] cold_policy cold_policy_of(const std::string& service) const;
+  // Updates whether the service of an upstream is configured. Returns the change, if there is one.
+  std::optional<change> update_configured(upstream& known) const;
   void mark_superseded();
   void mark_silent();
   void erase_index(std::size_t index, time_point now);
@@ -233,6 +254,7 @@
   std::unordered_map<std::string, std::size_t> m_index;  // By id.
   std::unordered_map<std::string, std::vector<upstream_load>> m_member_loads;
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
+  std::optional<service_names> m_services;                        // Absent until the first configuration.
   evacuation::zone_states m_evacuated_zones;
   cold_policies m_cold_policies;
   // Instances that are no longer listed, by id. A row that lapsed and comes back is no new instance.
@@ -241,4 +263,7 @@
   std::vector<std::uint32_t> m_silent;  // Hashes.
 };
 
+// Returns the text for the log.
+[[nodiscard]] std::string_view to_string(upstream_table::change::kind kind);
+
 }  // namespace cuminpath::gateway
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -60,23 +60,6 @@
   return static_cast<std::int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
 }
 
-std::string_view change_kind_name(gateway::upstream_table::change::kind kind) {
-  using change = gateway::upstream_table::change::kind;
-  switch (kind) {
-    case change::added:
-      return "added";
-    case change::removed:
-      return "removed";
-    case change::leaving:
-      return "leaving";
-    case change::restarted:
-      return "restarted";
-    case change::kept_after_expiry:
-      return "kept after lapse";
-  }
-  return "";
-}
-
 // Event loop of a gateway: serves callers, follows the store, and exchanges reports with other gateways.
 class gateway_process {
 public:
@@ -237,6 +220,8 @@
     metrics.set("cuminpath_event_loop_lag_seconds",
                 std::chrono::duration<double>(m_loop_lag.value(clock::now()).value_or(duration{0})).count());
     metrics.set("cuminpath_upstreams", static_cast<double>(m_state.upstreams.size()));
+    metrics.set("cuminpath_upstreams_not_configured",
+                static_cast<double>(m_state.upstreams.count_not_configured()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
     metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
@@ -345,6 +330,7 @@
          {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())}});
     m_state.configuration = next;
     m_state.configured_at = clock::now();
+    log_changes(m_state.upstreams.set_services(next->service_names()));
     apply_cold_policies();
   }
 
@@ -436,7 +422,7 @@
       if (change.type != kind::added && change.type != kind::kept_after_expiry) {
         m_state.upstream_connections.close_idle(change.id);
       }
-      telemetry::log(log_level::info, "upstreams", change_kind_name(change.type),
+      telemetry::log(log_level::info, "upstreams", to_string(change.type),
                      {{"upstream", change.id},
                       {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())},
                       {"reads_store", m_reads_store},
--- a/source/unit_tests/gateway/configuration_test.cpp
+++ b/source/unit_tests/gateway/configuration_test.cpp
@@ -35,6 +35,13 @@
   EXPECT_EQ(route_name(value, "c.example", "/x/"), "");
 }
 
+TEST(configuration, names_the_services_of_routes_and_those_without_a_route) {
+  configuration value = sample();
+  value.services = {{.name = "idle"}, {.name = "routed"}};
+  value.routes[0].shares = {{"routed", 1}, {"routed_only", 1}};
+  EXPECT_EQ(value.service_names(), (std::unordered_set<std::string>{"idle", "routed", "routed_only"}));
+}
+
 // Guards against a request that occupies the gateway: each slash of its path took a look-up of all before it.
 TEST(configuration, the_cost_of_a_look_up_does_not_grow_faster_than_the_path) {
   constexpr std::size_t k_slashes = 2000;
--- a/source/unit_tests/gateway/upstream_table_test.cpp
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "core/common/hash.h"
 
 namespace cuminpath::gateway {
@@ -177,6 +179,119 @@
   EXPECT_EQ(choose_id(table, k_start), "earlier");
 }
 
+// A row as another writer may add it at the address of an upstream.
+upstream_record row_at(const upstream_record& other, std::string id, std::string service) {
+  return {.id = std::move(id),
+          .service = std::move(service),
+          .address = other.address,
+          .availability_zone = other.availability_zone,
+          .slots = 4,
+          .started_ms = other.started_ms + 1'000'000'000};
+}
+
+std::size_t count(std::span<const upstream_table::change> changes, upstream_table::change::kind kind) {
+  return static_cast<std::size_t>(
+      std::count_if(changes.begin(), changes.end(), [kind](const auto& each) { return each.type == kind; }));
+}
+
+// Guards against refusals of all requests while rows of a service that the configuration does not name carry
+// the addresses of the upstreams.
+TEST(upstream_table, a_row_of_a_service_that_is_not_configured_hides_no_upstream) {
+  for (const bool configured_first : {true, false}) {
+    for (const bool leaving : {true, false}) {
+      upstream_table table;
+      auto list = records({"a"});
+      list[0].started_ms = 1;
+      list.push_back(row_at(list[0], "other", "archive"));
+      list[1].leaving = leaving;
+      if (configured_first) {
+        table.set_services({"s"});
+      }
+      table.apply(list, k_start, false);
+      table.set_services({"s"});
+      EXPECT_EQ(choose_id(table, k_start), "a");
+      EXPECT_EQ(table.totals("s", k_start).upstreams, 1U);
+      EXPECT_EQ(table.size(), 1U);
+      EXPECT_EQ(table.count_not_configured(), 1U);
+    }
+  }
+}
+
+TEST(upstream_table, a_later_instance_of_another_configured_service_takes_over_its_address) {
+  upstream_table table;
+  table.set_services({"s", "other"});
+  auto list = records({"a"});
+  list.push_back(row_at(list[0], "b", "other"));
+  table.apply(list, k_start, false);
+  EXPECT_EQ(choose_id(table, k_start), "");
+}
+
+// Guards against an upstream whose places are given out twice: requests of the configuration before still run
+// there when its service is configured again.
+TEST(upstream_table, an_upstream_is_used_while_its_service_is_configured) {
+  using kind = upstream_table::change::kind;
+  upstream_table table;
+  table.set_services({"other"});
+  EXPECT_EQ(count(table.apply(records({"a"}), k_start, false), kind::not_configured), 1U);
+  EXPECT_EQ(count(table.set_services({"s"}), kind::added), 1U);
+  EXPECT_TRUE(table.set_services({"s", "other"}).empty());
+  for (int i = 0; i < 4; ++i) {
+    table.on_started("a", k_start);
+  }
+  EXPECT_EQ(count(table.set_services({"other"}), kind::not_configured), 1U);
+  EXPECT_EQ(table.size(), 0U);
+  EXPECT_EQ(count(table.set_services({"s"}), kind::added), 1U);
+  EXPECT_EQ(choose_id(table, k_start), "");
+  table.on_ended("a");
+  EXPECT_EQ(choose_id(table, k_start), "a");
+}
+
+TEST(upstream_table, a_row_that_changes_its_service_is_used_if_the_new_one_is_configured) {
+  using kind = upstream_table::change::kind;
+  upstream_table table;
+  table.set_services({"s"});
+  auto list = records({"a"});
+  list[0].service = "archive";
+  table.apply(list, k_start, false);
+  EXPECT_EQ(table.size(), 0U);
+  list[0].service = "s";
+  EXPECT_EQ(count(table.apply(list, k_start, false), kind::added), 1U);
+  EXPECT_EQ(choose_id(table, k_start), "a");
+  list[0].service = "archive";
+  EXPECT_EQ(count(table.apply(list, k_start, false), kind::not_configured), 1U);
+  EXPECT_EQ(table.size(), 0U);
+}
+
+// Guards against a fleet that is dropped in an outage of the store because another writer lists many rows.
+TEST(upstream_table, rows_of_services_that_are_not_configured_do_not_lower_the_share_of_expired_rows) {
+  upstream_table table;
+  table.set_services({"s"});
+  auto list = records({"a", "b", "c", "d"});
+  for (int i = 0; i < 40; ++i) {
+    list.push_back(record("archive-" + std::to_string(i)));
+    list.back().service = "archive";
+  }
+  table.apply(list, k_start, false);
+  list.erase(list.begin(), list.begin() + 3);
+  EXPECT_EQ(count(table.apply(list, k_start, false), upstream_table::change::kind::kept_after_expiry), 3U);
+  EXPECT_EQ(table.size(), 4U);
+}
+
+// Guards against requests to an upstream that has left: its row vanishes beside many rows of another writer.
+TEST(upstream_table, rows_of_services_that_are_not_configured_do_not_count_as_expired) {
+  upstream_table table;
+  table.set_services({"s"});
+  auto list = records({"a", "b", "c", "d"});
+  for (int i = 0; i < 40; ++i) {
+    list.push_back(record("archive-" + std::to_string(i)));
+    list.back().service = "archive";
+  }
+  table.apply(list, k_start, false);
+  EXPECT_EQ(table.apply(records({"b", "c", "d"}), k_start, false).size(), 41U);
+  EXPECT_EQ(table.size(), 3U);
+  EXPECT_EQ(table.count_not_configured(), 0U);
+}
+
 TEST(upstream_table, an_instance_that_announces_leaving_is_excluded_until_it_restarts) {
   upstream_table table;
   auto rows = records({"a"});
