gateway: superseded rows count in no share of a service

After a restart of hosts under new ids, rows of the instances before stay listed for three heartbeat intervals. They were left out of choice and totals, but counted among the upstreams of which at most seven tenths may be ejected and a quarter silent, so all upstreams that run could be ejected, and a silent row of an instance that is gone could take the place of one that runs.

The two tests fail before the change: with two upstreams started again, both are ejected ("" is chosen), and with four, two are silent.

--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -130,6 +130,7 @@
     }
   }
   mark_superseded();
+  mark_silent();
   return changes;
 }
 
@@ -295,13 +296,14 @@
   std::unordered_map<std::string_view, count> counts;
   for (upstream& known : m_upstreams) {
     known.silent = false;
-    counts[known.record.service].upstreams += m_silent.empty() || known.leaving() || known.evacuated ? 0 : 1;
+    counts[known.record.service].upstreams +=
+        m_silent.empty() || known.leaving() || known.evacuated || known.superseded ? 0 : 1;
   }
   for (const std::uint32_t hash : m_silent) {
     for (upstream& known : m_upstreams) {
       count& service = counts[known.record.service];
-      // Those of evacuated zones are left out anyway.
-      if (known.hash == hash && !known.evacuated &&
+      // Those of evacuated zones and superseded ones are left out anyway.
+      if (known.hash == hash && !known.evacuated && !known.superseded &&
           static_cast<double>(service.silent + 1) <=
               k_max_silent_share * static_cast<double>(service.upstreams)) {
         known.silent = true;
@@ -422,7 +424,7 @@
   std::size_t total = 0;
   std::size_t ejected = 0;
   for (const upstream& known : m_upstreams) {
-    if (known.record.service == service && !known.leaving()) {
+    if (known.record.service == service && !known.leaving() && !known.superseded) {
       ++total;
       ejected += known.health.ejected(now) ? 1 : 0;
     }
--- a/source/unit_tests/gateway/upstream_table_test.cpp
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -179,6 +179,45 @@
   EXPECT_EQ(choose_id(table, k_start), "earlier");
 }
 
+// Returns upstreams that have been started again under new ids, each with the row of the instance before it.
+std::vector<upstream_record> restarted(std::initializer_list<const char*> ids) {
+  std::vector<upstream_record> out;
+  for (const char* id : ids) {
+    out.push_back(record(id));
+    out.back().started_ms = 2;
+    out.push_back(record(std::string("old-") + id));
+    out.back().address = out[out.size() - 2].address;
+    out.back().started_ms = 1;
+  }
+  return out;
+}
+
+// Guards against a service without upstreams after a restart of its hosts: the rows of the instances before
+// raise the number of upstreams that may be ejected to that of all that run.
+TEST(upstream_table, a_superseded_row_does_not_count_in_the_share_of_ejected_upstreams) {
+  upstream_table table;
+  table.apply(restarted({"a", "b"}), k_start, false);
+  for (const char* id : {"a", "b"}) {
+    for (int i = 0; i < 5; ++i) {
+      table.on_failure(id, k_start);
+    }
+  }
+  EXPECT_EQ(choose_id(table, k_start), "b");
+}
+
+// The same for upstreams that are silent.
+TEST(upstream_table, a_superseded_row_does_not_count_in_the_share_of_silent_upstreams) {
+  upstream_table table;
+  table.apply(restarted({"a", "b", "c", "d"}), k_start, false);
+  const auto hash = [&table](const char* id) { return table.find(id)->hash; };
+  table.set_silent(std::vector{hash("a"), hash("b")});
+  EXPECT_TRUE(table.find("a")->silent);
+  EXPECT_FALSE(table.find("b")->silent);
+  table.set_silent(std::vector{hash("old-c"), hash("old-d"), hash("a")});
+  EXPECT_TRUE(table.find("a")->silent);
+  EXPECT_EQ(table.totals("s", k_start).upstreams, 3U);
+}
+
 // A row as another writer may add it at the address of an upstream.
 upstream_record row_at(const upstream_record& other, std::string id, std::string service) {
   return {.id = std::move(id),
