--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -49,6 +49,15 @@
   std::uint32_t outstanding = 0;
 };
 
+// Error responses of plain services are part of their normal results. Only broken connections and refusals
+// count as failures here, so a few in a row identify an upstream that does not work.
+constexpr routing::ejection_options k_upstream_ejection{.consecutive_failures = 3,
+                                                        .failure_rate = 0.5,
+                                                        .min_samples = 8,
+                                                        .base_duration = milliseconds{1000},
+                                                        .max_duration = milliseconds{4000},
+                                                        .max_concurrent_trials = 1,
+                                                        .trials_to_restore = 2};
 // Requirement: no new request is sent to a leaving upstream later than this after the platform's list says
 // that it leaves.
 constexpr milliseconds k_max_dispatch_after_leaving{2000};
