http: limit the heads and trailers of a response

An upstream that sends headers without end, in a head or in trailers, made the agent that called it keep all of them: libcurl 7.88 limits one line but not their number, and a header of four bytes takes more than 64. Every request at that agent would have ended with it.

Cause: max_response_bytes (64 MB) was the only bound, and counts bytes on the wire.

Change: 64 KB for a head or trailers and 1 MB for all of a call, the limits of the design (section 11), which other connections already keep.

heads_without_end_are_given_up_long_before_the_limit_of_the_body fails before: 70,182,912 bytes taken, 17,825,792 allowed.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -20,6 +20,10 @@
 
 constexpr int k_max_poll_ms = 1000;
 constexpr int k_informational_status_class = 1;  // 1xx, interim responses.
+// Limits of the design (section 11) for one head or the trailers, and for all of a call. A header of a few
+// bytes takes many times its size in memory.
+constexpr std::size_t k_max_head_bytes = 64U << 10U;
+constexpr std::size_t k_max_bytes_of_heads = 1U << 20U;
 
 struct easy_deleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
@@ -41,6 +45,8 @@
   bool head_complete = false;  // Of the response, other than an interim one.
   bool head_reported = false;
   std::size_t received = 0;                  // Bytes of the body, of heads and of trailers.
+  std::size_t head_bytes = 0;                // Of the current head, or of the trailers.
+  std::size_t bytes_of_heads = 0;            // Of all of them.
   bool connection_has_unread_bytes = false;  // The call has been stopped before its request was sent.
   std::unordered_set<curl_socket_t>* sockets = nullptr;  // Of all connections of the client.
   asio::io_context* context = nullptr;
@@ -61,6 +67,13 @@
     return static_cast<int>(code);
   }
 
+  // Returns false if the heads of the response exceed their limits.
+  bool count_head(std::string_view line) {
+    head_bytes += line.size();
+    bytes_of_heads += line.size();
+    return head_bytes <= k_max_head_bytes && bytes_of_heads <= k_max_bytes_of_heads;
+  }
+
   // Returns false if the response exceeds its limit.
   bool count_received(std::size_t bytes) {
     received += bytes;
@@ -89,13 +102,14 @@
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user) {
   auto& target = *static_cast<transfer*>(user);
   const std::string_view line(data, size * count);
-  if (!target.count_received(line.size())) {
+  if (!target.count_head(line) || !target.count_received(line.size())) {
     return 0;  // Makes libcurl fail the transfer with CURLE_WRITE_ERROR.
   }
   if (line.starts_with("HTTP/")) {
     target.response_headers.clear();  // A new status line replaces the headers of an interim response.
   } else if (trim(line).empty()) {
     target.head_complete = target.status() / 100 != k_informational_status_class;
+    target.head_bytes = 0;  // Trailers may follow.
   } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
     target.response_headers.emplace_back(trim(line.substr(0, colon)), trim(line.substr(colon + 1)));
   }
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -24,7 +24,8 @@
   // When a reused connection fails before the first response byte, libcurl sends the request again on a new
   // connection, whatever the method. Must be set for calls that may not be repeated.
   bool never_reuse_connection = false;
-  std::size_t max_response_bytes = 64U << 20U;  // Body, heads and trailers together.
+  // Body, heads and trailers together. Heads and trailers are limited to 64 KB each, and to 1 MB together.
+  std::size_t max_response_bytes = 64U << 20U;
 };
 
 // Why a call has failed.
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -264,6 +264,30 @@
   }
 }
 
+// Guards against a process that runs out of memory because a server sends headers without end: a header of
+// four bytes takes more than 64 in memory.
+TEST_F(http_test, heads_without_end_are_given_up_long_before_the_limit_of_the_body) {
+  constexpr std::size_t k_max_bytes = 1U << 20U;
+  constexpr std::size_t k_socket_buffers = 16U << 20U;  // Of both ends, at their largest.
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  std::string headers;
+  for (int i = 0; i < 2048; ++i) {
+    headers += "a:\r\n";
+  }
+  for (const auto& [start, repeated] : {std::pair(head, headers),
+                                        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", headers},
+                                        {std::string(), "HTTP/1.1 103 Early Hints\r\n" + headers + "\r\n"},
+                                        {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}}) {
+    raw_server endless(m_context, [&, start = start, repeated = repeated](const std::string&) {
+      return raw_server::response{.bytes = start, .repeated = repeated};
+    });
+    m_url = "http://" + endless.address();
+    EXPECT_TRUE(call({}).failure) << repeated.substr(0, 20);
+    EXPECT_TRUE(run_until(m_context, [&] { return endless.ended(); })) << repeated.substr(0, 20);
+    EXPECT_LE(endless.repeated_bytes(), k_max_bytes + k_socket_buffers) << repeated.substr(0, 20);
+  }
+}
+
 TEST(retry_after, parses_seconds_and_nothing_else) {
   using std::chrono::milliseconds;
   EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
