http: read a bounded part of a response ahead of its handler

The transfer thread of http::client read as fast as a server sent and posted what it read to the event loop, up to 64 MB a call, whatever the loop had handled. A server that sends faster than the process works filled its memory, once for each call.

Change: at most 128 KB of a response wait for its handler; then libcurl stops reading it until half of them are handled, and the server has to wait. pause() and resume() let the owner of a call do the same. The timeout of a call goes on meanwhile.

a_response_is_not_read_while_its_handler_does_not_run fails before: 42,975,232 bytes taken while no handler ran (the test stops counting at 32 MB), 16,777,216 allowed for the socket buffers of both ends. A paused call gets the rest, byte for byte, once it is resumed.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -20,6 +20,8 @@
 
 constexpr int k_max_poll_ms = 1000;
 constexpr int k_informational_status_class = 1;  // 1xx, interim responses.
+// Bytes of a response that the transfer thread may read ahead of its handler: a few reads of libcurl.
+constexpr std::size_t k_max_read_ahead = 128U << 10U;
 // Limits of the design (section 11) for one head or the trailers, and for all of a call. A header of a few
 // bytes takes many times its size in memory.
 constexpr std::size_t k_max_head_bytes = 64U << 10U;
@@ -32,6 +34,34 @@
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 
+// Tells the transfer thread which calls may go on. Handlers that are still queued on the io_context may use
+// it after the client has been destroyed.
+struct resume_queue {
+  std::mutex mutex;
+  CURLM* multi = nullptr;  // Null once the client is being destroyed.
+  std::vector<call_id> ids;
+
+  void add(call_id id) {
+    const std::lock_guard lock(mutex);
+    if (multi != nullptr) {
+      ids.push_back(id);
+      curl_multi_wakeup(multi);
+    }
+  }
+};
+
+// What the transfer thread and the io_context share of one call.
+struct call_state {
+  std::atomic<bool> cancelled = false;
+  std::atomic<bool> paused = false;        // By client::pause().
+  std::atomic<bool> waits = false;         // The transfer thread has stopped reading until it is resumed.
+  std::atomic<std::size_t> unhandled = 0;  // Bytes of the body that have not reached the handler.
+
+  [[nodiscard]] bool may_read() const { return !paused && unhandled < k_max_read_ahead; }
+  // With some distance to the limit, because each resumption wakes the transfer thread.
+  [[nodiscard]] bool may_resume() const { return !paused && unhandled <= k_max_read_ahead / 2; }
+};
+
 // State of one call. Owned by the transfer thread; the handler runs on the io_context.
 struct transfer {
   call_id id = 0;
@@ -50,17 +80,33 @@
   bool connection_has_unread_bytes = false;  // The call has been stopped before its request was sent.
   std::unordered_set<curl_socket_t>* sockets = nullptr;  // Of all connections of the client.
   asio::io_context* context = nullptr;
-  std::shared_ptr<std::atomic<bool>> cancelled;
+  std::shared_ptr<call_state> shared;
+  std::shared_ptr<resume_queue> resumed;
 
   template <class function>
   void post(function event) {
-    asio::post(*context, [event = std::move(event), handler = handler, cancelled = cancelled]() mutable {
-      if (!*cancelled) {
+    asio::post(*context, [event = std::move(event), handler = handler, shared = shared]() mutable {
+      if (!shared->cancelled) {
         event(*handler);
       }
     });
   }
 
+  void post_data(std::string data) {
+    shared->unhandled += data.size();
+    asio::post(*context, [data = std::move(data), handler = handler, shared = shared, queue = resumed,
+                          id = id]() mutable {
+      const std::size_t size = data.size();
+      if (!shared->cancelled) {
+        handler->data(std::move(data));
+      }
+      shared->unhandled -= size;
+      if (shared->waits && shared->may_resume()) {
+        queue->add(id);
+      }
+    });
+  }
+
   [[nodiscard]] int status() const {
     long code = 0;
     curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
@@ -119,11 +165,17 @@
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
   auto& target = *static_cast<transfer*>(user);
   const auto bytes = size * count;
+  // Set before the check, so that a handler that finishes meanwhile resumes the call.
+  target.shared->waits = true;
+  if (!target.shared->may_read()) {
+    return CURL_WRITEFUNC_PAUSE;  // libcurl passes the same bytes again later.
+  }
+  target.shared->waits = false;
   if (!target.count_received(bytes)) {
     return 0;
   }
   target.report_head();
-  target.post([text = std::string(data, bytes)](stream_handler& to) mutable { to.data(std::move(text)); });
+  target.post_data(std::string(data, bytes));
   return bytes;
 }
 
@@ -217,6 +269,7 @@
 public:
   explicit impl(asio::io_context& context) : m_context(context), m_multi(curl_multi_init()) {
     CUMINPATH_ASSERT(m_multi != nullptr);
+    m_resumed->multi = m_multi;
     m_thread = std::thread([this] { run(); });
   }
 
@@ -224,8 +277,12 @@
     m_stopping = true;
     curl_multi_wakeup(m_multi);
     m_thread.join();
+    {
+      const std::lock_guard lock(m_resumed->mutex);
+      m_resumed->multi = nullptr;
+    }
     for (auto& [id, active] : m_transfers) {
-      *active->cancelled = true;
+      active->shared->cancelled = true;
       curl_multi_remove_handle(m_multi, active->easy.get());
     }
     m_transfers.clear();
@@ -243,11 +300,12 @@
     added->handler = std::make_shared<stream_handler>(std::move(handler));
     added->context = &m_context;
     added->sockets = &m_sockets;
-    added->cancelled = std::make_shared<std::atomic<bool>>(false);
+    added->shared = std::make_shared<call_state>();
+    added->resumed = m_resumed;
     const auto id = added->id;
     {
       const std::lock_guard lock(m_mutex);
-      m_cancel_flags.emplace(id, added->cancelled);
+      m_calls.emplace(id, added->shared);
       m_queued_transfers.push_back(std::move(added));
     }
     curl_multi_wakeup(m_multi);
@@ -257,22 +315,32 @@
   void cancel(call_id id) {
     {
       const std::lock_guard lock(m_mutex);
-      const auto found = m_cancel_flags.find(id);
-      if (found == m_cancel_flags.end()) {
+      const auto found = m_calls.find(id);
+      if (found == m_calls.end()) {
         return;
       }
-      if (const auto flag = found->second.lock()) {
-        *flag = true;
+      if (const auto call = found->second.lock()) {
+        call->cancelled = true;
       }
       m_queued_cancellations.push_back(id);
     }
     curl_multi_wakeup(m_multi);
   }
 
+  void set_paused(call_id id, bool paused) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_calls.find(id);
+    const auto call = found == m_calls.end() ? nullptr : found->second.lock();
+    if (call != nullptr && call->paused.exchange(paused) && !paused) {
+      m_resumed->add(id);
+    }
+  }
+
 private:
   void run() {
     while (!m_stopping) {
       process_queued_calls();
+      resume_calls();
       int running = 0;
       curl_multi_perform(m_multi, &running);
       process_completions();
@@ -300,6 +368,20 @@
     }
   }
 
+  void resume_calls() {
+    std::vector<call_id> ids;
+    {
+      const std::lock_guard lock(m_resumed->mutex);
+      ids.swap(m_resumed->ids);
+    }
+    for (const call_id id : ids) {
+      const auto found = m_transfers.find(id);
+      if (found != m_transfers.end() && found->second->shared->waits) {
+        curl_easy_pause(found->second->easy.get(), CURLPAUSE_CONT);
+      }
+    }
+  }
+
   void process_completions() {
     int remaining = 0;
     while (const CURLMsg* message = curl_multi_info_read(m_multi, &remaining)) {
@@ -337,18 +419,19 @@
       m_transfers.erase(found);
     }
     const std::lock_guard lock(m_mutex);
-    m_cancel_flags.erase(id);
+    m_calls.erase(id);
   }
 
   asio::io_context& m_context;
   CURLM* m_multi;
+  const std::shared_ptr<resume_queue> m_resumed = std::make_shared<resume_queue>();
   std::thread m_thread;
   std::atomic<bool> m_stopping = false;
   std::atomic<call_id> m_last_id = 0;
   std::unordered_set<curl_socket_t> m_sockets;                         // Used by the transfer thread only.
   std::unordered_map<call_id, std::unique_ptr<transfer>> m_transfers;  // Used by the transfer thread only.
   std::mutex m_mutex;                                                  // Guards the members below.
-  std::unordered_map<call_id, std::weak_ptr<std::atomic<bool>>> m_cancel_flags;
+  std::unordered_map<call_id, std::weak_ptr<call_state>> m_calls;
   std::vector<std::unique_ptr<transfer>> m_queued_transfers;
   std::vector<call_id> m_queued_cancellations;
 };
@@ -395,4 +478,12 @@
   m_impl->cancel(id);
 }
 
+void client::pause(call_id id) {
+  m_impl->set_paused(id, true);
+}
+
+void client::resume(call_id id) {
+  m_impl->set_paused(id, false);
+}
+
 }  // namespace cuminpath::http
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -50,7 +50,8 @@
 // Returns the text with all characters escaped that have a meaning in the query of a target.
 std::string escape_query_value(std::string_view text);
 
-// Starts calls and reports their responses on the io_context.
+// Starts calls and reports their responses on the io_context. Of each response, a bounded number of bytes is
+// read ahead of its handler, so a server that sends faster than the handler works fills no memory.
 class client {
 public:
   explicit client(asio::io_context& context);
@@ -74,6 +75,11 @@
   // Closes the connection of a call; none of its callbacks is called afterwards. Ignores unknown ids.
   void cancel(call_id id);
 
+  // Stops reading the response of a call until resume(), so that its server waits; the timeout of the call
+  // goes on. What has been read ahead is still passed on. Both ignore unknown ids.
+  void pause(call_id id);
+  void resume(call_id id);
+
 private:
   class impl;
   std::unique_ptr<impl> m_impl;
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -4,6 +4,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
+#include <thread>
 
 #include "core/http/client.h"
 #include "core/http/server.h"
@@ -288,6 +289,91 @@
   }
 }
 
+// Calls whose handlers run only when the test says so.
+class slow_handler_test : public http_test {
+protected:
+  // Lets the server send until it has to wait, or until it has sent more than that many bytes.
+  void send_all(const raw_server& server, std::size_t max_bytes) {
+    constexpr milliseconds k_stalled{300};
+    std::size_t sent = 0;
+    time_point last_progress = clock::now();
+    const auto stalled = [&] {
+      if (std::exchange(sent, server.repeated_bytes()) != server.repeated_bytes()) {
+        last_progress = clock::now();
+      }
+      return server.ended() || sent > max_bytes || clock::now() - last_progress > k_stalled;
+    };
+    EXPECT_TRUE(run_until(m_context, stalled));
+  }
+
+  asio::io_context m_handler_context;
+  client m_slow_client{m_handler_context};
+};
+
+// Guards against a process that runs out of memory because a server sends faster than the process works.
+TEST_F(slow_handler_test, a_response_is_not_read_while_its_handler_does_not_run) {
+  constexpr std::size_t k_socket_buffers = 16U << 20U;  // Of both ends, at their largest.
+  raw_server endless(m_context, [](const std::string&) {
+    return raw_server::response{.bytes = "HTTP/1.1 200 OK\r\n\r\n", .repeated = std::string(8192, 'b')};
+  });
+  std::size_t handled = 0;
+  const call_id id = m_slow_client.stream("http://" + endless.address(), {}, {.timeout = seconds{20}},
+                                          {.head = [](int, const header_list&) {},
+                                           .data = [&](const std::string& data) { handled += data.size(); },
+                                           .end = [] {},
+                                           .failure = [](const call_failure&) {}});
+  ASSERT_TRUE(run_until(m_context, [&] { return endless.repeated_bytes() > 0; }));
+  send_all(endless, 2 * k_socket_buffers);
+  EXPECT_FALSE(endless.ended());
+  EXPECT_LE(endless.repeated_bytes(), k_socket_buffers);
+  const std::size_t sent = endless.repeated_bytes();
+  // Once the handler runs again, so does the server.
+  EXPECT_TRUE(run_until(m_context, [&] {
+    m_handler_context.restart();
+    m_handler_context.poll();
+    return handled > sent;
+  }));
+  m_slow_client.cancel(id);
+  EXPECT_TRUE(run_until(m_context, [&] { return endless.ended(); }));
+}
+
+TEST_F(slow_handler_test, a_paused_call_gets_no_more_than_was_read_ahead_and_all_once_it_is_resumed) {
+  constexpr std::size_t k_size = 4U << 20U;
+  constexpr std::size_t k_max_read_ahead = 256U << 10U;
+  std::string body(k_size, '\0');
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    body[i] = static_cast<char>('a' + i / 1000 % 26);
+  }
+  raw_server server(m_context, [&](const std::string&) { return raw_server::response{response_text(body)}; });
+  std::thread serving([this] { m_context.run(); });
+  std::string received;
+  bool ended = false;
+  call_id id = 0;
+  const auto run = [this](auto condition) { return run_until(m_handler_context, condition); };
+  id = m_slow_client.stream("http://" + server.address(), {}, {.timeout = seconds{20}},
+                            {.head = [](int, const header_list&) {},
+                             .data =
+                                 [&](const std::string& data) {
+                                   if (received.empty()) {
+                                     m_slow_client.pause(id);
+                                   }
+                                   received += data;
+                                 },
+                             .end = [&] { ended = true; },
+                             .failure = [](const call_failure&) {}});
+  EXPECT_TRUE(run([&] { return !received.empty(); }));
+  const time_point paused_at = clock::now();
+  EXPECT_TRUE(run([&] { return clock::now() - paused_at > milliseconds{200}; }));
+  EXPECT_LE(received.size(), k_max_read_ahead);
+  m_slow_client.resume(id);
+  EXPECT_TRUE(run([&] { return ended; }));
+  EXPECT_EQ(received, body);
+  m_slow_client.pause(id);
+  m_slow_client.resume(id);
+  m_context.stop();
+  serving.join();
+}
+
 TEST(retry_after, parses_seconds_and_nothing_else) {
   using std::chrono::milliseconds;
   EXPECT_EQ(parse_retry_after("2"), milliseconds{2000});
