agent: responses of calls in progress count as stored responses

An agent keeps the response to a call that may not be repeated, up to 4 MB, so that its outcome can be settled. The limit for all of them (64 MB) counted calls that had ended only, and what exceeded the limit of one call was cleared by an assignment that keeps the memory of a string in libstdc++.

Change: the table counts the memory of all responses, of calls in progress too, and releases it. A call whose response is not kept counts as unknown once it has ended, as before for responses that are too large.

limits_the_responses_of_calls_in_progress_together is new; the table had no function to count with before.

--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -152,15 +152,8 @@
                                                             .tokens = 0,
                                                             .data = std::string(data)}});
   value.next_index += data.size();
-  if (value.request.repeatable) {
-    return;
-  }
-  if (value.body.size() + data.size() > m_options.attempts.max_response_bytes) {
-    value.response_too_large = true;
-    value.body = {};
-  }
-  if (!value.response_too_large) {
-    value.body += data;
+  if (!value.request.repeatable) {
+    m_attempts.append_response(value, data);
   }
 }
 
--- a/source/core/agent/attempt_table.cpp
+++ b/source/core/agent/attempt_table.cpp
@@ -4,6 +4,7 @@
 
 #include "core/common/assert.h"
 #include "core/common/hash.h"
+#include "core/common/release_memory.h"
 
 namespace cuminpath::agent {
 namespace {
@@ -18,6 +19,11 @@
   return (fingerprint + i * step) % k_filter_bits;
 }
 
+// Returns the memory of a stored response.
+std::size_t held_bytes(const std::string& body) {
+  return body.empty() ? 0 : body.capacity();
+}
+
 }  // namespace
 
 void bloom_filter::add(std::uint64_t fingerprint) {
@@ -114,8 +120,25 @@
   value.phase = attempt_phase::queued;
 }
 
+void attempt_table::append_response(attempt& value, std::string_view data) {
+  if (value.response_too_large) {
+    return;
+  }
+  m_response_bytes -= held_bytes(value.body);
+  value.body += data;
+  m_response_bytes += held_bytes(value.body);
+  drop_oldest_responses();
+  if (value.body.size() > m_options.max_response_bytes ||
+      m_response_bytes > m_options.max_total_response_bytes) {
+    m_response_bytes -= held_bytes(value.body);
+    value.response_too_large = true;
+    release_memory(value.body);
+  }
+}
+
 void attempt_table::end(time_point now, attempt& value, ended_state state) {
   m_runs.erase(static_cast<std::uint64_t>(value.run));
+  m_response_bytes -= held_bytes(value.body);  // Counted again if it is kept.
   m_request_bytes -= body_bytes(value.request);
   ended_attempt ended{.state = state, .repeatable = value.request.repeatable};
   if (state == ended_state::finished && !value.request.repeatable) {
@@ -140,7 +163,7 @@
   order.push_back(name);
   m_unrepeatable_ended += value.repeatable ? 0 : 1;
   if (!value.body.empty()) {
-    m_response_bytes += value.body.size();
+    m_response_bytes += held_bytes(value.body);
     m_response_order.push_back(name);
   }
   m_ended.insert_or_assign(std::move(name), std::move(value));
@@ -155,8 +178,8 @@
   while (m_response_bytes > m_options.max_total_response_bytes && !m_response_order.empty()) {
     const auto found = m_ended.find(m_response_order.front());
     if (found != m_ended.end() && !found->second.body.empty()) {
-      m_response_bytes -= found->second.body.size();
-      found->second.body = {};
+      m_response_bytes -= held_bytes(found->second.body);
+      release_memory(found->second.body);
       found->second.headers = {};
       found->second.state = ended_state::failed;
     }
@@ -169,7 +192,7 @@
   if (found == m_ended.end()) {
     return;
   }
-  m_response_bytes -= found->second.body.size();
+  m_response_bytes -= held_bytes(found->second.body);
   m_unrepeatable_ended -= found->second.repeatable ? 0 : 1;
   m_ended.erase(found);
 }
--- a/source/core/agent/attempt_table.h
+++ b/source/core/agent/attempt_table.h
@@ -82,7 +82,7 @@
   std::size_t max_ended = 50000;
   // Limit for the stored response of one call that may not be repeated.
   std::size_t max_response_bytes = 4U << 20U;
-  // Limit for all stored responses; the oldest are dropped first.
+  // Limit for all stored responses, also of calls in progress. The oldest of ended calls are dropped first.
   std::size_t max_total_response_bytes = 64U << 20U;
 };
 
@@ -102,6 +102,9 @@
   // Records that the upstream has not received a byte of the current run. If it is the first run, the attempt
   // counts as not started.
   void mark_unsent(attempt& value);
+  // Stores a part of the response to a call that may not be repeated. If a limit is exceeded, the response is
+  // no longer stored, and the outcome of the call counts as unknown once it has ended.
+  void append_response(attempt& value, std::string_view data);
   // Ends the current run but not the attempt.
   void end_run(attempt& value);
   // Ends the attempt and keeps its outcome. Invalidates the reference.
--- a/source/unit_tests/agent/attempt_table_test.cpp
+++ b/source/unit_tests/agent/attempt_table_test.cpp
@@ -15,11 +15,11 @@
 
 // Adds an attempt, runs it once and ends it as finished.
 void run_to_end(attempt_table& table, time_point now, const std::string& id, bool repeatable,
-                std::string body) {
+                std::string_view body) {
   auto& value = table.add(now, "entry", request(id, repeatable));
   value.phase = attempt_phase::queued;
   table.begin_run(value);
-  value.body = std::move(body);
+  table.append_response(value, body);
   table.end(now, value, ended_state::finished);
 }
 
@@ -51,6 +51,34 @@
   EXPECT_EQ(table.find_ended("later", attempt_number{1})->state, ended_state::finished);
 }
 
+// Guards against a host without memory while several calls of a faulty service respond without end.
+TEST(attempt_table, limits_the_responses_of_calls_in_progress_together) {
+  constexpr std::size_t k_limit = 1000;
+  attempt_table table({.max_response_bytes = 800, .max_total_response_bytes = k_limit});
+  const auto now = time_point() + seconds(1);
+  std::vector<attempt*> running;
+  for (const char* id : {"a", "b", "c"}) {
+    running.push_back(&table.add(now, "entry", request(id, false)));
+    running.back()->phase = attempt_phase::queued;
+    table.begin_run(*running.back());
+  }
+  for (int i = 0; i < 100; ++i) {
+    std::size_t held = 0;
+    for (attempt* value : running) {
+      table.append_response(*value, std::string(10, 'x'));
+      held += value->body.capacity();
+    }
+    ASSERT_LE(held, k_limit);
+  }
+  for (attempt* value : running) {
+    EXPECT_TRUE(value->response_too_large);
+    table.end(now, *value, ended_state::finished);
+  }
+  EXPECT_EQ(table.find_ended("a", attempt_number{1})->state, ended_state::failed);
+  run_to_end(table, now, "later", false, std::string(800, 'b'));
+  EXPECT_EQ(table.find_ended("later", attempt_number{1})->state, ended_state::finished);
+}
+
 // Guards against false negatives and against a high rate of false positives.
 TEST(bloom_filter, has_no_false_negatives_and_few_false_positives) {
   constexpr std::uint64_t k_members = 200000;
