agent: runs wait for the link to their entry

While one call of a service was answered without end, sound calls at the same agent got 502 "the agent that was given the call does not respond".

Cause: the agent queued for an entry whatever its upstream sent. An upstream on the same host sends faster than the link takes; at 32 MB the mailbox drops the link with everything that is queued for that entry, responses of other requests included. A run that may not be repeated cannot be cancelled by its entry, so it went on to 64 MB after the entry had given it up at 16 MB.

Change: a run is paused while more than 1 MB is queued for its entry and goes on below 256 KB (run_flow), so nothing overflows because of one upstream, and at most 1 MB is ahead of the response to another request. A response of more than 16 MB, which no entry accepts, is given up.

--- a/source/core/agent/agent_core.h
+++ b/source/core/agent/agent_core.h
@@ -77,6 +77,8 @@
   // Returns the upstream that the agent serves, or null if the configuration names none on this host.
   [[nodiscard]] const config::upstream* upstream() const { return m_upstream; }
   [[nodiscard]] wire::load_report load(time_point now) const;
+  // Returns the address of the entry that waits for the response of a run; empty for an unknown run.
+  [[nodiscard]] std::string_view entry_of(run_id run);
   [[nodiscard]] const attempt_table& attempts() const { return m_attempts; }
   [[nodiscard]] std::size_t subscribers() const { return m_subscriptions.size(); }
 
--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -12,6 +12,7 @@
 #include "core/agent/agent_admin.h"
 #include "core/agent/agent_core.h"
 #include "core/agent/expert_service.h"
+#include "core/agent/run_flow.h"
 #include "core/common/hash.h"
 #include "core/http/client.h"
 #include "core/http/server.h"
@@ -321,17 +322,18 @@
                   handle_event([&](agent_core& core, time_point now, auto& actions) {
                     core.on_run_data(now, run, data, actions);
                   });
+                  pause_if_link_lags(run);
                 },
             .end =
                 [this, run] {
-                  m_calls.erase(run);
+                  forget_call(run);
                   handle_event([&](agent_core& core, time_point now, auto& actions) {
                     core.on_run_end(now, run, actions);
                   });
                 },
             .failure =
                 [this, run](const http::call_failure& failure) {
-                  m_calls.erase(run);
+                  forget_call(run);
                   if (failure.sent && failure.code == error_code::unreachable) {
                     check_upstream(run, failure);
                     return;
@@ -358,7 +360,29 @@
   void execute_one(const cancel_run& value) {
     if (const auto found = m_calls.find(value.id); found != m_calls.end()) {
       m_client.cancel(found->second);
-      m_calls.erase(found);
+      forget_call(value.id);
+    }
+  }
+
+  void forget_call(run_id run) {
+    m_calls.erase(run);
+    m_run_flow.on_ended(run);
+  }
+
+  void pause_if_link_lags(run_id run) {
+    const auto call = m_calls.find(run);
+    const auto entry = m_core.entry_of(run);
+    if (call != m_calls.end() && !entry.empty() &&
+        m_run_flow.on_data(run, entry, m_mailbox->queued_bytes(entry))) {
+      m_metrics.add("cuminpath_agent_runs_paused_total");
+      m_client.pause(call->second);
+    }
+  }
+
+  void resume_runs() {
+    for (const run_id run : m_run_flow.take_resumable(
+             [this](std::string_view entry) { return m_mailbox->queued_bytes(entry); })) {
+      m_client.resume(m_calls.at(run));
     }
   }
 
@@ -483,6 +507,7 @@
     for (auto& heartbeat : heartbeats) {
       send(heartbeat.peer_address, std::move(heartbeat.message));
     }
+    resume_runs();
     fetch_host_list(now);
     m_expert_service->tick(now);
     probe_upstream(now);
@@ -551,6 +576,7 @@
   std::unique_ptr<http::server> m_admin;
   std::optional<expert_service> m_expert_service;  // Set while the mailbox is open.
   std::unordered_map<run_id, http::call_id> m_calls;
+  run_flow m_run_flow;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
   asio::steady_timer m_flush_timer;
--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::string_view k_stream_end_event = "[DONE]";
+// Entries give up larger responses.
+constexpr std::size_t k_max_forwarded_bytes = 16U << 20U;
 constexpr int k_status_ok = 200;
 constexpr int k_status_bad_request = 400;
 constexpr int k_status_too_many_requests = 429;
@@ -143,8 +145,17 @@
   }
 }
 
-void agent_core::forward_bytes(time_point, attempt& value, std::string_view data,
+std::string_view agent_core::entry_of(run_id run) {
+  const auto* value = m_attempts.find(run);
+  return value == nullptr ? std::string_view() : value->peer_address;
+}
+
+void agent_core::forward_bytes(time_point now, attempt& value, std::string_view data,
                                std::vector<action>& actions) {
+  if (value.next_index + data.size() > k_max_forwarded_bytes) {
+    fail_attempt(now, value, "the response is too large", actions);
+    return;
+  }
   actions.emplace_back(
       send_message{value.peer_address, wire::response_chunk{.request_id = value.request.request_id,
                                                             .attempt = value.request.attempt,
--- a/source/core/transport/mailbox.cpp
+++ b/source/core/transport/mailbox.cpp
@@ -190,6 +190,11 @@
     return value;
   }
 
+  [[nodiscard]] std::size_t queued_bytes(std::string_view peer_address) const {
+    const auto found = m_links.find(std::string(peer_address));
+    return found == m_links.end() ? 0 : found->second->queued_bytes + found->second->pending_bytes;
+  }
+
 private:
   // Gives the callbacks of nng access to the mailbox. Exists until their socket is closed.
   struct callback_target {
@@ -545,5 +550,8 @@
 mailbox_counters mailbox::counters() const {
   return m_impl->counters();
 }
+std::size_t mailbox::queued_bytes(std::string_view peer_address) const {
+  return m_impl->queued_bytes(peer_address);
+}
 
 }  // namespace cuminpath::transport
--- a/source/core/transport/mailbox.h
+++ b/source/core/transport/mailbox.h
@@ -77,6 +77,8 @@
   void close_link(std::string_view peer_address);
 
   [[nodiscard]] mailbox_counters counters() const;
+  // Returns the bytes that wait for a peer and have not been passed to nng; 0 for an unknown peer.
+  [[nodiscard]] std::size_t queued_bytes(std::string_view peer_address) const;
 
 private:
   class impl;
--- a/source/emulator/service_role.h
+++ b/source/emulator/service_role.h
@@ -14,13 +14,15 @@
   void handle(const http::request& request, const responder_ptr& to) override;
   // {"runs":{KEY:N},"runs_without_key","reads","answered","running"}
   [[nodiscard]] json stats() const override;
-  // "delay_ms"; "fail": true responds with status 500 after the run.
+  // "delay_ms"; "fail": true responds with status 500 after the run; "endless_prefix": paths that begin so are
+  // answered with a body without end.
   std::optional<std::string> control(const json& settings) override;
 
 private:
   asio::io_context& m_context;
   milliseconds m_delay;
   bool m_fail = false;
+  std::string m_endless_prefix;  // Empty for none.
   std::map<std::string, std::uint64_t> m_runs;
   std::uint64_t m_runs_without_key = 0;
   std::uint64_t m_reads = 0;
--- a/source/unit_tests/agent/single_run_test.cpp
+++ b/source/unit_tests/agent/single_run_test.cpp
@@ -191,5 +191,22 @@
   EXPECT_EQ(agent.runs.size(), 1U);
 }
 
+// Guards against an agent that goes on reading what its entry has given up, and that cannot be cancelled.
+TEST(single_run, a_response_without_end_is_given_up) {
+  constexpr std::size_t k_max_bytes = 16U << 20U;
+  agent_harness agent(k_service);
+  agent.receive(booking("a"));
+  const auto run = agent.runs[0].id;
+  agent.send_head(run, 200);
+  const std::string data(1U << 20U, 'x');
+  for (std::size_t sent = 0; sent < 4 * k_max_bytes && !agent.is_cancelled(run); sent += data.size()) {
+    agent.send_data(run, data);
+  }
+  EXPECT_TRUE(agent.is_cancelled(run));
+  EXPECT_EQ(agent.sent<wire::response_chunk>().size(), k_max_bytes / data.size());
+  EXPECT_EQ(agent.last<wire::refusal>().reason, wire::refusal_reason::upstream_failed);
+  EXPECT_EQ(agent.last<wire::refusal>().execution_state, wire::execution::unknown);
+}
+
 }  // namespace
 }  // namespace cuminpath::agent
