entry: limit what all requests hold of their responses

An entry kept up to 16 MB of each response with no bound over all requests, so one faulty upstream could take the memory of the entry and end the requests of all its callers.

Change: responses hold at most 64 MB together, a quarter of what a node may use, counted as allocated. Beyond it the request that holds most is given up with 502 "unknown", so sound ones, which are small beside responses without end, keep theirs. Their memory is released at once. cuminpath_responses_given_up_total counts them.

the_largest_response_is_given_up_once_all_take_too_much_memory is new (before, nothing was given up).

--- a/source/core/entry/agent_messages.cpp
+++ b/source/core/entry/agent_messages.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/release_memory.h"
 #include "core/entry/entry_core.h"
 
 namespace cuminpath::entry {
@@ -10,6 +11,7 @@
 // Size limit of a service response. It is buffered until it is complete, so that a truncated response is
 // never forwarded.
 constexpr std::size_t k_max_response_bytes = 16U << 20U;
+constexpr std::string_view k_no_memory = "there is no memory for the response";
 // Retry delay after a refusal for a stale configuration. A new configuration triggers the retry at once, so
 // the delay matters only if the message with it is lost.
 constexpr milliseconds k_stale_configuration_delay{250};
@@ -103,7 +105,10 @@
   std::visit(
       overloaded{
           [&](const wire::response_head& content) { with_attempt(content, &entry_core::on_head); },
-          [&](const wire::response_chunk& content) { with_attempt(content, &entry_core::on_chunk); },
+          [&](const wire::response_chunk& content) {
+            with_attempt(content, &entry_core::on_chunk);
+            limit_response_memory(context);
+          },
           [&](const wire::response_end& content) { with_attempt(content, &entry_core::on_end); },
           [&](const wire::refusal& content) { with_attempt(content, &entry_core::on_refusal); },
           [&](const wire::upstream_crash& content) { with_attempt(content, &entry_core::on_upstream_crash); },
@@ -149,6 +154,7 @@
     return;
   }
   value.body += message.data;
+  m_requests.count_response(value);
 }
 
 void entry_core::on_model_chunk(event_context& context, request& value, const wire::response_chunk& message) {
@@ -172,6 +178,7 @@
       break;
     }
     value.answer.append(std::move(event).value());
+    m_requests.count_response(value);
     ++m_counters.tokens;
     if (value.answer.next_index == k_tokens_of_sound_request) {
       m_prompt_quarantine.on_output(value.accepted.prompt_parts, context.now);
@@ -199,6 +206,24 @@
   }
 }
 
+// The request that holds the most is given up, since responses without end are among the largest: others keep
+// what they have received.
+void entry_core::limit_response_memory(event_context& context) {
+  while (m_requests.response_bytes() > m_options.max_response_bytes) {
+    request& value = *m_requests.largest_response();
+    ++m_counters.responses_given_up;
+    release_memory(value.body);
+    m_requests.count_response(value);
+    if (value.claim) {
+      handle_broken_attempt(context, value, k_no_memory);
+      continue;
+    }
+    value.may_have_run = true;
+    close_attempt(context, value, routing::attempt_outcome::failed, true);
+    fail_request(context, value, problem{502, wire::execution::unknown, std::string(k_no_memory), {}});
+  }
+}
+
 void entry_core::on_end(event_context& context, request& value, const wire::response_end& message) {
   const bool is_model_response = value.accepted.kind != wire::request_kind::service && value.status == 200;
   const std::uint64_t received = is_model_response ? value.answer.next_index : value.body.size();
--- a/source/core/entry/attempts.cpp
+++ b/source/core/entry/attempts.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/release_memory.h"
 #include "core/entry/entry_core.h"
 
 namespace cuminpath::entry {
@@ -73,7 +74,8 @@
   value.last_attempt = number;
   value.head_received = false;
   value.stale_configuration = false;
-  value.body.clear();
+  release_memory(value.body);
+  m_requests.count_response(value);
   value.headers.clear();
   value.attempt = open_attempt{number, upstream, m_router.upstream(upstream).peer_address, context.now, {}};
   m_router.on_attempt_started(context.now, upstream);
--- a/source/core/entry/entry_core.h
+++ b/source/core/entry/entry_core.h
@@ -28,6 +28,8 @@
   std::string region;
   request_limits limits;
   std::size_t max_requests = 20000;
+  // What all requests hold of their responses: a quarter of the memory that a node may use (section 1.4).
+  std::size_t max_response_bytes = 64U << 20U;
 };
 
 // The agent of a host that the manifest names: its location and peer address.
@@ -48,6 +50,7 @@
   std::uint64_t late_frames = 0;  // Frames of abandoned attempts, or duplicates.
   std::uint64_t tokens = 0;
   std::uint64_t slow_callers = 0;
+  std::uint64_t responses_given_up = 0;  // Because all together took too much memory.
 };
 
 class entry_core {
@@ -148,6 +151,8 @@
   void on_head(event_context& context, request& value, const wire::response_head& message);
   void on_chunk(event_context& context, request& value, const wire::response_chunk& message);
   void on_model_chunk(event_context& context, request& value, const wire::response_chunk& message);
+  // Keeps what all requests hold of their responses within entry_options::max_response_bytes.
+  void limit_response_memory(event_context& context);
   void on_end(event_context& context, request& value, const wire::response_end& message);
   void on_refusal(event_context& context, request& value, const wire::refusal& message);
   void on_attempt_status(event_context& context, incarnation sender, const wire::attempt_status& message);
--- a/source/core/entry/entry_process.cpp
+++ b/source/core/entry/entry_process.cpp
@@ -616,6 +616,8 @@
     add_increase("cuminpath_resumed_streams_total", counters.resumed_streams,
                  m_exported_counters.resumed_streams);
     add_increase("cuminpath_late_frames_total", counters.late_frames, m_exported_counters.late_frames);
+    add_increase("cuminpath_responses_given_up_total", counters.responses_given_up,
+                 m_exported_counters.responses_given_up);
     add_increase("cuminpath_tokens_total", counters.tokens, m_exported_counters.tokens);
     add_increase("cuminpath_slow_callers_total", counters.slow_callers, m_exported_counters.slow_callers);
     m_exported_counters = counters;
--- a/source/core/entry/request_table.cpp
+++ b/source/core/entry/request_table.cpp
@@ -31,6 +31,7 @@
     return;
   }
   value.done = true;
+  m_response_bytes -= std::exchange(value.response_bytes, 0);
   m_done.push_back(value.caller);
   m_wire_ids.erase(value.wire_id);
   const auto workspace = m_workspaces.find(value.accepted.workspace);
@@ -46,6 +47,22 @@
   m_done.clear();
 }
 
+void request_table::count_response(request& value) {
+  const std::size_t bytes = value.done ? 0 : value.body.capacity() + value.answer.text.capacity();
+  m_response_bytes = m_response_bytes - value.response_bytes + bytes;
+  value.response_bytes = bytes;
+}
+
+request* request_table::largest_response() {
+  request* largest = nullptr;
+  for_each([&largest](request& value) {
+    if (value.response_bytes > (largest == nullptr ? 0 : largest->response_bytes)) {
+      largest = &value;
+    }
+  });
+  return largest;
+}
+
 std::size_t request_table::in_flight(const std::string& workspace) const {
   const auto found = m_workspaces.find(workspace);
   return found == m_workspaces.end() ? 0 : found->second;
--- a/source/core/entry/request_table.h
+++ b/source/core/entry/request_table.h
@@ -62,9 +62,10 @@
   bool head_received = false;
   int status = 200;
   wire::header_list headers;
-  model_answer answer;        // For models.
-  std::string body;           // For services, and for error responses of engines.
-  bool stream_begun = false;  // Whether the response has been started.
+  model_answer answer;             // For models.
+  std::string body;                // For services, and for error responses of engines.
+  std::size_t response_bytes = 0;  // As last passed to request_table::count_response().
+  bool stream_begun = false;       // Whether the response has been started.
   // A call with a claim continues without its caller, because its outcome is to be stored.
   bool caller_disconnected = false;
   bool done = false;  // Removed by the next sweep().
@@ -84,6 +85,13 @@
   void finish(request& value);
   void sweep();
 
+  // Updates the bytes that are allocated for the response to the request. To be called after each change.
+  void count_response(request& value);
+  // Returns these bytes for all requests that are not done.
+  [[nodiscard]] std::size_t response_bytes() const { return m_response_bytes; }
+  // Returns the request that holds the most of them; null if there is none.
+  [[nodiscard]] request* largest_response();
+
   // Returns the number of requests that are not done.
   [[nodiscard]] std::size_t size() const { return m_requests.size() - m_done.size(); }
   [[nodiscard]] std::size_t in_flight(const std::string& workspace) const;
@@ -107,6 +115,7 @@
   std::unordered_map<std::string, caller_id> m_wire_ids;
   std::unordered_map<std::string, std::size_t> m_workspaces;
   std::vector<caller_id> m_done;
+  std::size_t m_response_bytes = 0;
 };
 
 }  // namespace cuminpath::entry
--- a/source/core/entry/silent_attempts.cpp
+++ b/source/core/entry/silent_attempts.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/release_memory.h"
 #include "core/entry/entry_core.h"
 
 namespace cuminpath::entry {
@@ -107,7 +108,8 @@
   value.awaits_retry_budget = false;
   value.head_received = true;
   value.status = 200;
-  value.body.clear();
+  release_memory(value.body);
+  m_requests.count_response(value);
 }
 
 }  // namespace cuminpath::entry
--- a/source/core/entry/status_pages.cpp
+++ b/source/core/entry/status_pages.cpp
@@ -44,6 +44,7 @@
           {"retries_denied", counters.retries_denied},
           {"resumed_streams", counters.resumed_streams},
           {"late_frames", counters.late_frames},
+          {"responses_given_up", counters.responses_given_up},
           {"tokens", counters.tokens},
           {"upstream_agents", view.core.known_peers()},
           {"known_entries", view.known_entries},
--- a/source/unit_tests/entry/model_request_test.cpp
+++ b/source/unit_tests/entry/model_request_test.cpp
@@ -255,5 +255,45 @@
   EXPECT_EQ(core.in_flight(), 0U);
 }
 
+// Guards against an entry that runs out of memory, and against sound responses that are given up in place of
+// those without end.
+TEST_F(model_request_test, the_largest_response_is_given_up_once_all_take_too_much_memory) {
+  constexpr std::size_t k_limit = 64U << 20U;
+  constexpr std::size_t k_part = 512U << 10U;
+  // Strings grow by a factor of 2, so these take 16 and 8 MB.
+  constexpr std::size_t k_largest = 31 * k_part;
+  constexpr std::size_t k_other = 15 * k_part;
+  const auto send_body = [&](const submitted_attempt& to, std::size_t size) {
+    receive(to.peer, wire::response_head{to.message.request_id, to.message.attempt, 400, {}});
+    for (std::size_t at = 0; at < size; at += k_part) {
+      const std::string part(std::min(k_part, size - at), 'x');
+      receive(to.peer, wire::response_chunk{to.message.request_id, to.message.attempt, at, 0, part});
+    }
+  };
+  const caller_id largest = send_completion(false);
+  send_body(take_submitted(), k_largest);
+  std::vector<caller_id> others;
+  for (std::size_t held = 16U << 20U; held + (8U << 20U) < k_limit; held += 8U << 20U) {
+    others.push_back(send_completion(false));
+    send_body(take_submitted(), k_other);
+  }
+  EXPECT_TRUE(take<respond>().empty());
+  send_completion(false);
+  const auto sound = take_submitted();
+  send_body(sound, 5U << 20U);
+  const auto given_up = take<respond>();
+  ASSERT_EQ(given_up.size(), 1U);
+  EXPECT_EQ(given_up[0].caller, largest);
+  EXPECT_EQ(given_up[0].response.status, 502);
+  EXPECT_THAT(given_up[0].response.body, HasSubstr("unknown"));
+  EXPECT_EQ(core.counters().responses_given_up, 1U);
+  send_response_end(sound, 5U << 20U);
+  EXPECT_EQ(take_response().body.size(), 5U << 20U);
+  for (const caller_id other : others) {
+    call(&entry_core::on_caller_closed, other);
+  }
+  EXPECT_EQ(core.in_flight(), 0U);
+}
+
 }  // namespace
 }  // namespace cuminpath::entry
