proxy: small responses are complete while others are without end

Responses that are forwarded only when complete may hold 32 MB together. Above that, the attempt that received the next bytes was ended, whoever held the memory: while two bodies without end held just under 32 MB and stalled, every other call of the gateway got 502 "answer is too large", and its caller could not tell whether it had run.

Change: responses of up to 64 KB are exempt, as they are already from the budget of callers; that budget still bounds them. A larger sound response can still be given up in this state.

small_responses_are_complete_while_others_take_up_what_all_may_hold fails before (502 for 64 KB).

--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -130,8 +130,10 @@
     attempt.body.append(bytes);
     attempt.buffered_bytes += bytes.size();
     m_state.buffered_response_bytes += bytes.size();
-    if (attempt.body.size() > k_max_response_bytes ||
-        m_state.buffered_response_bytes > k_max_buffered_response_bytes || !charge_responses()) {
+    // Small responses are also complete while a few upstreams send without end.
+    const bool over_limit = m_state.buffered_response_bytes > k_max_buffered_response_bytes &&
+                            attempt.body.size() > k_unclaimed_body_bytes;
+    if (attempt.body.size() > k_max_response_bytes || over_limit || !charge_responses()) {
       end_attempt(attempt, attempt_result::broken, "answer is too large");
     }
     return;
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -363,6 +363,21 @@
   }
 }
 
+// Guards against sound responses that are given up because responses without end take up what all may hold.
+TEST_F(proxy_fixture, small_responses_are_complete_while_others_take_up_what_all_may_hold) {
+  constexpr std::size_t k_held_by_others = 32U << 20U;
+  m_state.buffered_response_bytes = k_held_by_others;
+  std::string body(64U << 10U, 'b');
+  add_upstream("i-1", [&](auto, const auto&) { return upstream_action{response_text("a", body)}; });
+  const auto small = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
+  EXPECT_THAT(small.bytes, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(small.bytes, HasSubstr(body));
+  body += 'b';
+  const auto large = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
+  EXPECT_THAT(large.bytes, StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(m_state.buffered_response_bytes, k_held_by_others);
+}
+
 // Bytes that are no events with data do not keep a stream alive, neither before nor after its first event.
 TEST_F(proxy_fixture, gives_up_a_begun_stream_that_goes_on_without_data) {
   constexpr std::size_t k_socket_buffers = 16U << 20U;
