common: parse JSON in time that is linear in the text

A JSON text of many small objects side by side kept a process busy for the square of its size: parse_json() takes (one core, x86-64) 91 ms for 64 KB of "{},", 376 ms for 128 KB and 1,624 ms for 256 KB. A balancer whose engine answered its first read with 2 MB of that made no other call within 8 s, and an entry parses up to 8 MB of a caller.

Cause: the depth was checked in a callback, and with a callback nlohmann-json 3.11 visits all elements of the parent at the end of each object, to remove discarded ones.

Change: the depth is checked by a scan of the brackets outside of strings before the text is parsed without a callback. 65 levels, which were accepted when the innermost held nothing, are refused as documented.

the_cost_does_not_grow_faster_than_the_text fails before: eight times the text took 60, 45 and 40 times as long for three of seven forms, 24 allowed.

--- a/source/core/common/json.cpp
+++ b/source/core/common/json.cpp
@@ -45,18 +45,38 @@
   int m_depth = 0;
 };
 
+// Whether brackets outside of strings are nested too deeply. Exact for valid JSON; the parser does not read
+// malformed text any further than the scan is right about it.
+bool nests_too_deeply(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char character = text[i];
+    if (in_string) {
+      i += character == '\\' ? 1 : 0;
+      in_string = character != '"';
+    } else if (character == '"') {
+      in_string = true;
+    } else if (character == '[' || character == '{') {
+      if (++depth > k_max_json_depth) {
+        return true;
+      }
+    } else if (character == ']' || character == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 result<json> parse_json(std::string_view text) {
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > k_max_json_depth;
-    return !too_deep;
-  };
-  json document = json::parse(text, limit_depth, /*allow_exceptions=*/false);
-  if (too_deep) {
+  if (nests_too_deeply(text)) {
     return too_deep_error("JSON");
   }
+  // Not with a callback, which could check the depth, too: at the end of each object, the library then visits
+  // all elements of its parent.
+  json document = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (document.is_discarded()) {
     return make_error(error_code::invalid_input, "malformed JSON");
   }
--- a/source/unit_tests/common/json_test.cpp
+++ b/source/unit_tests/common/json_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/support/cost.h"
 #include "unit_tests/support/nested_input.h"
 #include "unit_tests/support/small_stack.h"
 
@@ -18,6 +19,34 @@
 }
 
 // Guards against accepting text after the document or a truncated document.
+TEST(parse_json, counts_brackets_outside_of_strings_only) {
+  const std::string brackets(k_max_json_depth + 1, '[');
+  EXPECT_TRUE(parse_json("\"" + brackets + "\""));
+  EXPECT_TRUE(parse_json("[\"\\\"" + brackets + "\\\\\"]"));
+  EXPECT_TRUE(parse_json("{\"" + brackets + "\":\"" + brackets + "\"}"));
+  EXPECT_FALSE(parse_json("[\"\\\\\"," + brackets + std::string(brackets.size(), ']') + "]"));
+}
+
+// Guards against a process that stands still because of one message of many small objects.
+TEST(parse_json, the_cost_does_not_grow_faster_than_the_text) {
+  constexpr std::size_t k_bytes = 16'384;
+  for (const std::string unit : {"{}", "[]", "0", "\"\"", R"({"":0})", "[{}]", R"({"a":{}})"}) {
+    const auto document = [&unit](std::size_t bytes) {
+      std::string text = "[" + unit;
+      while (text.size() < bytes) {
+        text += "," + unit;
+      }
+      return text + "]";
+    };
+    const std::string small = document(k_bytes);
+    const std::string large = document(support::k_growth * k_bytes);
+    EXPECT_LT(
+        support::cost_ratio([&] { ASSERT_TRUE(parse_json(small)); }, [&] { ASSERT_TRUE(parse_json(large)); }),
+        support::k_max_growth)
+        << unit;
+  }
+}
+
 TEST(parse_json, refuses_malformed_text) {
   EXPECT_FALSE(parse_json("{} {}").has_value());
   EXPECT_FALSE(parse_json("{\"a\":").has_value());
