platform: limit what an answer of an engine takes once it is parsed

An answer of an engine may have 2 MB, and was parsed whatever it consisted of: 2 MB of "{}," take 52 MB more, of "\"\"," 40 MB. A balancer whose engine answered its reads so rose to 109 and 92 MB; hosts of balancers have 128 MB.

Change: answers consist of numbers, so one with more than 16,384 objects, arrays and strings is refused before it is parsed.

--- a/source/core/common/json.cpp
+++ b/source/core/common/json.cpp
@@ -1,5 +1,6 @@
 #include "core/common/json.h"
 
+#include <algorithm>
 #include <string>
 
 namespace cuminpath {
@@ -45,35 +46,47 @@
   int m_depth = 0;
 };
 
-// Whether brackets outside of strings are nested too deeply. Exact for valid JSON; the parser does not read
-// malformed text any further than the scan is right about it.
-bool nests_too_deeply(std::string_view text) {
+struct document_shape {
+  int depth = 0;  // The scan ends where it exceeds the limit.
+  std::size_t containers_and_strings = 0;
+};
+
+// Counts brackets outside of strings, and strings. Exact for valid JSON; the parser does not read malformed
+// text any further than the scan is right about it.
+document_shape scan(std::string_view text) {
+  document_shape shape;
   int depth = 0;
   bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
+  for (std::size_t i = 0; i < text.size() && depth <= k_max_json_depth; ++i) {
     const char character = text[i];
     if (in_string) {
       i += character == '\\' ? 1 : 0;
       in_string = character != '"';
     } else if (character == '"') {
       in_string = true;
+      ++shape.containers_and_strings;
     } else if (character == '[' || character == '{') {
-      if (++depth > k_max_json_depth) {
-        return true;
-      }
+      shape.depth = std::max(shape.depth, ++depth);
+      ++shape.containers_and_strings;
     } else if (character == ']' || character == '}') {
       --depth;
     }
   }
-  return false;
+  return shape;
 }
 
 }  // namespace
 
-result<json> parse_json(std::string_view text) {
-  if (nests_too_deeply(text)) {
+result<json> parse_json(std::string_view text, std::size_t max_containers_and_strings) {
+  const document_shape shape = scan(text);
+  if (shape.depth > k_max_json_depth) {
     return too_deep_error("JSON");
   }
+  if (shape.containers_and_strings > max_containers_and_strings) {
+    return make_error(
+        error_code::invalid_input,
+        "JSON has more than " + std::to_string(max_containers_and_strings) + " containers and strings");
+  }
   // Not with a callback, which could check the depth, too: at the end of each object, the library then visits
   // all elements of its parent.
   json document = json::parse(text, nullptr, /*allow_exceptions=*/false);
