proxy, http, entry: responses to HEAD have no body

Cause: caller_connection::respond() wrote the body that it was given, whatever the method; only whole responses of upstreams were treated. Ruled out: responses out of order (each head belongs to its request).

Change: the connection knows the method and leaves the body out, for requests that are malformed or too large as well; 204 and 304 have none either. The length is that of the body, or the one that the upstream states, also for a failure that was kept while another upstream was tried; no length is made up. Pages of http::server and responses that entries forward follow the same rule.

--- a/source/core/entry/agent_messages.cpp
+++ b/source/core/entry/agent_messages.cpp
@@ -281,9 +281,13 @@
   http::response response;
   response.status = value.status;
   for (auto& header : value.headers) {
-    constexpr std::string_view k_dropped_headers[] = {
-        "connection", "content-length", "date", "transfer-encoding", "keep-alive", "server", "x-request-id"};
+    constexpr std::string_view k_dropped_headers[] = {"connection", "date",   "transfer-encoding",
+                                                      "keep-alive", "server", "x-request-id"};
     const http::header_list single = {header};
+    // A response to HEAD has no body from which the length could be told.
+    if (value.accepted.method != "HEAD" && http::find_header(single, "content-length")) {
+      continue;
+    }
     if (std::none_of(std::begin(k_dropped_headers), std::end(k_dropped_headers),
                      [&](std::string_view name) { return http::find_header(single, name).has_value(); })) {
       response.headers.push_back(std::move(header));
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -32,6 +32,10 @@
     if (m_request == nullptr) {
       return;
     }
+    if (m_request->header().method() == restinio::http_method_head()) {
+      respond_without_body(value);
+      return;
+    }
     auto builder = m_request->create_response(status_line(value.status));
     if (m_table->close_after_responses) {
       builder.connection_close();
@@ -107,6 +111,25 @@
   }
 
 private:
+  // A response to HEAD ends with its head. It states the length of the body that GET would get.
+  void respond_without_body(const response& value) {
+    auto builder = m_request->create_response<restinio::user_controlled_output_t>(status_line(value.status));
+    if (m_table->close_after_responses) {
+      builder.connection_close();
+    }
+    std::size_t length = value.body.size();
+    for (const auto& header : value.headers) {
+      if (const auto stated = find_header({header}, "Content-Length")) {
+        std::from_chars(stated->data(), stated->data() + stated->size(), length);
+      } else {
+        builder.append_header(header.first, header.second);
+      }
+    }
+    builder.set_content_length(length);
+    builder.done();
+    finish();
+  }
+
   static restinio::http_status_line_t status_line(int status) {
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
             std::string(reason_phrase(status))};
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t k_max_write_bytes = 256U << 10U;
 // Objects of a request that is being served, and of its connection to an upstream.
 constexpr std::size_t k_served_request_bytes = 8U << 10U;
+constexpr int k_no_content = 204;
+constexpr int k_not_modified = 304;
 // What a stream of small events holds between two of them. It goes on whatever others hold.
 constexpr std::size_t k_always_held_response_bytes = 4U << 10U;
 // Callers that make no progress give way within 0.5 s.
@@ -227,6 +229,7 @@
   m_phase = connection_phase::responding;
   const time_point arrived = m_phase_start;
   m_phase_start = m_last_read;
+  m_head_request = m_request.method == "HEAD";
   m_memory.hold(this, held_part::head, m_parser.head_memory() + k_served_request_bytes);
   m_memory.set_served(this, true);
   m_memory.on_step(this, m_last_read);
@@ -257,6 +260,7 @@
   }
   m_phase = connection_phase::responding;
   m_keep_alive = false;
+  m_head_request = m_parser.is_head_request();
   m_parser.start({});  // Releases a head of which a part has been parsed.
   respond(response);
 }
@@ -345,13 +349,19 @@
   if (m_phase != connection_phase::responding) {
     return;
   }
+  const bool has_no_length = status == k_no_content || status == k_not_modified;
+  // The length of the body that a response to another method would have is known for responses of the gateway
+  // only, which come with that body.
+  const bool length_unknown = m_head_request && body.size() == 0;
   std::string text = serialize_head(status, headers);
-  if (status != 204 && status != 304 && !http::find_header(headers, "Content-Length")) {
+  if (!has_no_length && !length_unknown && !http::find_header(headers, "Content-Length")) {
     text += fmt::format("Content-Length: {}\r\n", body.size());
   }
   text += "\r\n";
   append(text);
-  m_pending_output.append(std::move(body));
+  if (!has_no_length && !m_head_request) {
+    m_pending_output.append(std::move(body));
+  }
   m_memory.hold(this, held_part::output,
                 m_pending_output.allocated_bytes() + m_output_in_flight.allocated_bytes());
   finish_response();
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -56,8 +56,8 @@
 
   void start();
 
-  // Writes a complete response. A Content-Length header in `response` takes precedence over the size of the
-  // body, as responses to HEAD require.
+  // Writes a complete response. Its body is left out for HEAD requests and for 204 and 304, which end with
+  // the head (RFC 9112, section 6.3); a Content-Length header takes precedence over the size of the body.
   void respond(const http::response& response);
   void respond(int status, const http::header_list& headers, byte_blocks&& body);
   // Write a chunked response: begin_stream(), any number of write_chunk(), then end_stream() or abort().
@@ -136,6 +136,7 @@
   time_point m_last_read;
   bool m_head_done = false;
   bool m_keep_alive = true;
+  bool m_head_request = false;  // The request that is being answered is HEAD.
   bool m_close_after_response = false;
   bool m_close_after_next_response = false;
   bool m_close_announced = false;  // The last response carries "Connection: close".
--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -212,6 +212,8 @@
   void deliver_buffered_response(upstream_attempt& attempt);
   void refuse(int status, std::string_view reason, time_point now);
   void fail(int status, std::string_view reason);
+  // Returns the headers of an upstream's response that the caller gets.
+  [[nodiscard]] http::header_list forwarded_headers(const message_head& head) const;
   void respond_with_problem(int status, std::string_view reason, std::string_view execution,
                             milliseconds retry_after);
   void finish(std::string_view outcome, int status, std::string_view reason);
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -391,7 +391,7 @@
       finish("broken_off", 0, reason);
       return;
   }
-  m_caller->respond(m_failure_response->first.status, end_to_end_headers(m_failure_response->first.headers),
+  m_caller->respond(m_failure_response->first.status, forwarded_headers(m_failure_response->first),
                     std::move(m_failure_response->second));
   finish("upstream_failure", m_failure_response->first.status, reason);
 }
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -336,19 +336,23 @@
   finish("served", 200, "");
 }
 
-void exchange::deliver_buffered_response(upstream_attempt& attempt) {
-  const message_head head = std::move(*attempt.head);
-  byte_blocks body = std::move(attempt.body);
-  release_attempt(attempt, true);
-  m_first_byte_time = clock::now();
+http::header_list exchange::forwarded_headers(const message_head& head) const {
   http::header_list headers = end_to_end_headers(head.headers);
   if (m_request.method == "HEAD") {
     if (const auto length = http::find_header(head.headers, "Content-Length")) {
       headers.emplace_back("Content-Length", *length);
     }
   }
+  return headers;
+}
+
+void exchange::deliver_buffered_response(upstream_attempt& attempt) {
+  const message_head head = std::move(*attempt.head);
+  byte_blocks body = std::move(attempt.body);
+  release_attempt(attempt, true);
+  m_first_byte_time = clock::now();
   const int status = head.status;
-  m_caller->respond(status, headers, std::move(body));
+  m_caller->respond(status, forwarded_headers(head), std::move(body));
   finish(status < 400 ? "served" : "upstream_failure", status, "");
 }
 
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -38,6 +38,10 @@
     m_settings.on_message_complete = [](http_parser* parser) { return self(parser).message_complete(); };
   }
 
+  [[nodiscard]] bool is_head_request() const {
+    return m_type == message_type::requests && m_parser.method == HTTP_HEAD;
+  }
+
   void start(parse_limits limits, bool no_body) {
     http_parser_init(&m_parser, m_type == message_type::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
@@ -190,6 +194,10 @@
 bool message_parser::finish_at_eof() {
   return m_impl->finish_at_eof();
 }
+bool message_parser::is_head_request() const {
+  return m_impl->is_head_request();
+}
+
 bool message_parser::head_done() const {
   return m_impl->m_head_done;
 }
--- a/source/core/proxy/message_parser.h
+++ b/source/core/proxy/message_parser.h
@@ -62,6 +62,8 @@
   bool finish_at_eof();
 
   [[nodiscard]] bool head_done() const;
+  // Returns true for a HEAD request, from the end of its method on.
+  [[nodiscard]] bool is_head_request() const;
   // Returns an estimate of the memory of the head that was parsed last, also if it has been passed on. A
   // header of a few bytes takes several times its size.
   [[nodiscard]] std::size_t head_memory() const;
--- a/source/unit_tests/entry/service_call_test.cpp
+++ b/source/unit_tests/entry/service_call_test.cpp
@@ -57,6 +57,20 @@
   EXPECT_TRUE(take_messages<wire::submit_request>().empty());
 }
 
+// The body of a response to GET has its own length, of which that of the upstream may be another.
+TEST_F(service_call_test, the_length_that_a_service_states_is_passed_on_in_responses_to_head_only) {
+  for (const char* method : {"HEAD", "GET"}) {
+    send({method, "/services/orders/list", {{"Authorization", "Bearer " + std::string(k_api_key)}}, ""});
+    const auto sent = take_submitted();
+    receive(sent.peer, wire::response_head{
+                           sent.message.request_id, sent.message.attempt, 200, {{"Content-Length", "4"}}});
+    send_response_end(sent, 0);
+    const auto response = take_response();
+    EXPECT_EQ(http::find_header(response.headers, "Content-Length").has_value(),
+              std::string(method) == "HEAD");
+  }
+}
+
 // Guards against a booking that is lost or runs twice when the table's response is lost.
 TEST_F(service_call_test, lost_table_response_is_read_back) {
   const auto caller = send_booking("k-1");
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -3,11 +3,13 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <thread>
 
 #include "core/http/client.h"
 #include "core/http/server.h"
+#include "core/net/socket_options.h"
 #include "unit_tests/support/raw_server.h"
 #include "unit_tests/support/run_until.h"
 
@@ -265,6 +267,38 @@
   }
 }
 
+// Guards against a client that takes the body of a page for the beginning of its next response.
+TEST_F(http_test, responses_to_head_have_the_length_of_the_body_and_no_body) {
+  serve([](const request& value, const std::shared_ptr<responder>& to) {
+    to->respond(
+        {200, value.target == "/stated" ? header_list{{"content-length", "7"}} : header_list{}, "body"});
+  });
+  const auto endpoint = net::parse_endpoint(m_server->address()).value();
+  std::string received;
+  std::vector<std::string> heads;
+  std::thread caller([&] {
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    std::error_code failure;
+    socket.connect(endpoint, failure);
+    for (const char* start : {"HEAD /", "HEAD /stated", "GET /"}) {
+      asio::write(socket, asio::buffer(std::string(start) + " HTTP/1.1\r\nHost: h\r\n\r\n"), failure);
+      const std::size_t size = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", failure);
+      heads.push_back(received.substr(0, size));
+      received.erase(0, size);
+    }
+    asio::post(m_context, [this] { m_context.stop(); });
+  });
+  m_context.run_for(seconds{10});
+  caller.join();
+  for (const std::string& head : heads) {
+    EXPECT_TRUE(head.starts_with("HTTP/1.1 200")) << head;
+  }
+  EXPECT_NE(heads[0].find("Content-Length: 4\r\n"), std::string::npos) << heads[0];
+  EXPECT_NE(heads[1].find("Content-Length: 7\r\n"), std::string::npos) << heads[1];
+  EXPECT_NE(heads[2].find("Content-Length: 4\r\n"), std::string::npos) << heads[2];
+}
+
 // Guards against a process that runs out of memory because a server sends headers without end: a header of
 // four bytes takes more than 64 in memory.
 TEST_F(http_test, heads_without_end_are_given_up_long_before_the_limit_of_the_body) {
