--- a/source/core/agent/agent_runs.cpp
+++ b/source/core/agent/agent_runs.cpp
@@ -172,7 +172,9 @@
                                 std::vector<action>& actions) {
   std::vector<stream_event> events;
   std::string failure_detail =
-      value.events.feed(data, events) ? "" : "the engine sent an event that is too large";
+      value.events.feed(data, events)
+          ? ""
+          : "the engine sent an event that is too large, or too much without an event";
   bool done = false;
   wire::response_chunk chunk{.request_id = value.request.request_id,
                              .attempt = value.request.attempt,
--- a/source/core/agent/event_stream_parser.cpp
+++ b/source/core/agent/event_stream_parser.cpp
@@ -9,6 +9,8 @@
 
 // Limits the memory of a run while an event is incomplete.
 constexpr std::size_t k_max_event_bytes = 1U << 20U;
+// A peer that sends no events makes no progress (design, section 11).
+constexpr std::size_t k_max_bytes_without_data = 64U << 10U;
 
 // Returns the position after the string that starts at `position`, or npos if the string does not end.
 std::size_t skip_string(std::string_view text, std::size_t position) {
@@ -42,6 +44,9 @@
     bytes.remove_prefix(end + 1);
     process_line(events);
     m_line.clear();
+    if (m_bytes_without_data > k_max_bytes_without_data) {
+      return false;
+    }
   }
   return true;
 }
@@ -52,6 +57,7 @@
     line.remove_suffix(1);
   }
   if (line.empty()) {
+    m_bytes_without_data = m_has_data ? 0 : m_bytes_without_data + m_line.size() + 1;
     if (m_has_data) {
       events.push_back(std::move(m_event));
     }
@@ -73,7 +79,10 @@
     }
     m_event.data += value;
     m_has_data = true;
-  } else if (name == "event") {
+    return;
+  }
+  m_bytes_without_data += m_line.size() + 1;
+  if (name == "event") {
     m_event.type = value;
   }
 }
--- a/source/core/agent/event_stream_parser.h
+++ b/source/core/agent/event_stream_parser.h
@@ -18,7 +18,8 @@
 class event_stream_parser {
 public:
   // Parses further bytes and appends the events that they complete. Returns false if an event is larger than
-  // 1 MiB; the parser must not be used after that.
+  // 1 MiB, or if 64 KiB of comments, empty lines and other fields have come without an event that has data;
+  // the parser must not be used after that.
   bool feed(std::string_view bytes, std::vector<stream_event>& events);
 
 private:
@@ -27,6 +28,7 @@
   std::string m_line;
   stream_event m_event;
   bool m_has_data = false;
+  std::size_t m_bytes_without_data = 0;  // In whole lines, since the last event that has data.
 };
 
 // Returns the member "index" of a JSON object. Scans the text instead of parsing it as a document, because
--- a/source/unit_tests/agent/event_stream_parser_test.cpp
+++ b/source/unit_tests/agent/event_stream_parser_test.cpp
@@ -32,6 +32,29 @@
   EXPECT_FALSE(usable);
 }
 
+// Guards against a run that lasts until its deadline while its engine sends nothing but comments.
+TEST(event_stream_parser, rejects_a_stream_that_goes_on_without_events) {
+  constexpr std::size_t k_limit = 64U << 10U;
+  for (const std::string line : {":\n", "\n", "\r\n", "id: 1\n\n", "event: x\n", ": a comment\n\n"}) {
+    event_stream_parser stream;
+    std::vector<stream_event> events;
+    // Returns how many bytes of such lines are accepted, up to `wanted`.
+    const auto feed = [&](std::size_t wanted) {
+      std::size_t accepted = 0;
+      while (accepted < wanted && stream.feed(line, events)) {
+        accepted += line.size();
+      }
+      return accepted;
+    };
+    for (int i = 0; i < 4; ++i) {
+      EXPECT_GE(feed(k_limit / 2), k_limit / 2) << line;
+      EXPECT_TRUE(stream.feed("\ndata: x\n\n", events)) << line;
+    }
+    EXPECT_LE(feed(2 * k_limit), k_limit) << line;
+    EXPECT_EQ(events.size(), 4U) << line;
+  }
+}
+
 // Guards against an index that is read from a nested member or a string, which would lose or repeat tokens.
 TEST(token_index, reads_only_the_top_level_member) {
   EXPECT_EQ(token_index(R"({"choices":[{"index":7,"text":"\"index\":8"}],"id":"index","index" : 12})"), 12U);
