--- a/source/emulator/service_role.h
+++ b/source/emulator/service_role.h
@@ -14,8 +14,8 @@
   void handle(const http::request& request, const responder_ptr& to) override;
   // {"runs":{KEY:N},"runs_without_key","reads","answered","running"}
   [[nodiscard]] json stats() const override;
-  // "delay_ms"; "fail": true responds with status 500 after the run; "endless_prefix": paths that begin so are
-  // answered with a body without end.
+  // "delay_ms"; "fail": true responds with status 500 after the run; "endless_prefix": paths that begin so
+  // are answered with a body without end.
   std::optional<std::string> control(const json& settings) override;
 
 private:
--- a/source/unit_tests/gateway/upstream_table_test.cpp
+++ b/source/unit_tests/gateway/upstream_table_test.cpp
@@ -228,6 +228,16 @@
           .started_ms = other.started_ms + 1'000'000'000};
 }
 
+// Returns upstreams of the service "s" and, behind them, 40 rows of another writer.
+std::vector<upstream_record> beside_many_others(std::initializer_list<const char*> ids) {
+  std::vector<upstream_record> out = records(ids);
+  for (int i = 0; i < 40; ++i) {
+    out.push_back(record("archive-" + std::to_string(i)));
+    out.back().service = "archive";
+  }
+  return out;
+}
+
 std::size_t count(std::span<const upstream_table::change> changes, upstream_table::change::kind kind) {
   return static_cast<std::size_t>(
       std::count_if(changes.begin(), changes.end(), [kind](const auto& each) { return each.type == kind; }));
@@ -305,11 +315,7 @@
 TEST(upstream_table, rows_of_services_that_are_not_configured_do_not_lower_the_share_of_expired_rows) {
   upstream_table table;
   table.set_services({"s"});
-  auto list = records({"a", "b", "c", "d"});
-  for (int i = 0; i < 40; ++i) {
-    list.push_back(record("archive-" + std::to_string(i)));
-    list.back().service = "archive";
-  }
+  auto list = beside_many_others({"a", "b", "c", "d"});
   table.apply(list, k_start, false);
   list.erase(list.begin(), list.begin() + 3);
   EXPECT_EQ(count(table.apply(list, k_start, false), upstream_table::change::kind::kept_after_expiry), 3U);
@@ -320,11 +326,7 @@
 TEST(upstream_table, rows_of_services_that_are_not_configured_do_not_count_as_expired) {
   upstream_table table;
   table.set_services({"s"});
-  auto list = records({"a", "b", "c", "d"});
-  for (int i = 0; i < 40; ++i) {
-    list.push_back(record("archive-" + std::to_string(i)));
-    list.back().service = "archive";
-  }
+  auto list = beside_many_others({"a", "b", "c", "d"});
   table.apply(list, k_start, false);
   EXPECT_EQ(table.apply(records({"b", "c", "d"}), k_start, false).size(), 41U);
   EXPECT_EQ(table.size(), 3U);
