agent: limit what an engine answers to an agent's own calls

The agent's health probes, reads and orders took up to 64 MB of an answer, and parsed whatever it consisted of. With the local system of, x86-64, 8 s, one engine of four answering its probes with a body without end, the agent rose to 194 MB; with a head without end 31 MB.

Cause: the limits for answers of engines (2 MB, and objects, arrays and strings together) stood in platform/ and held for balancers only.

Change: they stand in core/common/engine_limits.h and hold for both.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -13,6 +13,7 @@
 #include "core/agent/agent_core.h"
 #include "core/agent/expert_service.h"
 #include "core/agent/run_flow.h"
+#include "core/common/engine_limits.h"
 #include "core/common/hash.h"
 #include "core/http/client.h"
 #include "core/http/server.h"
@@ -546,7 +547,8 @@
     m_probe_pending = true;
     m_next_probe = now + k_probe_interval;
     http::request request{.method = is_engine ? "GET" : "HEAD", .target = is_engine ? "/v1/load" : "/"};
-    m_client.call(m_settings.agent.upstream_url, std::move(request), {.timeout = k_probe_timeout},
+    m_client.call(m_settings.agent.upstream_url, std::move(request),
+                  {.timeout = k_probe_timeout, .max_response_bytes = k_max_engine_response_bytes},
                   [this](const http::client::call_result& response) {
                     m_probe_pending = false;
                     m_failed_probes = response.failure ? m_failed_probes + 1 : 0;
--- a/source/core/agent/engine_client.cpp
+++ b/source/core/agent/engine_client.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <utility>
 
+#include "core/common/engine_limits.h"
+
 namespace cuminpath::agent {
 namespace {
 
@@ -12,6 +14,10 @@
 constexpr milliseconds k_prepare_timeout{120000};
 constexpr milliseconds k_request_timeout{2000};
 
+http::call_options options(milliseconds timeout) {
+  return {.timeout = timeout, .max_response_bytes = k_max_engine_response_bytes};
+}
+
 struct phase_name {
   std::string_view name;
   wire::switch_phase phase;
@@ -41,7 +47,7 @@
   if (response.failure || response.value.status != status) {
     return std::nullopt;
   }
-  auto parsed = parse_json(response.value.body);
+  auto parsed = parse_json(response.value.body, k_max_engine_containers_and_strings);
   if (!parsed || !parsed.value().is_object()) {
     return std::nullopt;
   }
@@ -117,8 +123,9 @@
   } else if (order.command == group_switch::engine_command::arm_map) {
     body["step"] = order.step;
   }
-  m_client.call(m_url, {.method = "POST", .target = "/v1/orders", .body = body.dump()},
-                {.timeout = prepare ? k_prepare_timeout : k_request_timeout, .never_reuse_connection = true},
+  http::call_options order_options = options(prepare ? k_prepare_timeout : k_request_timeout);
+  order_options.never_reuse_connection = true;
+  m_client.call(m_url, {.method = "POST", .target = "/v1/orders", .body = body.dump()}, order_options,
                 [done = std::move(done)](const http::client::call_result& response) {
                   const auto accepted = parse_document(response, k_status_ok);
                   const auto refused = parse_document(response, k_status_conflict);
@@ -135,7 +142,7 @@
 }
 
 void engine_client::read_state(std::function<void(std::optional<group_switch::engine_state>)> done) {
-  m_client.call(m_url, {.target = "/v1/map_state"}, {.timeout = k_request_timeout},
+  m_client.call(m_url, {.target = "/v1/map_state"}, options(k_request_timeout),
                 [done = std::move(done)](const http::client::call_result& response) {
                   const auto document = parse_document(response, k_status_ok);
                   done(document ? parse_engine_state(*document) : std::nullopt);
@@ -143,7 +150,7 @@
 }
 
 void engine_client::read_load(std::function<void(std::optional<engine_load>)> done) {
-  m_client.call(m_url, {.target = "/v1/expert_load"}, {.timeout = k_request_timeout},
+  m_client.call(m_url, {.target = "/v1/expert_load"}, options(k_request_timeout),
                 [done = std::move(done)](const http::client::call_result& response) {
                   const auto document = parse_document(response, k_status_ok);
                   done(document ? parse_engine_load(*document) : std::nullopt);
