wire: the names of refusal reasons beside the reasons

The switch that names each refusal_reason for logs and metrics moves to wire as to_string(), without a change of a name.

--- a/source/core/agent/agent_process.cpp
+++ b/source/core/agent/agent_process.cpp
@@ -61,34 +61,6 @@
   return (std::uint64_t{source()} << k_word_bits) | source();
 }
 
-std::string_view refusal_reason_name(wire::refusal_reason reason) {
-  switch (reason) {
-    case wire::refusal_reason::draining:
-      return "draining";
-    case wire::refusal_reason::stale_configuration:
-      return "stale_configuration";
-    case wire::refusal_reason::infeasible:
-      return "infeasible";
-    case wire::refusal_reason::queue_full:
-      return "queue_full";
-    case wire::refusal_reason::over_share:
-      return "over_share";
-    case wire::refusal_reason::deadline_passed:
-      return "deadline_passed";
-    case wire::refusal_reason::duplicate_attempt:
-      return "duplicate_attempt";
-    case wire::refusal_reason::upstream_failed:
-      return "upstream_failed";
-    case wire::refusal_reason::unknown_upstream:
-      return "unknown_upstream";
-    case wire::refusal_reason::cancelled:
-      return "cancelled";
-    case wire::refusal_reason::agent_restarted:
-      return "agent_restarted";
-  }
-  return "";
-}
-
 // Runs an agent_core on an io_context. All functions run on the thread of the io_context.
 class agent_process {
 public:
@@ -406,7 +378,7 @@
     if (const auto* refusal = std::get_if<wire::refusal>(&message)) {
       const bool not_run = refusal->execution_state == wire::execution::not_run;
       m_metrics.add("cuminpath_agent_refusals_total",
-                    {{"reason", std::string(refusal_reason_name(refusal->reason))},
+                    {{"reason", std::string(wire::to_string(refusal->reason))},
                      {"execution", not_run ? "not_run" : "unknown"}});
     } else if (const auto* chunk = std::get_if<wire::response_chunk>(&message)) {
       m_metrics.add("cuminpath_agent_tokens_total", {}, chunk->tokens);
--- a/source/core/wire/messages.h
+++ b/source/core/wire/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -34,6 +35,8 @@
   cancelled,
   agent_restarted,  // The message is addressed to another incarnation of the agent.
 };
+// Returns the name for logs and metrics.
+[[nodiscard]] std::string_view to_string(refusal_reason reason);
 
 // Entry to agent: one attempt of one request.
 struct submit_request {
