proxy: give up the largest response above the limit of all

Change: response_buffers knows what each response holds and gives up the largest until the others are within the limit, as entries do. The exemption is gone.

The test of the exemption is replaced by one that is as strict for small responses and covers large ones: beside 300,000 bytes of a response that stalls, one of 200,000 is delivered whole at a limit of 400,000, and the stalled one ends with 502 "unknown". It fails if the call that receives the bytes is ended (502 for the sound one). planned_stop_test reads the same number from its new place.

--- a/source/core/proxy/exchange.h
+++ b/source/core/proxy/exchange.h
@@ -28,8 +28,7 @@
   time_point started;
   bool sent = false;
   std::optional<message_head> head;
-  byte_blocks body;                // Of a response that is not streamed.
-  std::size_t buffered_bytes = 0;  // Share of proxy_state::buffered_response_bytes.
+  byte_blocks body;  // Of a response that is not streamed.
   bool streamed = false;
   bool has_foreign_bytes = false;  // Those of another run or of another response follow.
   std::uint32_t events = 0;        // That the caller has received.
--- a/source/core/proxy/exchange_attempts.cpp
+++ b/source/core/proxy/exchange_attempts.cpp
@@ -433,7 +433,7 @@
   set_awaits_progress(attempt, false, now);
   on_attempt_released(attempt, now);
   on_place_freed(attempt, now);
-  m_state.buffered_response_bytes -= attempt.buffered_bytes;
+  m_state.buffered_responses.release(&attempt);
   if (!attempt.connection) {
     return;
   }
--- a/source/core/proxy/exchange_response.cpp
+++ b/source/core/proxy/exchange_response.cpp
@@ -20,8 +20,6 @@
 // the whole list of upstreams.
 constexpr milliseconds k_min_forward_pass{1};
 constexpr std::size_t k_max_response_bytes = 16U << 20U;
-// Of all responses together. The smallest hosts have 112 MB for a gateway.
-constexpr std::size_t k_max_buffered_response_bytes = 32U << 20U;
 // Events hold a few tokens each. More bytes than this without the end of an event are not an event stream.
 constexpr std::size_t k_max_event_bytes = 1U << 20U;
 // Limit on comments, empty lines and ids between two events with data: a peer that sends them without end
@@ -93,6 +91,13 @@
   attempt.streamed = m_route->kind == call_kind::stream && m_request.method != "HEAD" &&
                      received.status == 200 && is_upstream_response(received) && is_event_stream(received) &&
                      !contradicts_itself(received);
+  if (!attempt.streamed) {
+    m_state.buffered_responses.begin(&attempt, [self = weak_from_this(), &attempt] {
+      if (const auto locked = self.lock()) {
+        locked->end_attempt(attempt, attempt_result::broken, "answers are too large together");
+      }
+    });
+  }
 }
 
 void exchange::record_cold_statement(const std::string& upstream_id, const http::header_list& headers,
@@ -128,14 +133,12 @@
 void exchange::on_body(upstream_attempt& attempt, std::string_view bytes) {
   if (!attempt.streamed) {
     attempt.body.append(bytes);
-    attempt.buffered_bytes += bytes.size();
-    m_state.buffered_response_bytes += bytes.size();
-    // Small responses are also complete while a few upstreams send without end.
-    const bool over_limit = m_state.buffered_response_bytes > k_max_buffered_response_bytes &&
-                            attempt.body.size() > k_unclaimed_body_bytes;
-    if (attempt.body.size() > k_max_response_bytes || over_limit || !charge_responses()) {
+    if (attempt.body.size() > k_max_response_bytes || !charge_responses()) {
       end_attempt(attempt, attempt_result::broken, "answer is too large");
+      return;
     }
+    m_state.buffered_responses.add(&attempt, bytes.size());
+    m_state.buffered_responses.enforce_limit();
     return;
   }
   attempt.splitter.feed(bytes, [this, &attempt](const gateway::event_splitter::event& event) {
--- a/source/core/proxy/proxy_state.h
+++ b/source/core/proxy/proxy_state.h
@@ -24,6 +24,7 @@
 #include "core/gateway/workspace_shares.h"
 #include "core/proxy/caller_memory_budget.h"
 #include "core/proxy/process_limits.h"
+#include "core/proxy/response_buffers.h"
 #include "core/proxy/upstream_check.h"
 #include "core/proxy/upstream_connection_pool.h"
 #include "core/routing/prompt_quarantine.h"
@@ -69,7 +70,7 @@
   caller_memory_budget caller_memory{limits.caller_memory};
   std::size_t served_requests = 0;  // Including those that have not been sent to an upstream.
 
-  std::size_t buffered_response_bytes = 0;  // Of responses that are forwarded only when complete.
+  response_buffers buffered_responses{k_max_buffered_response_bytes};
 
   std::unordered_map<std::string, gateway::service_availability> service_states;       // By service.
   std::unordered_map<std::string, gateway::concurrency_limiter> concurrency_limiters;  // By service.
--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -6,7 +6,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <asio/write.hpp>
 
+#include "core/net/socket_options.h"
 #include "proxy_fixture.h"
 #include "response_text.h"
 
@@ -359,23 +361,35 @@
     EXPECT_THAT(response.bytes, StartsWith("HTTP/1.1 502")) << repeated.substr(0, 20);
     EXPECT_TRUE(run_until([&] { return upstream.ended(); })) << repeated.substr(0, 20);
     EXPECT_LE(upstream.sent(), k_max_endless_response_bytes) << repeated.substr(0, 20);
-    EXPECT_EQ(m_state.buffered_response_bytes, 0U);
+    EXPECT_EQ(m_state.buffered_responses.bytes(), 0U);
   }
 }
 
-// Guards against sound responses that are given up because responses without end take up what all may hold.
-TEST_F(proxy_fixture, small_responses_are_complete_while_others_take_up_what_all_may_hold) {
-  constexpr std::size_t k_held_by_others = 32U << 20U;
-  m_state.buffered_response_bytes = k_held_by_others;
-  std::string body(64U << 10U, 'b');
-  add_upstream("i-1", [&](auto, const auto&) { return upstream_action{response_text("a", body)}; });
-  const auto small = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
-  EXPECT_THAT(small.bytes, StartsWith("HTTP/1.1 200"));
-  EXPECT_THAT(small.bytes, HasSubstr(body));
-  body += 'b';
-  const auto large = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
-  EXPECT_THAT(large.bytes, StartsWith("HTTP/1.1 502"));
-  EXPECT_EQ(m_state.buffered_response_bytes, k_held_by_others);
+// Guards against sound responses that are given up because one without end takes up what all may hold.
+TEST_F(proxy_fixture, the_largest_response_is_given_up_when_all_together_are_too_large) {
+  constexpr std::size_t k_limit = 400'000;
+  const std::string large(300'000, 'l');
+  const std::string body(200'000, 'b');
+  m_state.buffered_responses.set_limit(k_limit);
+  add_upstream("i-1", [&](auto, const std::string& text) {
+    return upstream_action{text.find("/large") == std::string::npos
+                               ? response_text("a", body)
+                               : "HTTP/1.1 200 X\r\nX-Id: b\r\nX-Stamp: s\r\nContent-Length: 900000\r\n\r\n" +
+                                     large};
+  });
+  asio::ip::tcp::socket caller(m_context);
+  caller.connect(net::parse_endpoint(m_listener.address()).value());
+  asio::write(caller, asio::buffer(request("POST", "/once/large", "b", "Content-Length: 0\r\n")));
+  ASSERT_TRUE(run_until([&] { return m_state.buffered_responses.bytes() == large.size(); }));
+  const auto sound = call(request("POST", "/once/x", "a", "Content-Length: 0\r\n"), is_complete);
+  EXPECT_THAT(sound.bytes, StartsWith("HTTP/1.1 200"));
+  EXPECT_TRUE(sound.bytes.ends_with(body));
+  std::string given_up(512, '\0');
+  ASSERT_TRUE(run_until([&] { return caller.available() > 0; }));
+  given_up.resize(caller.read_some(asio::buffer(given_up)));
+  EXPECT_THAT(given_up, StartsWith("HTTP/1.1 502"));
+  EXPECT_THAT(given_up, HasSubstr(R"("execution":"unknown")"));
+  EXPECT_EQ(m_state.buffered_responses.bytes(), 0U);
 }
 
 // Bytes that are no events with data do not keep a stream alive, neither before nor after its first event.
--- a/source/unit_tests/proxy/planned_stop_test.cpp
+++ b/source/unit_tests/proxy/planned_stop_test.cpp
@@ -88,7 +88,7 @@
     for (std::size_t sent = 0; sent < body.size(); sent += k_piece_bytes) {
       upstream.send_to_last(body.substr(sent, k_piece_bytes));
       ASSERT_TRUE(run_until([&] {
-        return m_state.buffered_response_bytes >= sent + k_piece_bytes ||
+        return m_state.buffered_responses.bytes() >= sent + k_piece_bytes ||
                m_listener.active_request_count() == 0;
       }));
     }
@@ -303,7 +303,7 @@
     ASSERT_TRUE(run_until([&] {
       return upstream.requests().size() == 1 &&
              (GetParam().streamed ? caller.received().find(k_event) != std::string::npos
-                                  : m_state.buffered_response_bytes == k_event.size());
+                                  : m_state.buffered_responses.bytes() == k_event.size());
     }));
     begin_stop(milliseconds{100});
     ASSERT_TRUE(run_until_ended(caller));
