proxy: log the service of an upstream whose row has changed

"service not configured" named the upstream, but not the service, which is what has to be added to the configuration or removed by its writer.

--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -422,8 +422,10 @@
       if (change.type != kind::added && change.type != kind::kept_after_expiry) {
         m_state.upstream_connections.close_idle(change.id);
       }
+      const auto* listed = m_state.upstreams.find(change.id);
       telemetry::log(log_level::info, "upstreams", to_string(change.type),
                      {{"upstream", change.id},
+                      {"service", listed == nullptr ? std::string_view() : listed->record.service},
                       {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())},
                       {"reads_store", m_reads_store},
                       {"store_answers", m_store_reachable}});
