http: read the stated length of a response to HEAD in place

 passed a copy of each header to find_header() and used the view that it returned after the copy was gone. Callers could have got a wrong Content-Length in responses of entries and pages to HEAD; no run showed one. The address and thread sanitizers report it (heap-use-after-free, server.cpp:123) in responses_to_head_have_the_length_of_the_body_and_no_body.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -118,11 +118,12 @@
       builder.connection_close();
     }
     std::size_t length = value.body.size();
-    for (const auto& header : value.headers) {
-      if (const auto stated = find_header({header}, "Content-Length")) {
-        std::from_chars(stated->data(), stated->data() + stated->size(), length);
-      } else {
-        builder.append_header(header.first, header.second);
+    if (const auto stated = find_header(value.headers, "Content-Length")) {
+      std::from_chars(stated->data(), stated->data() + stated->size(), length);
+    }
+    for (const auto& [name, text] : value.headers) {
+      if (!equal_ignoring_case(name, "Content-Length")) {
+        builder.append_header(name, text);
       }
     }
     builder.set_content_length(length);
