proxy: stand-in upstreams close their connections when they end

Cause: the test destroys its upstreams between two cases, and the handlers of their connections go on with a pointer to them; the gateway of the test sends the next request over such a connection, so the freed script was called.

An upstream closes its connections when it is destroyed, and their handlers return. No check has changed.

--- a/source/unit_tests/proxy/exchange_test.cpp
+++ b/source/unit_tests/proxy/exchange_test.cpp
@@ -437,6 +437,7 @@
                                          chunk(": more\n\n") + chunk("\n") + "0\r\n\r\n"))
         << response.bytes;
     m_upstreams.clear();
+    m_state.upstream_connections = {};
   }
 }
 
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -25,6 +25,7 @@
   std::array<char, 4096> buffer{};
   std::string received;
   std::string late_bytes;
+  bool abandoned = false;  // The upstream has been destroyed.
 };
 
 scripted_upstream::scripted_upstream(asio::io_context& context, script handler)
@@ -32,6 +33,16 @@
   accept();
 }
 
+scripted_upstream::~scripted_upstream() {
+  for (const auto& each : m_connections) {
+    if (const auto peer = each.lock()) {
+      std::error_code ignored;
+      peer->abandoned = true;
+      peer->socket.close(ignored);
+    }
+  }
+}
+
 std::string scripted_upstream::address() const {
   return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
 }
@@ -47,7 +58,9 @@
       ++m_accepted;
       std::error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      read(std::make_shared<connection>(std::move(socket)));
+      const auto peer = std::make_shared<connection>(std::move(socket));
+      m_connections.push_back(peer);
+      read(peer);
       accept();
     }
   });
@@ -56,6 +69,9 @@
 void scripted_upstream::read(const std::shared_ptr<connection>& peer) {
   peer->socket.async_read_some(
       asio::buffer(peer->buffer), [this, peer](std::error_code error, std::size_t size) {
+        if (peer->abandoned) {
+          return;
+        }
         if (error) {
           ++m_closed;
           m_resets += error == asio::error::connection_reset ? 1 : 0;
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -33,6 +33,10 @@
 public:
   using script = std::function<upstream_action(std::size_t number, const std::string& request)>;
   scripted_upstream(asio::io_context& context, script handler);
+  // Closes its connections.
+  ~scripted_upstream();
+  scripted_upstream(const scripted_upstream&) = delete;
+  scripted_upstream& operator=(const scripted_upstream&) = delete;
 
   [[nodiscard]] std::string address() const;
   // Refuses further connections. address() must not be called afterwards.
@@ -57,6 +61,7 @@
   asio::ip::tcp::acceptor m_acceptor;
   script m_script;
   std::vector<std::string> m_requests;
+  std::vector<std::weak_ptr<connection>> m_connections;
   std::shared_ptr<connection> m_last;  // The connection of the last request.
   std::optional<upstream_action> m_early_action;
   std::size_t m_closed = 0;
--- a/source/unit_tests/proxy/slow_response_test.cpp
+++ b/source/unit_tests/proxy/slow_response_test.cpp
@@ -192,6 +192,7 @@
   for (const auto& each : cases) {
     m_first = m_second = nullptr;
     m_upstreams.clear();
+    m_state.upstream_connections = {};
     m_records.clear();
     m_state.second_attempts.clear();
     m_state.set_second_attempt_shares({});
