proxy: a response whose status line is not valid HTTP is no response

Callers got the response of an upstream in trouble with the status that it sent, 000 for example: the gateway wrote "HTTP/1.1 0 Status" with the upstream's body and logged the request as served.

Cause: http_parser takes any number up to 999 for a status, of any number of digits, also with spaces before or between them, and the gateway passed it on unchecked. It also takes control bytes in the reason, a return of which it swallows the next byte, and other versions of the protocol.

The parser of responses now reads the status line itself as well: HTTP/1, a space, three digits from 100 to 599, and a reason without control bytes. Anything else is malformed as soon as the line has arrived, like any other broken head: the attempt counts as broken against its upstream, a call that may be repeated goes elsewhere, another one ends with 502 and "execution":"unknown".

Measured: broken_head_test plays 22 status lines in five kinds of calls, with one and with three such upstreams, 220 cases. Four digits from 1000 on, a word, a sign, no status, a tab before it and a version without its minor part were refused before; their cases are kept.

--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -12,6 +12,17 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+bool is_digit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+// Returns true if the text may be part of a header value or a reason: it has no control byte but tabs.
+bool is_field_text(std::string_view text) {
+  constexpr unsigned char k_delete = 0x7f;
+  return std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c == '\t' || (c >= ' ' && c != k_delete); });
+}
+
 }  // namespace
 
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
@@ -24,6 +35,33 @@
                                       [](char a, char b) { return to_lower(a) < to_lower(b); });
 }
 
+bool is_valid_status(int status) {
+  constexpr int k_min_status = 100;
+  constexpr int k_max_status = 599;
+  return status >= k_min_status && status <= k_max_status;
+}
+
+std::optional<int> parse_status_line(std::string_view line) {
+  constexpr std::string_view k_version = "HTTP/1.";
+  constexpr std::size_t k_status_begin = k_version.size() + 2;  // Behind the minor version and a space.
+  constexpr std::size_t k_status_end = k_status_begin + 3;
+  if (line.size() < k_status_end || !line.starts_with(k_version) || !is_digit(line[k_version.size()]) ||
+      line[k_status_begin - 1] != ' ') {
+    return std::nullopt;
+  }
+  const std::string_view digits = line.substr(k_status_begin, k_status_end - k_status_begin);
+  int status = 0;
+  if (!std::all_of(digits.begin(), digits.end(), is_digit)) {
+    return std::nullopt;
+  }
+  std::from_chars(digits.data(), digits.data() + digits.size(), status);
+  const std::string_view reason = line.substr(k_status_end);
+  if (!is_valid_status(status) || (!reason.empty() && reason.front() != ' ') || !is_field_text(reason)) {
+    return std::nullopt;
+  }
+  return status;
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
     case 200:
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 
 namespace cuminpath::proxy {
 namespace {
@@ -52,10 +53,15 @@
     m_header_capacity = 0;
     m_body_bytes = 0;
     m_head_done = m_complete = m_last_was_value = false;
+    m_status_line.clear();
+    m_status_line_done = m_type == message_type::requests;
     m_failure = parse_status::malformed;
   }
 
   feed_result feed(std::string_view bytes) {
+    if (const auto failure = check_status_line(bytes)) {
+      return {*failure, 0};
+    }
     const std::size_t consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (m_complete) {
@@ -91,6 +97,31 @@
 private:
   static impl& self(http_parser* parser) { return *static_cast<impl*>(parser->data); }
 
+  // Returns why the status line is not valid, once enough of it has arrived. http_parser accepts statuses
+  // that HTTP does not define, such as 000 and 999, spaces between their digits, and control bytes in the
+  // reason.
+  std::optional<parse_status> check_status_line(std::string_view bytes) {
+    if (m_status_line_done) {
+      return std::nullopt;
+    }
+    if (m_status_line.empty()) {
+      // http_parser skips empty lines before a message.
+      bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    }
+    const std::size_t line_end = bytes.find('\n');
+    m_status_line.append(bytes.substr(0, line_end));
+    if (m_status_line.size() > m_limits.max_head_bytes) {
+      return parse_status::head_too_large;
+    }
+    if (line_end == std::string_view::npos) {
+      return std::nullopt;
+    }
+    m_status_line_done = true;
+    std::string_view line = m_status_line;
+    line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+    return http::parse_status_line(line) ? std::nullopt : std::optional(parse_status::malformed);
+  }
+
   bool exceeds_head_limit(std::size_t length) {
     m_head_bytes += length;
     if (m_head_bytes > m_limits.max_head_bytes) {
@@ -174,6 +205,8 @@
   std::uint64_t m_head_bytes = 0;
   std::size_t m_header_capacity = 0;
   std::uint64_t m_body_bytes = 0;
+  std::string m_status_line;  // Of a response, as far as it has arrived.
+  bool m_status_line_done = false;
   bool m_no_body = false;
   bool m_last_was_value = false;
   bool m_complete = false;
--- /dev/null
+++ b/source/unit_tests/support/broken_heads.h
@@ -0,0 +1,40 @@
+// Heads of responses that are not valid HTTP.
+#pragma once
+
+#include <string_view>
+
+namespace cuminpath::support {
+
+struct broken_head {
+  std::string_view name;  // Letters, digits and underscores.
+  std::string_view status_line = "HTTP/1.1 200 OK";
+  std::string_view lines = "";  // Complete header lines.
+  bool states_framing = false;  // The lines say where the body ends. Otherwise, it has a Content-Length.
+  bool chunked_body = false;    // The body consists of chunks.
+};
+
+constexpr broken_head k_broken_status_lines[] = {
+    {.name = "status_000", .status_line = "HTTP/1.1 000 X"},
+    {.name = "status_000_without_reason", .status_line = "HTTP/1.1 000"},
+    {.name = "status_0", .status_line = "HTTP/1.1 0 X"},
+    {.name = "status_00", .status_line = "HTTP/1.1 00 X"},
+    {.name = "status_099", .status_line = "HTTP/1.1 099 X"},
+    {.name = "status_20", .status_line = "HTTP/1.1 20 X"},
+    {.name = "status_600", .status_line = "HTTP/1.1 600 X"},
+    {.name = "status_999", .status_line = "HTTP/1.1 999 X"},
+    {.name = "status_0200", .status_line = "HTTP/1.1 0200 X"},
+    {.name = "status_2000", .status_line = "HTTP/1.1 2000 X"},
+    {.name = "status_65736", .status_line = "HTTP/1.1 65736 X"},
+    {.name = "status_word", .status_line = "HTTP/1.1 OK X"},
+    {.name = "status_signed", .status_line = "HTTP/1.1 +200 X"},
+    {.name = "status_none", .status_line = "HTTP/1.1 "},
+    {.name = "status_behind_two_blanks", .status_line = "HTTP/1.1  200 X"},
+    {.name = "status_behind_tab", .status_line = "HTTP/1.1\t200 X"},
+    {.name = "status_with_blank", .status_line = "HTTP/1.1 2 00 X"},
+    {.name = "control_byte_in_reason", .status_line = "HTTP/1.1 200 O\x01K"},
+    {.name = "return_in_reason", .status_line = "HTTP/1.1 200 O\rK"},
+    {.name = "version_2", .status_line = "HTTP/2.0 200 OK"},
+    {.name = "version_0_9", .status_line = "HTTP/0.9 200 OK"},
+    {.name = "version_without_minor", .status_line = "HTTP/2 200 OK"}};
+
+}  // namespace cuminpath::support
