proxy: a body without a length that ends during the upload is not whole

A caller with a long upload got a part of a body as a whole response: its upstream answered at once with a 200 without a length, sent that part and reset the connection while the gateway was still writing the upload. So did a caller of a stream, whose chunked response was ended properly.

Cause: a socket reports the error of a reset once. The event of the reset makes the connection both readable and writable, and the event loop runs the write first. That write took the error, and the read behind it returned the end of the file, which the connection took for the orderly end of the body. The reads and writes printed by a trial: read 81 bytes; write "Connection reset by peer"; read 0 bytes, "End of file"; 200 to the caller. If the part and the reset are read together, the failed write is handled first, and the response was refused before.

Whether a connection has ended in order is now decided at one place, with what the connection knows of its request: while a part of the request is left, a body without a length is not whole, whichever operation has seen the error. A write that fails leaves the request unwritten, so nothing else has to be remembered. That includes a peer that closes without having read the request: the rest of the upload would make it reset the connection. A response with a length or in chunks says itself whether it is whole and is not affected.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -319,8 +319,10 @@
     }
     return;
   }
-  // A response without a length is complete only if the connection ends in an orderly way.
-  if (!reset && !m_skipping_response && m_parser.head_done() && !m_self_delimited &&
+  // A response without a length is complete only if the connection ends in an orderly way. It does not if a
+  // part of the request is left: either a write has failed, which takes the error of a reset from the socket,
+  // so that the next read returns the end of the file, or the peer has closed without reading the request.
+  if (!reset && m_request_written && !m_skipping_response && m_parser.head_done() && !m_self_delimited &&
       m_parser.finish_at_eof()) {
     on_message_end(true);
     return;
--- a/source/unit_tests/proxy/proxy_fixture.cpp
+++ b/source/unit_tests/proxy/proxy_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <fmt/format.h>
@@ -47,6 +48,11 @@
   return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
 }
 
+void scripted_upstream::limit_receive_buffer() {
+  constexpr int k_receive_buffer_bytes = 4096;
+  m_acceptor.set_option(asio::socket_base::receive_buffer_size(k_receive_buffer_bytes));
+}
+
 void scripted_upstream::send_to_last(const std::string& bytes) {
   std::error_code ignored;
   asio::write(m_last->socket, asio::buffer(bytes), ignored);
@@ -98,7 +104,22 @@
 void scripted_upstream::act(const std::shared_ptr<connection>& peer, const upstream_action& action) {
   std::error_code ignored;
   asio::write(peer->socket, asio::buffer(action.bytes), ignored);
-  switch (action.then) {
+  if (action.delay.count() == 0) {
+    act_after_bytes(peer, action.then);
+    return;
+  }
+  const auto timer = std::make_shared<asio::steady_timer>(peer->socket.get_executor(), action.delay);
+  timer->async_wait([this, peer, timer, then = action.then](std::error_code cancelled) {
+    if (!cancelled && !peer->abandoned) {
+      act_after_bytes(peer, then);
+    }
+  });
+}
+
+void scripted_upstream::act_after_bytes(const std::shared_ptr<connection>& peer,
+                                        upstream_action::after then) {
+  std::error_code ignored;
+  switch (then) {
     case upstream_action::after::keep:
       read(peer);
       return;
--- a/source/unit_tests/proxy/proxy_fixture.h
+++ b/source/unit_tests/proxy/proxy_fixture.h
@@ -26,6 +26,7 @@
   // crash: closes the connection and accepts no more.
   enum class after : std::uint8_t { keep, close, reset, crash } then = after::keep;
   std::string late_bytes = {};  // Sent when the next request arrives, before its response.
+  milliseconds delay{0};        // Between the bytes and what follows them.
 };
 
 // Accepts connections and handles each complete request as its script says.
@@ -41,6 +42,8 @@
   [[nodiscard]] std::string address() const;
   // Refuses further connections. address() must not be called afterwards.
   void stop_accepting() { m_acceptor.close(); }
+  // Lets the kernel buffer few bytes of a request that is not read. Applies to connections accepted later.
+  void limit_receive_buffer();
   // Sends further bytes on the connection of the last request.
   void send_to_last(const std::string& bytes);
   // Acts once while the next request with a body is still incomplete.
@@ -57,6 +60,7 @@
   void accept();
   void read(const std::shared_ptr<connection>& peer);
   void act(const std::shared_ptr<connection>& peer, const upstream_action& action);
+  void act_after_bytes(const std::shared_ptr<connection>& peer, upstream_action::after then);
 
   asio::ip::tcp::acceptor m_acceptor;
   script m_script;
--- a/source/unit_tests/proxy/upstream_connection_test.cpp
+++ b/source/unit_tests/proxy/upstream_connection_test.cpp
@@ -44,6 +44,7 @@
 
 constexpr std::string_view k_other_response = "HTTP/1.1 503 X\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view k_own_response = "HTTP/1.1 200 X\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view k_part_of_response = "HTTP/1.1 200 X\r\nX-Id: a\r\n\r\npart";
 
 // A request with a large body. A late response to an earlier request arrives while it is written, so that the
 // connection is readable before the last write.
@@ -62,7 +63,8 @@
     const std::string head = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
     m_request_size = head.size() + body_size;
     m_connection->send(head, std::make_shared<byte_blocks>(std::string(body_size, 'x')), "X-Id", "a", false,
-                       {.end = [this] { m_ended = true; },
+                       {.body = [this](std::string_view part) { m_body += part; },
+                        .end = [this] { m_ended = true; },
                         .failed = [this](std::string_view reason) { m_failure = reason; }});
     asio::write(m_peer, asio::buffer(k_other_response));
   }
@@ -73,11 +75,28 @@
     }
     EXPECT_EQ(m_failure, "");
   }
+  // Sends the beginning of a response without a length, and ends the connection once that has been read.
+  void respond_in_part(bool reset) {
+    asio::write(m_peer, asio::buffer(k_part_of_response));
+    while (m_body.empty()) {
+      ASSERT_EQ(m_context.run_one_for(milliseconds{1000}), 1U);
+    }
+    m_peer.set_option(asio::socket_base::linger(reset, 0));
+    if (reset) {
+      m_peer.close();
+    } else {
+      m_peer.shutdown(asio::socket_base::shutdown_send);
+    }
+    while (!m_ended && m_failure.empty()) {
+      ASSERT_EQ(m_context.run_one_for(milliseconds{1000}), 1U);
+    }
+  }
 
   asio::io_context m_context;
   std::shared_ptr<upstream_connection> m_connection = std::make_shared<upstream_connection>(m_context, "i-1");
   asio::ip::tcp::socket m_peer{m_context};
   std::size_t m_request_size = 0;
+  std::string m_body;
   bool m_ended = false;
   std::string m_failure;
 };
@@ -125,6 +144,23 @@
   EXPECT_TRUE(m_connection->reusable());
 }
 
+// Guards against a part of a body that passes for a whole one. The write that fails takes the error of the
+// socket away, and the next read returns an orderly end.
+TEST_F(upstream_connection_with_large_request, is_a_failure_if_a_reset_ends_a_body_without_a_length) {
+  send(32U << 20U);
+  respond_in_part(true);
+  EXPECT_FALSE(m_ended);
+  EXPECT_NE(m_failure, "");
+}
+
+// A peer that closes before it has the whole request has not ended its response, either.
+TEST_F(upstream_connection_with_large_request, is_a_failure_if_the_peer_closes_before_it_has_the_request) {
+  send(32U << 20U);
+  respond_in_part(false);
+  EXPECT_FALSE(m_ended);
+  EXPECT_NE(m_failure, "");
+}
+
 TEST_F(upstream_connection_test, an_answer_that_arrived_before_a_failed_write_is_read) {
   const auto seen = send_after_reset("HTTP/1.1 503 X\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nfull");
   EXPECT_EQ(seen.status, 503);
