proxy: test response heads with invalid header lines

On other systems callers got responses in whose head the name of a header held a blank or a control byte, with that line passed on or with a body that was not the upstream's. Gateways refuse them: the parser checks names since it was written, and http_parser checks the rest of a line.

The test plays 17 lines, among them a blank, tab or control byte in or behind a name, "Content-Length : 5" and "Transfer-Encoding : chunked", in five kinds of calls, with one and with three such upstreams.

--- a/source/unit_tests/support/broken_heads.h
+++ b/source/unit_tests/support/broken_heads.h
@@ -37,4 +37,26 @@
     {.name = "version_0_9", .status_line = "HTTP/0.9 200 OK"},
     {.name = "version_without_minor", .status_line = "HTTP/2 200 OK"}};
 
+constexpr broken_head k_broken_header_lines[] = {
+    {.name = "blank_in_name", .lines = "X Y: 1\r\n"},
+    {.name = "blank_behind_name", .lines = "X-Y : 1\r\n"},
+    {.name = "tab_in_name", .lines = "X\tY: 1\r\n"},
+    {.name = "tab_behind_name", .lines = "X-Y\t: 1\r\n"},
+    {.name = "control_byte_in_name", .lines = "X\x01Y: 1\r\n"},
+    {.name = "control_byte_behind_name", .lines = "X-Y\x01: 1\r\n"},
+    {.name = "delete_in_name", .lines = "X\x7fY: 1\r\n"},
+    {.name = "byte_above_ascii_in_name", .lines = "X\xc3\xa9Y: 1\r\n"},
+    {.name = "separator_in_name", .lines = "X(Y): 1\r\n"},
+    {.name = "no_name", .lines = ": 1\r\n"},
+    {.name = "no_colon", .lines = "X-Y\r\n"},
+    {.name = "return_in_name", .lines = "X\rY: 1\r\n"},
+    {.name = "control_byte_in_value", .lines = "X-Y: 1\x01\r\n"},
+    {.name = "return_in_value", .lines = "X-Y: 1\r2\r\n"},
+    {.name = "length_behind_blank", .lines = "Content-Length : 5\r\n", .states_framing = true},
+    {.name = "length_behind_control_byte", .lines = "Content-Length\x01: 5\r\n", .states_framing = true},
+    {.name = "chunks_behind_blank",
+     .lines = "Transfer-Encoding : chunked\r\n",
+     .states_framing = true,
+     .chunked_body = true}};
+
 }  // namespace cuminpath::support
