http: a response whose head is not valid HTTP is a failure of the call

The client that agents, entries, balancers and the command line use took responses whose head is not valid: a status of 600 or 999, two spaces before it, control bytes in the reason, "HTTP/2" on a plain connection; a header with a blank or control byte in or behind its name, no name, or control bytes in its value. By reading, an agent passed the status and the headers of a service on to an entry, and so to the caller. "Content-Length : 5" and "Transfer-Encoding : chunked" were passed over, so that the body was not the server's. After a 101, the rest of the connection was passed to the handler as a body.

Cause: libcurl accepts these lines, and on_header() took every line with a colon for a header and every line that starts with "HTTP/" for a status line.

Anything else ends the call with "response is not valid HTTP" before its head or body is reported. The check of names moves from the parser to the messages that both use. The client speaks HTTP/1.1 with https as well, so that there is one form of a status line.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -20,6 +20,7 @@
 
 constexpr int k_max_poll_ms = 1000;
 constexpr int k_informational_status_class = 1;  // 1xx, interim responses.
+constexpr int k_switching_protocols = 101;
 // Bytes of a response that the transfer thread may read ahead of its handler: a few reads of libcurl.
 constexpr std::size_t k_max_read_ahead = 128U << 10U;
 // Limits of the design (section 11) for one head or the trailers, and for all of a call. A header of a few
@@ -72,6 +73,10 @@
   std::unique_ptr<CURL, easy_deleter> easy;
   std::unique_ptr<curl_slist, slist_deleter> headers;
   header_list response_headers;
+  // What the next line of a head belongs to.
+  enum class head_part : std::uint8_t { status_line, headers } next_line = head_part::status_line;
+  int response_status = 0;     // Of the last status line.
+  bool malformed = false;      // The response is not valid HTTP.
   bool head_complete = false;  // Of the response, other than an interim one.
   bool head_reported = false;
   std::size_t received = 0;                  // Bytes of the body, of heads and of trailers.
@@ -107,12 +112,6 @@
     });
   }
 
-  [[nodiscard]] int status() const {
-    long code = 0;
-    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
-    return static_cast<int>(code);
-  }
-
   // Returns false if the heads of the response exceed their limits.
   bool count_head(std::string_view line) {
     head_bytes += line.size();
@@ -131,18 +130,36 @@
       return;
     }
     head_reported = true;
-    post([status = status(), headers = std::move(response_headers)](stream_handler& target) mutable {
+    post([status = response_status, headers = std::move(response_headers)](stream_handler& target) mutable {
       target.head(status, std::move(headers));
     });
   }
 };
 
-std::string_view trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
+// Handles a line of a head. Returns false if it is not valid HTTP. libcurl would pass over it, so that a
+// misspelled length, for example, would change where the body ends.
+bool accept_line(transfer& target, std::string_view line) {
+  line.remove_suffix(line.ends_with('\n') ? 1 : 0);
+  line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+  if (target.next_line == transfer::head_part::status_line) {
+    const auto status = parse_status_line(line);
+    target.response_status = status.value_or(0);
+    target.response_headers.clear();
+    target.next_line = transfer::head_part::headers;
+    return status && *status != k_switching_protocols;  // No call asks for another protocol.
   }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+  if (!line.empty()) {
+    const auto header = parse_header_line(line);
+    if (header) {
+      target.response_headers.emplace_back(header->first, header->second);
+    }
+    return header.has_value();
+  }
+  const bool interim = target.response_status / 100 == k_informational_status_class;
+  target.head_complete = !interim;
+  target.next_line = interim ? transfer::head_part::status_line : transfer::head_part::headers;
+  target.head_bytes = 0;  // Trailers may follow.
+  return true;
 }
 
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user) {
@@ -151,15 +168,8 @@
   if (!target.count_head(line) || !target.count_received(line.size())) {
     return 0;  // Makes libcurl fail the transfer with CURLE_WRITE_ERROR.
   }
-  if (line.starts_with("HTTP/")) {
-    target.response_headers.clear();  // A new status line replaces the headers of an interim response.
-  } else if (trim(line).empty()) {
-    target.head_complete = target.status() / 100 != k_informational_status_class;
-    target.head_bytes = 0;  // Trailers may follow.
-  } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-    target.response_headers.emplace_back(trim(line.substr(0, colon)), trim(line.substr(colon + 1)));
-  }
-  return size * count;
+  target.malformed = !accept_line(target, line);
+  return target.malformed ? 0 : size * count;
 }
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
@@ -212,6 +222,7 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &on_socket);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &target);
@@ -397,7 +408,9 @@
         curl_multi_add_handle(m_multi, done->easy.get());
         continue;
       }
-      if (message->data.result == CURLE_OK && !done->head_complete) {
+      if (done->malformed) {
+        done->post([](stream_handler& to) { to.failure({.message = "response is not valid HTTP"}); });
+      } else if (message->data.result == CURLE_OK && !done->head_complete) {
         // libcurl takes the end of the connection inside a head for the end of a response without a body.
         done->post([](stream_handler& to) { to.failure({.message = "connection ended inside a head"}); });
       } else if (message->data.result == CURLE_OK) {
--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -23,6 +23,12 @@
                      [](unsigned char c) { return c == '\t' || (c >= ' ' && c != k_delete); });
 }
 
+std::string_view trim(std::string_view text) {
+  constexpr std::string_view k_whitespace = " \t";
+  text.remove_prefix(std::min(text.find_first_not_of(k_whitespace), text.size()));
+  return text.substr(0, text.find_last_not_of(k_whitespace) + 1);
+}
+
 }  // namespace
 
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
@@ -62,6 +68,25 @@
   return status;
 }
 
+bool is_token(std::string_view name) {
+  constexpr std::string_view k_token_punctuation = "!#$%&'*+-.^_`|~";
+  return !name.empty() && std::all_of(name.begin(), name.end(), [&](char c) {
+    const char lower = to_lower(c);
+    return is_digit(c) || (lower >= 'a' && lower <= 'z') ||
+           k_token_punctuation.find(c) != std::string_view::npos;
+  });
+}
+
+std::optional<std::pair<std::string_view, std::string_view>> parse_header_line(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trim(line.substr(colon + 1));
+  return is_token(name) && is_field_text(value) ? std::optional(std::pair(name, value)) : std::nullopt;
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
     case 200:
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -25,6 +25,13 @@
 // valid. Its reason may be missing.
 std::optional<int> parse_status_line(std::string_view line);
 
+// Returns true for a valid header name (RFC 9110, 5.6.2).
+bool is_token(std::string_view name);
+
+// Returns the name and the value of a header line without its line end; absent if the line is not valid,
+// which includes the continuation of the line before it (RFC 9112, 5).
+std::optional<std::pair<std::string_view, std::string_view>> parse_header_line(std::string_view line);
+
 // Returns the reason phrase for a status line; "Status" for unknown status codes.
 std::string_view reason_phrase(int status);
 
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -3,22 +3,9 @@
 #include <http_parser.h>
 
 #include <algorithm>
-#include <cctype>
 #include <optional>
 
 namespace cuminpath::proxy {
-namespace {
-
-// Whether `name` is a valid field name (RFC 9110, 5.6.2). http_parser accepts spaces in names, but the next
-// recipient could interpret a name like "Transfer-Encoding " differently, which allows request smuggling.
-bool is_token(std::string_view name) {
-  constexpr std::string_view k_token_punctuation = "!#$%&'*+-.^_`|~";
-  return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
-    return std::isalnum(c) != 0 || k_token_punctuation.find(static_cast<char>(c)) != std::string_view::npos;
-  });
-}
-
-}  // namespace
 
 class message_parser::impl {
 public:
@@ -156,8 +143,10 @@
   }
   int headers_complete() {
     m_head_done = true;
+    // http_parser accepts spaces in names, but the next recipient could interpret a name like
+    // "Transfer-Encoding " differently, which allows request smuggling.
     if (!std::all_of(m_head.headers.begin(), m_head.headers.end(),
-                     [](const auto& header) { return is_token(header.first); })) {
+                     [](const auto& header) { return http::is_token(header.first); })) {
       return -1;
     }
     m_head.status = static_cast<int>(m_parser.status_code);
--- a/source/unit_tests/support/broken_heads.h
+++ b/source/unit_tests/support/broken_heads.h
@@ -35,7 +35,8 @@
     {.name = "return_in_reason", .status_line = "HTTP/1.1 200 O\rK"},
     {.name = "version_2", .status_line = "HTTP/2.0 200 OK"},
     {.name = "version_0_9", .status_line = "HTTP/0.9 200 OK"},
-    {.name = "version_without_minor", .status_line = "HTTP/2 200 OK"}};
+    {.name = "version_without_minor", .status_line = "HTTP/2 200 OK"},
+    {.name = "switch_of_protocols", .status_line = "HTTP/1.1 101 Switching Protocols"}};
 
 constexpr broken_head k_broken_header_lines[] = {
     {.name = "blank_in_name", .lines = "X Y: 1\r\n"},
@@ -47,6 +48,7 @@
     {.name = "delete_in_name", .lines = "X\x7fY: 1\r\n"},
     {.name = "byte_above_ascii_in_name", .lines = "X\xc3\xa9Y: 1\r\n"},
     {.name = "separator_in_name", .lines = "X(Y): 1\r\n"},
+    {.name = "blank_before_first_name", .status_line = "HTTP/1.1 200 OK\r\n X-Y: 1"},
     {.name = "no_name", .lines = ": 1\r\n"},
     {.name = "no_colon", .lines = "X-Y\r\n"},
     {.name = "return_in_name", .lines = "X\rY: 1\r\n"},
