http: trailers of a response are not taken for its headers

In a response in chunks without a body, the client of agents, entries and balancers reported the trailers behind the last chunk with the headers.

Cause: on_header() gets the lines of trailers as well, and the head was reported only at the end if no byte of a body came.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -74,7 +74,7 @@
   std::unique_ptr<curl_slist, slist_deleter> headers;
   header_list response_headers;
   // What the next line of a head belongs to.
-  enum class head_part : std::uint8_t { status_line, headers } next_line = head_part::status_line;
+  enum class head_part : std::uint8_t { status_line, headers, trailers } next_line = head_part::status_line;
   int response_status = 0;     // Of the last status line.
   bool malformed = false;      // The response is not valid HTTP.
   bool head_complete = false;  // Of the response, other than an interim one.
@@ -139,6 +139,9 @@
 // Handles a line of a head. Returns false if it is not valid HTTP. libcurl would pass over it, so that a
 // misspelled length, for example, would change where the body ends.
 bool accept_line(transfer& target, std::string_view line) {
+  if (target.next_line == transfer::head_part::trailers) {
+    return true;  // Trailers are discarded.
+  }
   line.remove_suffix(line.ends_with('\n') ? 1 : 0);
   line.remove_suffix(line.ends_with('\r') ? 1 : 0);
   if (target.next_line == transfer::head_part::status_line) {
@@ -157,8 +160,8 @@
   }
   const bool interim = target.response_status / 100 == k_informational_status_class;
   target.head_complete = !interim;
-  target.next_line = interim ? transfer::head_part::status_line : transfer::head_part::headers;
-  target.head_bytes = 0;  // Trailers may follow.
+  target.next_line = interim ? transfer::head_part::status_line : transfer::head_part::trailers;
+  target.head_bytes = 0;
   return true;
 }
 
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -245,6 +245,26 @@
   }
 }
 
+// A trailer must not pass for a header, such as one that states what has become of the request.
+TEST_F(http_test, trailers_are_no_headers) {
+  for (const std::string_view body : {"", "body"}) {
+    raw_server chunked(m_context, [&](const std::string&) -> raw_server::response {
+      std::string text = response_text(body, true);
+      if (body.empty()) {
+        text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+      }
+      text.insert(text.size() - 2, "X-Trailer: 1\r\n");
+      return {text};
+    });
+    m_url = "http://" + chunked.address();
+    const auto response = call({});
+    EXPECT_FALSE(response.failure);
+    EXPECT_EQ(response.value.body, body);
+    EXPECT_TRUE(find_header(response.value.headers, "Transfer-Encoding"));
+    EXPECT_FALSE(find_header(response.value.headers, "X-Trailer"));
+  }
+}
+
 // The memory for one response is limited, whatever it consists of.
 TEST_F(http_test, a_response_without_end_is_given_up_after_a_bounded_number_of_bytes) {
   constexpr std::size_t k_max_bytes = 64U << 10U;
