proxy, http: a body with another coding than chunked is no response

A caller got the compressed bytes of a body as the plain one if its upstream sent "Transfer-Encoding: gzip", with or without chunks around them; the same with "identity", "xchunked", an empty value, "chunked" twice or in two lines. The client of agents, entries and balancers took two lengths, a length with a sign, a unit or a second number, one that is too large, and a length beside chunks, and read to an end of its own choice.

Cause: http_parser takes a body with any other coding for one that ends with its connection, or looks for "chunked" at the end of the list only, and gateways do not pass Transfer-Encoding on. libcurl accepts these lengths, too.

Both readers now check the complete head: at most one length, a number, or one coding, chunked. Any other response is malformed. For requests nothing changes.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -162,7 +162,7 @@
   target.head_complete = !interim;
   target.next_line = interim ? transfer::head_part::status_line : transfer::head_part::trailers;
   target.head_bytes = 0;
-  return true;
+  return has_valid_framing(target.response_headers);
 }
 
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user) {
--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -87,6 +87,27 @@
   return is_token(name) && is_field_text(value) ? std::optional(std::pair(name, value)) : std::nullopt;
 }
 
+bool has_valid_framing(const header_list& headers) {
+  std::size_t statements = 0;
+  for (const auto& [name, text] : headers) {
+    const std::string_view value = trim(text);
+    if (equal_ignoring_case(name, "Content-Length")) {
+      std::uint64_t length = 0;
+      const auto parsed = std::from_chars(value.data(), value.data() + value.size(), length);
+      if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size()) {
+        return false;
+      }
+      ++statements;
+    } else if (equal_ignoring_case(name, "Transfer-Encoding")) {
+      if (!equal_ignoring_case(value, "chunked")) {
+        return false;
+      }
+      ++statements;
+    }
+  }
+  return statements <= 1;
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
     case 200:
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -32,6 +32,10 @@
 // which includes the continuation of the line before it (RFC 9112, 5).
 std::optional<std::pair<std::string_view, std::string_view>> parse_header_line(std::string_view line);
 
+// Returns true if the headers state at most one length, which is a number, or one transfer coding, which is
+// chunked (RFC 9112, 6). Recipients differ in where they see the end of any other body.
+bool has_valid_framing(const header_list& headers);
+
 // Returns the reason phrase for a status line; "Status" for unknown status codes.
 std::string_view reason_phrase(int status);
 
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -149,6 +149,11 @@
                      [](const auto& header) { return http::is_token(header.first); })) {
       return -1;
     }
+    // Only the chunked coding is removed, and Transfer-Encoding is not passed on: the caller would take a
+    // body with another coding for the plain one.
+    if (m_type == message_type::responses && !http::has_valid_framing(m_head.headers)) {
+      return -1;
+    }
     m_head.status = static_cast<int>(m_parser.status_code);
     if (m_type == message_type::requests) {
       m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
--- a/source/unit_tests/http/broken_head_test.cpp
+++ b/source/unit_tests/http/broken_head_test.cpp
@@ -86,6 +86,8 @@
                          test_name);
 INSTANTIATE_TEST_SUITE_P(header_line, broken_head_test, ::testing::ValuesIn(support::k_broken_header_lines),
                          test_name);
+INSTANTIATE_TEST_SUITE_P(framing, broken_head_test, ::testing::ValuesIn(support::k_broken_framings),
+                         test_name);
 
 }  // namespace
 }  // namespace cuminpath::http
--- a/source/unit_tests/proxy/broken_head_test.cpp
+++ b/source/unit_tests/proxy/broken_head_test.cpp
@@ -141,6 +141,10 @@
                          ::testing::Combine(::testing::ValuesIn(k_calls),
                                             ::testing::ValuesIn(support::k_broken_header_lines)),
                          test_name);
+INSTANTIATE_TEST_SUITE_P(framing, broken_head_test,
+                         ::testing::Combine(::testing::ValuesIn(k_calls),
+                                            ::testing::ValuesIn(support::k_broken_framings)),
+                         test_name);
 
 }  // namespace
 }  // namespace cuminpath::proxy
--- a/source/unit_tests/support/broken_heads.h
+++ b/source/unit_tests/support/broken_heads.h
@@ -1,4 +1,4 @@
-// Heads of responses that are not valid HTTP.
+// Heads of responses that are not valid HTTP, or that leave open where the body ends.
 #pragma once
 
 #include <string_view>
@@ -61,4 +61,39 @@
      .states_framing = true,
      .chunked_body = true}};
 
+constexpr broken_head k_broken_framings[] = {
+    {.name = "two_lengths", .lines = "Content-Length: 5\r\nContent-Length: 14\r\n", .states_framing = true},
+    {.name = "length_and_chunks",
+     .lines = "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n",
+     .states_framing = true,
+     .chunked_body = true},
+    {.name = "length_word", .lines = "Content-Length: x\r\n", .states_framing = true},
+    {.name = "length_negative", .lines = "Content-Length: -5\r\n", .states_framing = true},
+    {.name = "length_signed", .lines = "Content-Length: +5\r\n", .states_framing = true},
+    {.name = "length_empty", .lines = "Content-Length:\r\n", .states_framing = true},
+    {.name = "length_with_unit", .lines = "Content-Length: 5b\r\n", .states_framing = true},
+    {.name = "length_of_two_numbers", .lines = "Content-Length: 5 14\r\n", .states_framing = true},
+    {.name = "length_list", .lines = "Content-Length: 5, 14\r\n", .states_framing = true},
+    {.name = "length_too_large", .lines = "Content-Length: 99999999999999999999\r\n", .states_framing = true},
+    {.name = "coding_gzip", .lines = "Transfer-Encoding: gzip\r\n", .states_framing = true},
+    {.name = "coding_unknown", .lines = "Transfer-Encoding: xchunked\r\n", .states_framing = true},
+    {.name = "coding_identity", .lines = "Transfer-Encoding: identity\r\n", .states_framing = true},
+    {.name = "coding_empty", .lines = "Transfer-Encoding:\r\n", .states_framing = true},
+    {.name = "coding_gzip_and_chunked",
+     .lines = "Transfer-Encoding: gzip, chunked\r\n",
+     .states_framing = true,
+     .chunked_body = true},
+    {.name = "coding_chunked_and_gzip",
+     .lines = "Transfer-Encoding: chunked, gzip\r\n",
+     .states_framing = true,
+     .chunked_body = true},
+    {.name = "coding_chunked_twice",
+     .lines = "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+     .states_framing = true,
+     .chunked_body = true},
+    {.name = "codings_in_two_lines",
+     .lines = "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+     .states_framing = true,
+     .chunked_body = true}};
+
 }  // namespace cuminpath::support
