http, proxy: no process writes a status that a final response cannot have

Statuses that gateways and entries pass on do not all come from a response that was just read: an entry gets them from agents and from stored responses of idempotent calls, which processes of an earlier version may have written. Written as they are, 000 or 999 would reach the caller again, and a 1xx as an interim response before a body that nobody expects.

The two places that write responses to callers, the server of entries and agents and the caller connections of gateways, now write 502 in place of a response with a status outside 200 to 599, without its headers.

--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -8,6 +8,10 @@
 namespace cuminpath::http {
 namespace {
 
+constexpr int k_min_status = 100;
+constexpr int k_min_final_status = 200;
+constexpr int k_max_status = 599;
+
 char to_lower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -41,10 +45,8 @@
                                       [](char a, char b) { return to_lower(a) < to_lower(b); });
 }
 
-bool is_valid_status(int status) {
-  constexpr int k_min_status = 100;
-  constexpr int k_max_status = 599;
-  return status >= k_min_status && status <= k_max_status;
+bool is_final_status(int status) {
+  return status >= k_min_final_status && status <= k_max_status;
 }
 
 std::optional<int> parse_status_line(std::string_view line) {
@@ -62,7 +64,8 @@
   }
   std::from_chars(digits.data(), digits.data() + digits.size(), status);
   const std::string_view reason = line.substr(k_status_end);
-  if (!is_valid_status(status) || (!reason.empty() && reason.front() != ' ') || !is_field_text(reason)) {
+  if (status < k_min_status || status > k_max_status || (!reason.empty() && reason.front() != ' ') ||
+      !is_field_text(reason)) {
     return std::nullopt;
   }
   return status;
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -18,8 +18,8 @@
 // Orders strings by their bytes, with upper-case ASCII letters taken as lower-case ones.
 bool less_ignoring_case(std::string_view left, std::string_view right);
 
-// Returns true for the status codes that HTTP defines, 100 to 599 (RFC 9110, 15).
-bool is_valid_status(int status);
+// Returns true for a status of a final response, 200 to 599 (RFC 9110, 15).
+bool is_final_status(int status);
 
 // Returns the status of an HTTP/1 status line without its line end (RFC 9112, 4); absent if the line is not
 // valid. Its reason may be missing.
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -32,6 +32,9 @@
     if (m_request == nullptr) {
       return;
     }
+    if (!is_final_status(value.status)) {
+      value = response{502, {{"Content-Type", "text/plain"}}, "response without a valid status\n"};
+    }
     if (m_request->header().method() == restinio::http_method_head()) {
       respond_without_body(value);
       return;
@@ -52,6 +55,10 @@
     if (m_request == nullptr) {
       return;
     }
+    if (!is_final_status(status)) {
+      respond({.status = status});
+      return;
+    }
     m_stream.emplace(m_request->create_response<streamed_output>(status_line(status)));
     if (m_table->close_after_responses) {
       m_stream->connection_close();
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -40,7 +40,8 @@
 public:
   virtual ~responder() = default;
 
-  // Sends a complete response.
+  // Sends a complete response. One with a status that no final response can have becomes 502, also for
+  // begin_stream().
   virtual void respond(response value) = 0;
 
   // Starts a chunked response.
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t k_served_request_bytes = 8U << 10U;
 constexpr int k_no_content = 204;
 constexpr int k_not_modified = 304;
+constexpr int k_bad_gateway = 502;
 // What a stream of small events holds between two of them. It goes on whatever others hold.
 constexpr std::size_t k_always_held_response_bytes = 4U << 10U;
 // Callers that make no progress give way within 0.5 s.
@@ -49,6 +50,13 @@
   return parsed.ec == std::errc() ? std::optional(bytes) : std::nullopt;
 }
 
+http::response problem(int status, std::string_view reason, std::string_view execution) {
+  return {
+      .status = status,
+      .headers = {{"Content-Type", "application/problem+json"}},
+      .body = fmt::format(R"({{"status":{},"reason":"{}","execution":"{}"}})", status, reason, execution)};
+}
+
 }  // namespace
 
 caller_connection::caller_connection(asio::ip::tcp::socket socket, handlers callbacks,
@@ -247,10 +255,7 @@
 }
 
 void caller_connection::reject(int status, std::string_view reason, milliseconds retry_after) {
-  http::response response{
-      .status = status,
-      .headers = {{"Content-Type", "application/problem+json"}},
-      .body = fmt::format(R"({{"status":{},"reason":"{}","execution":"not_run"}})", status, reason)};
+  http::response response = problem(status, reason, "not_run");
   if (const auto id = m_request.header(m_handlers.request_id_header)) {
     response.headers.emplace_back(m_handlers.request_id_header, *id);
   }
@@ -349,6 +354,10 @@
   if (m_phase != connection_phase::responding) {
     return;
   }
+  if (!http::is_final_status(status)) {
+    respond(problem(k_bad_gateway, "response without a valid status", "unknown"));
+    return;
+  }
   const bool has_no_length = status == k_no_content || status == k_not_modified;
   // The length of the body that a response to another method would have is known for responses of the gateway
   // only, which come with that body.
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -57,7 +57,8 @@
   void start();
 
   // Writes a complete response. Its body is left out for HEAD requests and for 204 and 304, which end with
-  // the head (RFC 9112, section 6.3); a Content-Length header takes precedence over the size of the body.
+  // the head (RFC 9112, section 6.3); a Content-Length header takes precedence over the size of the body. A
+  // response with a status that no final response can have becomes 502.
   void respond(const http::response& response);
   void respond(int status, const http::header_list& headers, byte_blocks&& body);
   // Write a chunked response: begin_stream(), any number of write_chunk(), then end_stream() or abort().
--- a/source/unit_tests/http/http_test.cpp
+++ b/source/unit_tests/http/http_test.cpp
@@ -245,6 +245,31 @@
   }
 }
 
+// A caller takes a status below 200 for an interim response, and knows none above 599.
+TEST_F(http_test, a_server_writes_no_status_that_a_final_response_cannot_have) {
+  serve([](const request& value, const std::shared_ptr<responder>& to) {
+    const int status = std::stoi(value.body);
+    if (value.target == "/stream") {
+      to->begin_stream(status, {{"X-Stamp", "s"}});
+      to->write("part");
+      to->end_stream();
+    } else {
+      to->respond({status, {{"X-Stamp", "s"}}, "body"});
+    }
+  });
+  for (const char* target : {"/", "/stream"}) {
+    for (const char* status : {"-1", "0", "99", "100", "199", "600", "999", "65736"}) {
+      const auto response = call({.method = "POST", .target = target, .body = status});
+      EXPECT_FALSE(response.failure) << target << status;
+      EXPECT_EQ(response.value.status, 502) << target << status;
+      EXPECT_FALSE(find_header(response.value.headers, "X-Stamp")) << target << status;
+    }
+    for (const char* status : {"200", "599"}) {
+      EXPECT_EQ(call({.method = "POST", .target = target, .body = status}).value.status, std::stoi(status));
+    }
+  }
+}
+
 // A trailer must not pass for a header, such as one that states what has become of the request.
 TEST_F(http_test, trailers_are_no_headers) {
   for (const std::string_view body : {"", "body"}) {
