proxy: bytes behind the data of a chunk are not skipped

A caller got a body without some of its bytes as a whole one if the data of a chunk was longer than its size says: of "3", "abcde", "0" it got "abc". The same with a return without a line feed, or a line feed without a return, around a chunk.

Cause: http_parser, as it is packaged, skips two bytes behind the data of a chunk, whatever they are, and any byte behind a return in the line of its size.

response_check, which takes over the check of heads from the parser of responses, reads chunks as well: a size, its extensions, a line end, the data and a line end.

--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -49,6 +49,12 @@
   return status >= k_min_final_status && status <= k_max_status;
 }
 
+bool may_have_body(int status) {
+  constexpr int k_no_content = 204;
+  constexpr int k_not_modified = 304;
+  return status >= k_min_final_status && status != k_no_content && status != k_not_modified;
+}
+
 std::optional<int> parse_status_line(std::string_view line) {
   constexpr std::string_view k_version = "HTTP/1.";
   constexpr std::size_t k_status_begin = k_version.size() + 2;  // Behind the minor version and a space.
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -21,6 +21,9 @@
 // Returns true for a status of a final response, 200 to 599 (RFC 9110, 15).
 bool is_final_status(int status);
 
+// Returns false for a status whose responses end with their head: interim ones, 204 and 304 (RFC 9112, 6.3).
+bool may_have_body(int status);
+
 // Returns the status of an HTTP/1 status line without its line end (RFC 9112, 4); absent if the line is not
 // valid. Its reason may be missing.
 std::optional<int> parse_status_line(std::string_view line);
--- a/source/core/proxy/message_parser.cpp
+++ b/source/core/proxy/message_parser.cpp
@@ -3,7 +3,8 @@
 #include <http_parser.h>
 
 #include <algorithm>
-#include <optional>
+
+#include "core/proxy/response_check.h"
 
 namespace cuminpath::proxy {
 
@@ -40,17 +41,20 @@
     m_header_capacity = 0;
     m_body_bytes = 0;
     m_head_done = m_complete = m_last_was_value = false;
-    m_line.clear();
-    m_status_line_checked = false;
-    m_head_checked = m_type == message_type::requests;
+    m_check.start(limits.max_head_bytes, no_body);
     m_failure = parse_status::malformed;
   }
 
   feed_result feed(std::string_view bytes) {
-    if (const auto failure = check_head(bytes)) {
-      return {*failure, 0};
-    }
-    const std::size_t consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
+    const auto checked = m_type == message_type::responses
+                             ? m_check.check(bytes)
+                             : response_check::result{.valid_bytes = bytes.size()};
+    // What precedes an invalid line is still passed on, such as the events of a stream. http_parser takes no
+    // bytes for the end of the connection.
+    const std::size_t consumed =
+        checked.valid_bytes == 0
+            ? 0
+            : http_parser_execute(&m_parser, &m_settings, bytes.data(), checked.valid_bytes);
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (m_complete) {
       // message_complete() has paused the parser, and `consumed` includes the last byte of the message.
@@ -64,6 +68,14 @@
     if (error != HPE_OK || m_parser.upgrade != 0) {
       return {m_failure, consumed};
     }
+    switch (checked.found) {
+      case response_check::verdict::valid:
+        break;
+      case response_check::verdict::malformed:
+        return {parse_status::malformed, consumed};
+      case response_check::verdict::line_too_long:
+        return {parse_status::head_too_large, consumed};
+    }
     return {parse_status::need_more, consumed};
   }
 
@@ -85,52 +97,6 @@
 private:
   static impl& self(http_parser* parser) { return *static_cast<impl*>(parser->data); }
 
-  // Returns why the head of a response is not valid, as far as it has arrived. http_parser accepts statuses
-  // that HTTP does not define, such as 000 and 999, and takes a return without a line feed for the end of a
-  // line or, at the beginning of one, of the head.
-  std::optional<parse_status> check_head(std::string_view bytes) {
-    while (!m_head_checked) {
-      const std::size_t line_end = bytes.find('\n');
-      const std::string_view part = bytes.substr(0, line_end);
-      // Not left to check_line(), since http_parser gets this part before the rest of the line.
-      if (has_byte_behind_return(part)) {
-        return parse_status::malformed;
-      }
-      m_line.append(part);
-      if (m_line.size() > m_limits.max_head_bytes) {
-        return parse_status::head_too_large;
-      }
-      if (line_end == std::string_view::npos) {
-        return std::nullopt;
-      }
-      bytes.remove_prefix(line_end + 1);
-      std::string_view line = m_line;
-      line.remove_suffix(line.ends_with('\r') ? 1 : 0);
-      if (!check_line(line)) {
-        return parse_status::malformed;
-      }
-      m_line.clear();
-    }
-    return std::nullopt;
-  }
-  // Returns true if a return in the line is followed by another byte of it, in the part or before it.
-  [[nodiscard]] bool has_byte_behind_return(std::string_view part) const {
-    if (m_line.ends_with('\r')) {
-      return !part.empty();
-    }
-    const std::size_t position = part.find('\r');
-    return position != std::string_view::npos && position + 1 < part.size();
-  }
-  // Returns false if a whole line of the head, without its line end, is not valid.
-  bool check_line(std::string_view line) {
-    if (!m_status_line_checked) {
-      m_status_line_checked = !line.empty();  // http_parser skips empty lines before a message.
-      return line.empty() || http::parse_status_line(line);
-    }
-    m_head_checked = line.empty();
-    return line.empty() || http::parse_header_line(line);
-  }
-
   bool exceeds_head_limit(std::size_t length) {
     m_head_bytes += length;
     if (m_head_bytes > m_limits.max_head_bytes) {
@@ -182,7 +148,7 @@
     }
     m_head.keep_alive = http_should_keep_alive(&m_parser) != 0;
     const bool bodiless =
-        m_no_body || m_head.status / 100 == 1 || m_head.status == 204 || m_head.status == 304;
+        m_no_body || (m_type == message_type::responses && !http::may_have_body(m_head.status));
     m_head.self_delimited = bodiless || m_type == message_type::requests ||
                             (m_parser.flags & F_CHUNKED) != 0 || m_parser.content_length != ~std::uint64_t{0};
     if (m_type == message_type::requests && m_parser.content_length != ~std::uint64_t{0} &&
@@ -221,9 +187,7 @@
   std::uint64_t m_head_bytes = 0;
   std::size_t m_header_capacity = 0;
   std::uint64_t m_body_bytes = 0;
-  std::string m_line;  // Of the head of a response, as far as it has arrived.
-  bool m_status_line_checked = false;
-  bool m_head_checked = false;
+  response_check m_check;
   bool m_no_body = false;
   bool m_last_was_value = false;
   bool m_complete = false;
--- a/source/unit_tests/proxy/message_parser_test.cpp
+++ b/source/unit_tests/proxy/message_parser_test.cpp
@@ -51,6 +51,34 @@
   EXPECT_TRUE(out.head.keep_alive);
 }
 
+// Guards against a body of which bytes are missing: http_parser skips any two bytes behind the data of a
+// chunk, and any byte behind a return.
+TEST(message_parser, accepts_no_broken_chunks_for_any_split) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string_view body :
+       {"3\r\nabcde0\r\n\r\n", "3\r\nabc\rx0\r\n\r\n", "3\r\nabc\n\n0\r\n\r\n", "3\rxabc\r\n0\r\n\r\n",
+        "3 4\r\nabc\r\n0\r\n\r\n", "3;\nabc\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\n\rx",
+        "3\r\nabc\r\n0\rx\r\n", "+3\r\nabc\r\n0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n",
+        "\r\n3\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n\r\n0\r\n\r\n", "10000000000000003\r\nabc\r\n0\r\n\r\n"}) {
+    const std::string text = head + std::string(body);
+    for (std::size_t piece_size = 1; piece_size <= text.size(); ++piece_size) {
+      const parsed_message out = parse(message_parser::message_type::responses, text, piece_size);
+      EXPECT_EQ(out.status, parse_status::malformed) << body << piece_size;
+    }
+  }
+  for (const std::string_view body :
+       {"3\r\nabc\r\n0\r\n\r\n", "3;a=b\r\nabc\r\n0;c\r\n\r\n", "3 \r\nabc\r\n0\r\nX-Y: 1\r\n\r\n",
+        "0003\r\nabc\r\n00\r\n\r\n", "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n"}) {
+    const std::string text = head + std::string(body);
+    for (std::size_t piece_size = 1; piece_size <= text.size(); ++piece_size) {
+      const parsed_message out = parse(message_parser::message_type::responses, text + "next", piece_size);
+      EXPECT_EQ(out.status, parse_status::complete) << body << piece_size;
+      EXPECT_EQ(out.body, "abc") << body << piece_size;
+      EXPECT_EQ(out.consumed, text.size()) << body << piece_size;
+    }
+  }
+}
+
 TEST(message_parser, a_response_without_length_ends_with_its_connection) {
   message_parser parser(message_parser::message_type::responses);
   message_head head;
