proxy: test chunks whose data ends with a line feed alone

The mutant proxy-skips-bytes-behind-a-chunk was not found: the chunks of the test that it let pass were refused later by http_parser. Two of the three new bodies are complete responses to http_parser, and to the mutant; the test fails with it now.

--- a/source/unit_tests/proxy/message_parser_test.cpp
+++ b/source/unit_tests/proxy/message_parser_test.cpp
@@ -59,7 +59,9 @@
        {"3\r\nabcde0\r\n\r\n", "3\r\nabc\rx0\r\n\r\n", "3\r\nabc\n\n0\r\n\r\n", "3\rxabc\r\n0\r\n\r\n",
         "3 4\r\nabc\r\n0\r\n\r\n", "3;\nabc\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\n\rx",
         "3\r\nabc\r\n0\rx\r\n", "+3\r\nabc\r\n0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n",
-        "\r\n3\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n\r\n0\r\n\r\n", "10000000000000003\r\nabc\r\n0\r\n\r\n"}) {
+        "\r\n3\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n\r\n0\r\n\r\n",
+        "3\r\nabc\n10\r\n0123456789abcdef\r\n0\r\n\r\n", "3\r\nabc\n10\r\n\r\n", "3\r\nabcx\n0\r\n\r\n",
+        "10000000000000003\r\nabc\r\n0\r\n\r\n"}) {
     const std::string text = head + std::string(body);
     for (std::size_t piece_size = 1; piece_size <= text.size(); ++piece_size) {
       const parsed_message out = parse(message_parser::message_type::responses, text, piece_size);
