--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -15,7 +15,6 @@
 #include "core/gateway/mirror_client.h"
 #include "core/gateway/recent_maximum.h"
 #include "core/gateway/report_schedule.h"
-#include "core/gateway/store_reader_selection.h"
 #include "core/http/server.h"
 #include "core/net/datagram_channel.h"
 #include "core/net/socket_options.h"
@@ -24,6 +23,7 @@
 #include "core/proxy/placement_explanation.h"
 #include "core/proxy/proxy_state.h"
 #include "core/proxy/silence_exchange.h"
+#include "core/proxy/store_view.h"
 #include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
@@ -36,15 +36,6 @@
 constexpr milliseconds k_pause_threshold{1000};
 // Callers use no more addresses than this of the directory.
 constexpr std::size_t k_max_directory_addresses = 64;
-// The store counts as disturbed for this long after a failed call.
-constexpr milliseconds k_store_disturbed_period{4000};
-// Between two calls for the changes of another gateway. Changes in quick succession share one call.
-constexpr milliseconds k_min_mirror_call_interval{100};
-// Between two calls to the seeds while a starting gateway knows of no other gateway.
-constexpr milliseconds k_seed_call_interval{250};
-// A starting gateway asks the seeds for the content of the store for this long before it reads the store
-// itself. When all gateways start together, the seeds read the store within a fraction of this time.
-constexpr milliseconds k_seed_wait{1200};
 // Share of the overall retry limit that the gateways use. The rest is a reserve for gateways that have just
 // restarted and start with a fresh budget.
 constexpr double k_retry_share = 0.5;
@@ -108,15 +99,7 @@
     }
     telemetry::log(log_level::info, "process", "started",
                    {{"address", m_settings.address}, {"availability_zone", m_settings.availability_zone}});
-    m_platform->start(m_mirror, {.mirror_changed = [this] { on_store_changed(clock::now()); },
-                                 .store_call_finished =
-                                     [this](bool answered, std::string_view reason) {
-                                       on_store_call_finished(answered, reason, clock::now());
-                                     }});
-    m_platform->announce(m_local_report);
-    if (!m_settings.seeds.empty() && !is_seed()) {
-      m_store_reader_selection.wait_for_members(now + k_seed_wait);
-    }
+    m_store_view.start(now);
     m_last_tick = now;
     m_last_tick_boot_ms = boot_time_ms();
     wait_for_signal();
@@ -208,7 +191,7 @@
     if (!known) {
       return {.status = 400};
     }
-    return {.status = 200, .body = m_mirror.changes_since(known.value())};
+    return {.status = 200, .body = m_store_view.mirror().changes_since(known.value())};
   }
 
   std::string metrics_text() {
@@ -223,7 +206,7 @@
     metrics.set("cuminpath_upstreams_not_configured",
                 static_cast<double>(m_state.upstreams.count_not_configured()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
-    metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
+    metrics.set("cuminpath_reads_store", m_store_view.reads_store() ? 1 : 0);
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
     set_evacuation_metrics(clock::now());
     metrics.set("cuminpath_cold_upstreams", static_cast<double>(m_state.upstreams.count_cold(clock::now())));
@@ -232,67 +215,18 @@
                 static_cast<double>(m_state.cold_limiter.known_names()));
     set_caller_metrics();
     metrics.set("cuminpath_admission_queue_requests", static_cast<double>(m_state.admission_queue.size()));
-    metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
+    metrics.set("cuminpath_mirror_version", static_cast<double>(m_store_view.mirror().content_version()));
     return metrics.prometheus_text();
   }
 
   // Store and configuration.
 
-  void on_store_call_finished(bool answered, std::string_view reason, time_point now) {
-    if (!answered) {
-      m_last_store_failure = now;
-    }
-    m_last_store_call_answered = answered;
-    if (answered != m_store_reachable) {
-      m_store_reachable = answered;
-      telemetry::log(
-          log_level::warning, "store", answered ? "store answers again" : "store does not answer",
-          {{"reason", reason}, {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
-      m_state.metrics.add("cuminpath_store_contact_changes_total", {{"to", answered ? "answers" : "silent"}});
-    }
-  }
-
-  // Returns true if a call of the local gateway to the store failed recently.
-  [[nodiscard]] bool store_disturbed(time_point now) const {
-    return m_reads_store && (!m_store_reachable || now - m_last_store_failure < k_store_disturbed_period);
-  }
-
-  void on_store_changed(time_point now) {
-    on_mirror_changed(store_disturbed(now), now);
-    if (m_local_report.mirror_version < m_mirror.content_version()) {
-      send_report(now);  // Gateways that do not read the store wait for this report.
-    }
-  }
-
-  // Returns true if other gateways ask the local one first when they start.
-  [[nodiscard]] bool is_seed() const {
-    const auto& seeds = m_settings.seeds;
-    return std::find(seeds.begin(), seeds.end(), m_local_report.mirror_address) != seeds.end();
-  }
-
-  // Starts or stops reading the store, depending on which other gateways read it.
-  void update_store_reading(time_point now) {
-    const bool reads = m_store_reader_selection.update(m_local_report, m_members, now);
-    if (reads != m_reads_store) {
-      m_reads_store = reads;
-      m_last_store_call_answered = false;
-      m_store_reachable = true;
-      m_platform->set_store_reading(reads);
-      telemetry::log(log_level::info, "store",
-                     reads ? "reads the store" : "takes changes from other gateways",
-                     {{"readers", static_cast<std::int64_t>(m_members.count_store_readers(now))},
-                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
-    }
-    m_local_report.reads_store = reads && m_last_store_call_answered;
-    m_local_report.store_disturbed = store_disturbed(now);
-  }
-
   void on_mirror_changed(bool disturbed, time_point now) {
     apply_configuration();
     apply_evacuations(now);
     apply_upstreams(disturbed, now);
     m_listed = false;
-    for (auto& row : m_platform->read_members(m_mirror)) {
+    for (auto& row : m_platform->read_members(m_store_view.mirror())) {
       if (row.name == m_local_report.name) {
         m_listed = true;
       } else {
@@ -311,7 +245,7 @@
   }
 
   void apply_configuration() {
-    auto read = m_platform->read_configuration(m_mirror);
+    auto read = m_platform->read_configuration(m_store_view.mirror());
     if (!read) {
       telemetry::log(log_level::error, "configuration", "configuration cannot be read",
                      {{"reason", read.error().message}});
@@ -377,7 +311,7 @@
   }
 
   void apply_evacuations(time_point now) {
-    const auto changes = m_evacuation.apply(m_platform->read_evacuations(m_mirror), now);
+    const auto changes = m_evacuation.apply(m_platform->read_evacuations(m_store_view.mirror()), now);
     if (changes.empty()) {
       return;
     }
@@ -392,7 +326,7 @@
            {"version", static_cast<std::int64_t>(change.version)},
            {"requests_running_there",
             static_cast<std::int64_t>(m_state.upstreams.local_requests_in(change.availability_zone))},
-           {"reads_store", m_reads_store}});
+           {"reads_store", m_store_view.reads_store()}});
       // Kept at 0 after the end of the evacuation, so that the end can be seen.
       const telemetry::labels labels{{"availability_zone", change.availability_zone}};
       m_state.metrics.set("cuminpath_zone_evacuated", change.evacuated ? 1 : 0, labels);
@@ -412,7 +346,7 @@
   }
 
   void apply_upstreams(bool disturbed, time_point now) {
-    const auto records = m_platform->read_upstreams(m_mirror);
+    const auto records = m_platform->read_upstreams(m_store_view.mirror());
     log_changes(m_state.upstreams.apply(records, now, disturbed));
   }
 
@@ -426,50 +360,12 @@
       telemetry::log(log_level::info, "upstreams", to_string(change.type),
                      {{"upstream", change.id},
                       {"service", listed == nullptr ? std::string_view() : listed->record.service},
-                      {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())},
-                      {"reads_store", m_reads_store},
-                      {"store_answers", m_store_reachable}});
-    }
-  }
-
-  // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
-  void fetch_newer_changes(time_point now) {
-    const auto* newer = m_members.find_newer_mirror(m_mirror.content_version(), m_settings.availability_zone,
-                                                    now, m_state.random);
-    m_store_reader_selection.on_versions_compared(newer != nullptr, now);
-    if (m_mirror_client.fetching() || now - m_last_mirror_call < k_min_mirror_call_interval) {
-      return;
-    }
-    const bool starting = m_local_report.state == gateway::member_state::starting;
-    if (newer != nullptr && (m_store_reader_selection.lags(now) || !m_store_reader_selection.reads_store())) {
-      fetch_changes(newer->report.mirror_address, newer->report.store_disturbed, now);
-    } else if (starting && !m_settings.seeds.empty() && now - m_last_mirror_call >= k_seed_call_interval) {
-      fetch_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, now);
+                      {"mirror_version", static_cast<std::int64_t>(m_store_view.mirror().content_version())},
+                      {"reads_store", m_store_view.reads_store()},
+                      {"store_answers", m_store_view.store_answers()}});
     }
   }
 
-  void fetch_changes(const std::string& address, bool disturbed, time_point now) {
-    if (address.empty() || address == m_local_report.mirror_address || address == m_settings.mirror_address) {
-      return;
-    }
-    m_last_mirror_call = now;
-    m_mirror_client.fetch(address, [this, address, disturbed](const result<bool>& merged) {
-      if (!merged) {
-        m_state.metrics.add("cuminpath_failed_mirror_calls_total");
-        telemetry::log(
-            merged.error().code == error_code::invalid_input ? log_level::warning : log_level::debug, "store",
-            "changes of another gateway not taken",
-            {{"address", address}, {"reason", merged.error().message}});
-      } else if (merged.value()) {
-        m_store_reader_selection.on_changes_applied(clock::now());
-        telemetry::log(log_level::info, "store", "changes of another gateway taken",
-                       {{"address", address},
-                        {"mirror_version", static_cast<std::int64_t>(m_mirror.content_version())}});
-        on_mirror_changed(disturbed, clock::now());
-      }
-    });
-  }
-
   // Members.
 
   void on_datagram(std::string_view bytes, time_point now) {
@@ -487,7 +383,7 @@
       return;
     }
     m_state.upstreams.set_member_loads(report.name, report.loads);
-    const bool newer = report.mirror_version > m_mirror.content_version();
+    const bool newer = report.mirror_version > m_store_view.mirror().content_version();
     const std::string name = report.name;
     const auto state = report.state;
     const gateway::silence_report silence = std::move(report.silence);
@@ -512,13 +408,13 @@
     }
     m_silence.on_report(name, silence, now);
     if (newer) {
-      fetch_newer_changes(now);
+      m_store_view.on_newer_mirror(now);
     }
   }
 
   void send_report(time_point now) {
     ++m_local_report.sequence;
-    m_local_report.mirror_version = m_mirror.content_version();
+    m_local_report.mirror_version = m_store_view.mirror().content_version();
     m_local_report.loads = m_state.upstreams.local_loads();
     m_local_report.silence = m_silence.report(now);
     const auto round = m_report_schedule.next(m_local_report.availability_zone, m_members.all());
@@ -608,9 +504,7 @@
 
   void tick(time_point now) {
     detect_suspension(now);
-    update_store_reading(now);
-    m_platform->tick(now, m_state.random);
-    fetch_newer_changes(now);
+    m_store_view.tick(now);
     log_changes(m_state.upstreams.expire(now));
     update_members(now);
     if (now - m_last_cold_update >= k_cold_update_interval) {
@@ -640,9 +534,8 @@
     m_last_tick_boot_ms = boot_ms;
     if (elapsed_ms > k_pause_threshold.count()) {
       telemetry::log(log_level::warning, "process", "process stood still", {{"for_ms", elapsed_ms}});
-      m_store_reader_selection.distrust_members(now);
       m_state.cold_limiter.restart_settling();
-      m_platform->restart_store_reading(now);
+      m_store_view.on_suspended(now);
     }
   }
 
@@ -759,13 +652,19 @@
   proxy_state m_state;
   http::client m_client;
   std::unique_ptr<platform_port> m_platform;
-  gateway::mirror m_mirror;
   gateway::evacuation m_evacuation;
-  gateway::mirror_client m_mirror_client{m_client, m_mirror};
   gateway::member_list m_members;
-  gateway::store_reader_selection m_store_reader_selection;
   gateway::report_schedule m_report_schedule;
   gateway::member_report m_local_report;
+  store_view m_store_view{
+      m_settings,
+      m_client,
+      *m_platform,
+      m_members,
+      m_local_report,
+      m_state,
+      {.changed = [this](bool disturbed, time_point now) { on_mirror_changed(disturbed, now); },
+       .report_due = [this](time_point now) { send_report(now); }}};
   std::unique_ptr<net::datagram_channel> m_channel;
   std::vector<std::unique_ptr<http::server>> m_servers;
   evidence_exchange m_evidence;
@@ -774,11 +673,6 @@
   asio::steady_timer m_tick_timer;
   gateway::recent_maximum m_loop_lag;  // How late ticks were.
   asio::signal_set m_signals;
-  bool m_store_reachable = true;
-  bool m_reads_store = true;                // As last set with platform_port::set_store_reading().
-  bool m_last_store_call_answered = false;  // Since the gateway began to read the store.
-  time_point m_last_store_failure{};
-  time_point m_last_mirror_call{};
   bool m_listed = false;  // The mirror contains the row of this gateway.
   time_point m_last_cold_update{};
   time_point m_last_report{};
--- /dev/null
+++ b/source/core/proxy/store_view.cpp
@@ -0,0 +1,142 @@
+#include "core/proxy/store_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/telemetry/log.h"
+
+namespace cuminpath::proxy {
+namespace {
+
+using telemetry::log_level;
+
+// The store counts as disturbed for this long after a failed call.
+constexpr milliseconds k_store_disturbed_period{4000};
+// Between two calls for the changes of another gateway. Changes in quick succession share one call.
+constexpr milliseconds k_min_mirror_call_interval{100};
+// Between two calls to the seeds while a starting gateway knows of no other gateway.
+constexpr milliseconds k_seed_call_interval{250};
+// A starting gateway asks the seeds for the content of the store for this long before it reads the store
+// itself. When all gateways start together, the seeds read the store within a fraction of this time.
+constexpr milliseconds k_seed_wait{1200};
+
+std::int64_t to_log(std::uint64_t version) {
+  return static_cast<std::int64_t>(version);
+}
+
+}  // namespace
+
+store_view::store_view(const config::gateway_settings& settings, http::client& client,
+                       platform_port& platform, const gateway::member_list& members,
+                       gateway::member_report& local, proxy_state& state, events handlers)
+    : m_settings(settings),
+      m_platform(platform),
+      m_members(members),
+      m_local(local),
+      m_state(state),
+      m_events(std::move(handlers)),
+      m_mirror_client(client, m_mirror) {}
+
+void store_view::start(time_point now) {
+  m_platform.start(m_mirror, {.mirror_changed = [this] { on_store_changed(clock::now()); },
+                              .store_call_finished =
+                                  [this](bool answered, std::string_view reason) {
+                                    on_store_call_finished(answered, reason, clock::now());
+                                  }});
+  m_platform.announce(m_local);
+  if (!m_settings.seeds.empty() && !is_seed()) {
+    m_reader_selection.wait_for_members(now + k_seed_wait);
+  }
+}
+
+void store_view::tick(time_point now) {
+  update_store_reading(now);
+  m_platform.tick(now, m_state.random);
+  fetch_newer_changes(now);
+}
+
+void store_view::on_suspended(time_point now) {
+  m_reader_selection.distrust_members(now);
+  m_platform.restart_store_reading(now);
+}
+
+void store_view::on_store_call_finished(bool answered, std::string_view reason, time_point now) {
+  if (!answered) {
+    m_last_store_failure = now;
+  }
+  m_last_call_answered = answered;
+  if (answered != m_store_answers) {
+    m_store_answers = answered;
+    telemetry::log(log_level::warning, "store", answered ? "store answers again" : "store does not answer",
+                   {{"reason", reason}, {"mirror_version", to_log(m_mirror.content_version())}});
+    m_state.metrics.add("cuminpath_store_contact_changes_total", {{"to", answered ? "answers" : "silent"}});
+  }
+}
+
+bool store_view::store_disturbed(time_point now) const {
+  return m_reads_store && (!m_store_answers || now - m_last_store_failure < k_store_disturbed_period);
+}
+
+void store_view::on_store_changed(time_point now) {
+  m_events.changed(store_disturbed(now), now);
+  if (m_local.mirror_version < m_mirror.content_version()) {
+    m_events.report_due(now);  // Gateways that do not read the store wait for this report.
+  }
+}
+
+bool store_view::is_seed() const {
+  const auto& seeds = m_settings.seeds;
+  return std::find(seeds.begin(), seeds.end(), m_local.mirror_address) != seeds.end();
+}
+
+void store_view::update_store_reading(time_point now) {
+  const bool reads = m_reader_selection.update(m_local, m_members, now);
+  if (reads != m_reads_store) {
+    m_reads_store = reads;
+    m_last_call_answered = false;
+    m_store_answers = true;
+    m_platform.set_store_reading(reads);
+    telemetry::log(log_level::info, "store", reads ? "reads the store" : "takes changes from other gateways",
+                   {{"readers", static_cast<std::int64_t>(m_members.count_store_readers(now))},
+                    {"mirror_version", to_log(m_mirror.content_version())}});
+  }
+  m_local.reads_store = reads && m_last_call_answered;
+  m_local.store_disturbed = store_disturbed(now);
+}
+
+void store_view::fetch_newer_changes(time_point now) {
+  const auto* newer = m_members.find_newer_mirror(m_mirror.content_version(), m_settings.availability_zone,
+                                                  now, m_state.random);
+  m_reader_selection.on_versions_compared(newer != nullptr, now);
+  if (m_mirror_client.fetching() || now - m_last_mirror_call < k_min_mirror_call_interval) {
+    return;
+  }
+  const bool starting = m_local.state == gateway::member_state::starting;
+  if (newer != nullptr && (m_reader_selection.lags(now) || !m_reader_selection.reads_store())) {
+    fetch_changes(newer->report.mirror_address, newer->report.store_disturbed, now);
+  } else if (starting && !m_settings.seeds.empty() && now - m_last_mirror_call >= k_seed_call_interval) {
+    fetch_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, now);
+  }
+}
+
+void store_view::fetch_changes(const std::string& address, bool disturbed, time_point now) {
+  if (address.empty() || address == m_local.mirror_address || address == m_settings.mirror_address) {
+    return;
+  }
+  m_last_mirror_call = now;
+  m_mirror_client.fetch(address, [this, address, disturbed](const result<bool>& merged) {
+    if (!merged) {
+      m_state.metrics.add("cuminpath_failed_mirror_calls_total");
+      telemetry::log(merged.error().code == error_code::invalid_input ? log_level::warning : log_level::debug,
+                     "store", "changes of another gateway not taken",
+                     {{"address", address}, {"reason", merged.error().message}});
+    } else if (merged.value()) {
+      m_reader_selection.on_changes_applied(clock::now());
+      telemetry::log(log_level::info, "store", "changes of another gateway taken",
+                     {{"address", address}, {"mirror_version", to_log(m_mirror.content_version())}});
+      m_events.changed(disturbed, clock::now());
+    }
+  });
+}
+
+}  // namespace cuminpath::proxy
--- /dev/null
+++ b/source/core/proxy/store_view.h
@@ -0,0 +1,77 @@
+// The gateway's view of what the store holds: decides whether to read it from the store or from other
+// gateways, and keeps the mirror up to date.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/common/time.h"
+#include "core/config/gateway_settings.h"
+#include "core/gateway/member_list.h"
+#include "core/gateway/mirror.h"
+#include "core/gateway/mirror_client.h"
+#include "core/gateway/store_reader_selection.h"
+#include "core/http/client.h"
+#include "core/proxy/platform_port.h"
+#include "core/proxy/proxy_state.h"
+
+namespace cuminpath::proxy {
+
+class store_view {
+public:
+  struct events {
+    // Called after the mirror has changed. `disturbed`: the store was unavailable shortly before to whoever
+    // read the change from it.
+    std::function<void(bool disturbed, time_point now)> changed;
+    // Called when other gateways wait for a report of the local one.
+    std::function<void(time_point now)> report_due;
+  };
+
+  // All arguments must outlive this object; `local` is the report of the local gateway.
+  store_view(const config::gateway_settings& settings, http::client& client, platform_port& platform,
+             const gateway::member_list& members, gateway::member_report& local, proxy_state& state,
+             events handlers);
+
+  void start(time_point now);
+  // Issues the calls that are due. Called several times a second.
+  void tick(time_point now);
+  // A report of another gateway has arrived that states a newer mirror.
+  void on_newer_mirror(time_point now) { fetch_newer_changes(now); }
+  // The process stood still, so that neither the view nor what it knows of other gateways is recent.
+  void on_suspended(time_point now);
+
+  [[nodiscard]] const gateway::mirror& mirror() const { return m_mirror; }
+  [[nodiscard]] bool reads_store() const { return m_reads_store; }
+  [[nodiscard]] bool store_answers() const { return m_store_answers; }
+
+private:
+  void on_store_call_finished(bool answered, std::string_view reason, time_point now);
+  void on_store_changed(time_point now);
+  // Returns true if a call of the local gateway to the store failed recently.
+  [[nodiscard]] bool store_disturbed(time_point now) const;
+  // Returns true if other gateways ask the local one first when they start.
+  [[nodiscard]] bool is_seed() const;
+  // Starts or stops reading the store, depending on which other gateways read it.
+  void update_store_reading(time_point now);
+  // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
+  void fetch_newer_changes(time_point now);
+  void fetch_changes(const std::string& address, bool disturbed, time_point now);
+
+  const config::gateway_settings& m_settings;
+  platform_port& m_platform;
+  const gateway::member_list& m_members;
+  gateway::member_report& m_local;
+  proxy_state& m_state;
+  events m_events;
+  gateway::mirror m_mirror;
+  gateway::mirror_client m_mirror_client;
+  gateway::store_reader_selection m_reader_selection;
+  bool m_store_answers = true;
+  bool m_reads_store = true;          // As last set with platform_port::set_store_reading().
+  bool m_last_call_answered = false;  // Since the gateway began to read the store.
+  time_point m_last_store_failure{};
+  time_point m_last_mirror_call{};
+};
+
+}  // namespace cuminpath::proxy
