proxy, platform: logs and metrics that tell how current a gateway's view is

Nothing told the hypotheses of docs/incidents/changes-not-in-force.md apart: no line said how old a gateway's view is, where its last change came from, that it hears from no other gateway, or that the store's versions went back.

New metrics: cuminpath_view_age_seconds, cuminpath_view_changes_total, cuminpath_members_alive, cuminpath_table_version by table and cuminpath_store_versions_went_back_total. No decision depends on them.

Versions that went back tell hypothesis 1, a lonely gateway with a stale view hypothesis 2, and versions of tables that differ between gateways with fresh views hypothesis 3.

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -181,6 +181,11 @@
   return found;
 }
 
+std::size_t member_list::count_alive(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                [&](const member& known) { return alive(known, now); }));
+}
+
 std::size_t member_list::count_store_readers(time_point now) const {
   return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const member& known) {
     return known.report.reads_store && alive(known, now);
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -84,6 +84,7 @@
   // of different zones.
   [[nodiscard]] std::vector<const member*> usable(std::string_view availability_zone, std::size_t limit,
                                                   time_point now) const;
+  [[nodiscard]] std::size_t count_alive(time_point now) const;
   // Returns the number of members that are alive and read the store.
   [[nodiscard]] std::size_t count_store_readers(time_point now) const;
   [[nodiscard]] std::span<const member> all() const { return m_members; }
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -206,7 +206,7 @@
     metrics.set("cuminpath_upstreams_not_configured",
                 static_cast<double>(m_state.upstreams.count_not_configured()));
     metrics.set("cuminpath_members", static_cast<double>(m_members.all().size()));
-    metrics.set("cuminpath_reads_store", m_store_view.reads_store() ? 1 : 0);
+    m_store_view.set_metrics(clock::now());
     metrics.set("cuminpath_suspected_prompt_parts", static_cast<double>(m_state.prompt_quarantine.size()));
     set_evacuation_metrics(clock::now());
     metrics.set("cuminpath_cold_upstreams", static_cast<double>(m_state.upstreams.count_cold(clock::now())));
@@ -215,7 +215,6 @@
                 static_cast<double>(m_state.cold_limiter.known_names()));
     set_caller_metrics();
     metrics.set("cuminpath_admission_queue_requests", static_cast<double>(m_state.admission_queue.size()));
-    metrics.set("cuminpath_mirror_version", static_cast<double>(m_store_view.mirror().content_version()));
     return metrics.prometheus_text();
   }
 
@@ -261,7 +260,9 @@
         {{"version", static_cast<std::int64_t>(next->version)},
          {"before", static_cast<std::int64_t>(m_state.configuration ? m_state.configuration->version : 0)},
          {"routes", static_cast<std::int64_t>(next->routes.size())},
-         {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())}});
+         {"keys", static_cast<std::int64_t>(next->workspace_of_key.size())},
+         {"source", m_store_view.source()},
+         {"mirror_version", static_cast<std::int64_t>(m_store_view.mirror().content_version())}});
     m_state.configuration = next;
     m_state.configured_at = clock::now();
     log_changes(m_state.upstreams.set_services(next->service_names()));
@@ -384,6 +385,7 @@
     }
     m_state.upstreams.set_member_loads(report.name, report.loads);
     const bool newer = report.mirror_version > m_store_view.mirror().content_version();
+    const bool reads_store = report.reads_store;
     const std::string name = report.name;
     const auto state = report.state;
     const gateway::silence_report silence = std::move(report.silence);
@@ -407,9 +409,7 @@
         break;
     }
     m_silence.on_report(name, silence, now);
-    if (newer) {
-      m_store_view.on_newer_mirror(now);
-    }
+    m_store_view.on_report(name, reads_store, newer, now);
   }
 
   void send_report(time_point now) {
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -30,6 +30,8 @@
     std::function<void()> mirror_changed;
     // Called after each call to the store; `reason` says why the store did not answer.
     std::function<void(bool answered, std::string_view reason)> store_call_finished;
+    // Called when the store returned a table at an older version than the one that is known.
+    std::function<void()> store_versions_went_back;
   };
   // Starts to copy the content of the store into `target`, which must outlive this object.
   virtual void start(gateway::mirror& target, events handlers) = 0;
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -20,6 +20,10 @@
 // itself. When all gateways start together, the seeds read the store within a fraction of this time.
 constexpr milliseconds k_seed_wait{1200};
 
+// A gateway that hears from no other one for this long is alone. Others report at least every second.
+constexpr milliseconds k_alone_after{2000};
+constexpr std::string_view k_store_source = "store";
+
 std::int64_t to_log(std::uint64_t version) {
   return static_cast<std::int64_t>(version);
 }
@@ -38,11 +42,16 @@
       m_mirror_client(client, m_mirror) {}
 
 void store_view::start(time_point now) {
-  m_platform.start(m_mirror, {.mirror_changed = [this] { on_store_changed(clock::now()); },
-                              .store_call_finished =
-                                  [this](bool answered, std::string_view reason) {
-                                    on_store_call_finished(answered, reason, clock::now());
-                                  }});
+  m_started = now;
+  m_last_heard = now;
+  m_platform.start(m_mirror,
+                   {.mirror_changed = [this] { on_store_changed(clock::now()); },
+                    .store_call_finished =
+                        [this](bool answered, std::string_view reason) {
+                          on_store_call_finished(answered, reason, clock::now());
+                        },
+                    .store_versions_went_back =
+                        [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); }});
   m_platform.announce(m_local);
   if (!m_settings.seeds.empty() && !is_seed()) {
     m_reader_selection.wait_for_members(now + k_seed_wait);
@@ -53,6 +62,15 @@
   update_store_reading(now);
   m_platform.tick(now, m_state.random);
   fetch_newer_changes(now);
+  log_state_changes(now);
+}
+
+void store_view::on_report(std::string_view gateway, bool reads_store, bool newer, time_point now) {
+  if (newer) {
+    fetch_newer_changes(now);
+  } else if (reads_store) {
+    m_confirmation.confirm(gateway, now);
+  }
 }
 
 void store_view::on_suspended(time_point now) {
@@ -61,7 +79,9 @@
 }
 
 void store_view::on_store_call_finished(bool answered, std::string_view reason, time_point now) {
-  if (!answered) {
+  if (answered) {
+    m_confirmation.confirm(k_store_source, now);
+  } else {
     m_last_store_failure = now;
   }
   m_last_call_answered = answered;
@@ -78,6 +98,7 @@
 }
 
 void store_view::on_store_changed(time_point now) {
+  m_source = k_store_source;
   m_events.changed(store_disturbed(now), now);
   if (m_local.mirror_version < m_mirror.content_version()) {
     m_events.report_due(now);  // Gateways that do not read the store wait for this report.
@@ -89,6 +110,12 @@
   return std::find(seeds.begin(), seeds.end(), m_local.mirror_address) != seeds.end();
 }
 
+bool store_view::expects_others() const {
+  return !m_members.all().empty() ||
+         std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
+                     [this](const std::string& seed) { return seed != m_local.mirror_address; });
+}
+
 void store_view::update_store_reading(time_point now) {
   const bool reads = m_reader_selection.update(m_local, m_members, now);
   if (reads != m_reads_store) {
@@ -132,6 +159,7 @@
                      {{"address", address}, {"reason", merged.error().message}});
     } else if (merged.value()) {
       m_reader_selection.on_changes_applied(clock::now());
+      m_source = address;
       telemetry::log(log_level::info, "store", "changes of another gateway taken",
                      {{"address", address}, {"mirror_version", to_log(m_mirror.content_version())}});
       m_events.changed(disturbed, clock::now());
@@ -139,4 +167,40 @@
   });
 }
 
+void store_view::log_state_changes(time_point now) {
+  if (const auto change = m_confirmation.take_change(now)) {
+    telemetry::log(log_level::warning, "store", change->stale ? "view is stale" : "view is confirmed again",
+                   {{"age_ms", change->age.count()},
+                    {"confirmed_by", m_confirmation.source()},
+                    {"last_change_from", m_source},
+                    {"reads_store", m_reads_store},
+                    {"store_answers", m_store_answers},
+                    {"mirror_version", to_log(m_mirror.content_version())}});
+    m_state.metrics.add("cuminpath_view_changes_total", {{"to", change->stale ? "stale" : "confirmed"}});
+  }
+  if (m_members.count_alive(now) > 0) {
+    m_last_heard = now;
+  }
+  const bool alone = expects_others() && now - m_last_heard >= k_alone_after;
+  if (std::exchange(m_alone, alone) != alone) {
+    telemetry::log(log_level::warning, "members",
+                   alone ? "hears from no other gateway" : "hears from other gateways again",
+                   {{"known", static_cast<std::int64_t>(m_members.all().size())},
+                    {"seeds", static_cast<std::int64_t>(m_settings.seeds.size())},
+                    {"since_start_ms", std::chrono::duration_cast<milliseconds>(now - m_started).count()},
+                    {"store_answers", m_store_answers}});
+  }
+}
+
+void store_view::set_metrics(time_point now) {
+  m_state.metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
+  m_state.metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
+  m_state.metrics.set("cuminpath_view_age_seconds",
+                      std::chrono::duration<double>(m_confirmation.age(now)).count());
+  m_state.metrics.set("cuminpath_members_alive", static_cast<double>(m_members.count_alive(now)));
+  for (const auto& [table, version] : m_mirror.known_versions()) {
+    m_state.metrics.set("cuminpath_table_version", static_cast<double>(version), {{"table", table}});
+  }
+}
+
 }  // namespace cuminpath::proxy
--- a/source/core/proxy/store_view.h
+++ b/source/core/proxy/store_view.h
@@ -12,6 +12,7 @@
 #include "core/gateway/mirror.h"
 #include "core/gateway/mirror_client.h"
 #include "core/gateway/store_reader_selection.h"
+#include "core/gateway/view_confirmation.h"
 #include "core/http/client.h"
 #include "core/proxy/platform_port.h"
 #include "core/proxy/proxy_state.h"
@@ -36,14 +37,17 @@
   void start(time_point now);
   // Issues the calls that are due. Called several times a second.
   void tick(time_point now);
-  // A report of another gateway has arrived that states a newer mirror.
-  void on_newer_mirror(time_point now) { fetch_newer_changes(now); }
+  // A report of another gateway has arrived. `newer`: it states a newer mirror.
+  void on_report(std::string_view gateway, bool reads_store, bool newer, time_point now);
   // The process stood still, so that neither the view nor what it knows of other gateways is recent.
   void on_suspended(time_point now);
 
   [[nodiscard]] const gateway::mirror& mirror() const { return m_mirror; }
   [[nodiscard]] bool reads_store() const { return m_reads_store; }
   [[nodiscard]] bool store_answers() const { return m_store_answers; }
+  // Returns where the last change came from: the store, or the address of another gateway.
+  [[nodiscard]] const std::string& source() const { return m_source; }
+  void set_metrics(time_point now);
 
 private:
   void on_store_call_finished(bool answered, std::string_view reason, time_point now);
@@ -52,11 +56,16 @@
   [[nodiscard]] bool store_disturbed(time_point now) const;
   // Returns true if other gateways ask the local one first when they start.
   [[nodiscard]] bool is_seed() const;
+  // Returns true if there are other gateways as far as this one knows.
+  [[nodiscard]] bool expects_others() const;
   // Starts or stops reading the store, depending on which other gateways read it.
   void update_store_reading(time_point now);
   // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
   void fetch_newer_changes(time_point now);
   void fetch_changes(const std::string& address, bool disturbed, time_point now);
+  // Logs when the view becomes stale or current, and when the gateway hears from no other one or from some
+  // again.
+  void log_state_changes(time_point now);
 
   const config::gateway_settings& m_settings;
   platform_port& m_platform;
@@ -72,6 +81,11 @@
   bool m_last_call_answered = false;  // Since the gateway began to read the store.
   time_point m_last_store_failure{};
   time_point m_last_mirror_call{};
+  std::string m_source;
+  gateway::view_confirmation m_confirmation{clock::now()};
+  time_point m_started{};
+  time_point m_last_heard{};  // When another gateway was alive.
+  bool m_alone = false;       // As last logged.
 };
 
 }  // namespace cuminpath::proxy
