gateway: versions of the store are pairs of an era and a number

The mirror takes content of a later era whatever its numbers, ignores changes of another era than its content, hands out whole collections to mirrors of another era and takes nothing of an earlier one back. Other gateways get the era beside the number; gateways of a release without eras ignore it, and are answered by number alone. The newest change after the era has risen is the version of the read, as rows that the copy lacks leave nothing behind.

platform::store does not read the header yet and stays in era 0, so nothing changes for callers with this commit.

--- a/source/core/gateway/mirror.h
+++ b/source/core/gateway/mirror.h
@@ -4,26 +4,33 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/gateway/store_version.h"
 
 namespace cuminpath::gateway {
 
 struct document {
-  std::uint64_t version = 0;  // Version of the store at the last change of the document.
+  store_version version;  // Of the store at the last change of the document, or of the copy that it restored.
   std::string bytes;
 
   bool operator==(const document&) const = default;
 };
 
-using version_map = std::map<std::string, std::uint64_t, std::less<>>;
-using collection_versions = version_map;  // Versions by collection.
+using collection_versions = std::map<std::string, store_version, std::less<>>;  // Versions by collection.
+
+// The era of a version that comes from a gateway of a release without eras.
+constexpr std::uint64_t k_era_not_stated = std::numeric_limits<std::uint64_t>::max();
 
-// Encodes versions as one MessagePack document.
+// Encodes versions as one MessagePack document, which gateways of a release without eras read, too.
 std::string encode_versions(const collection_versions& versions);
 // Decodes versions; empty input means that no versions are known. Errors: invalid_input.
 result<collection_versions> decode_versions(std::string_view bytes);
@@ -32,52 +39,61 @@
 public:
   using documents = std::map<std::string, document, std::less<>>;  // Documents by key.
 
-  // Applies one change reported by the store; changes that are older than the known state are ignored.
+  // Applies one change reported by the store. Changes that are older than the known state are ignored, and so
+  // are those of another era: they refer to content that the mirror does not have.
   void put(std::string_view collection, std::string_view key, document value);
-  void remove(std::string_view collection, std::string_view key, std::uint64_t version);
-  // Replaces a collection by the content of the store at `version`.
-  void replace(std::string_view collection, documents content, std::uint64_t version);
-  // Marks the collection as complete up to `version`.
-  void advance(std::string_view collection, std::uint64_t version);
+  void remove(std::string_view collection, std::string_view key, store_version version);
+  // Replaces a collection by the content of the store at `version`. Returns false, without an effect, if the
+  // known content is newer.
+  bool replace(std::string_view collection, documents content, store_version version);
+  // Marks the collection as complete up to `version`, unless that is of another era.
+  void advance(std::string_view collection, store_version version);
 
   [[nodiscard]] const documents& collection(std::string_view name) const;
-  // Returns the version up to which a collection is complete; 0 if it was never read.
-  [[nodiscard]] std::uint64_t version(std::string_view collection) const;
-  // Returns a number that grows with each change of any collection: the sum of the newest versions of all
-  // collections. The newest version of all would hide a change that is read after a newer one of another
-  // collection. Equal mirrors return equal numbers, whenever they were read.
+  // Returns the version up to which a collection is complete; the lowest one if it was never read.
+  [[nodiscard]] store_version version(std::string_view collection) const;
+  // Returns the highest era of all collections.
+  [[nodiscard]] std::uint64_t era() const;
+  // Returns a number that grows with each change of any collection within an era: the sum of the numbers of
+  // the newest changes of all collections. The newest version of all would hide a change that is read after a
+  // newer one of another collection. Equal mirrors return equal numbers, whenever they were read.
   [[nodiscard]] std::uint64_t content_version() const;
 
   [[nodiscard]] collection_versions known_versions() const;
   // Returns the changes that a gateway whose collections have these versions lacks, as one MessagePack
-  // document. Collections that `known` does not contain are included whole, and so are those whose removals
-  // since the known version are no longer stored.
+  // document. Collections that `known` does not contain, or at another era, are included whole, and so are
+  // those whose removals since the known version are no longer stored.
   [[nodiscard]] std::string changes_since(const collection_versions& known) const;
   // Applies those collections of such a document that are newer than the local ones. Returns true if
   // something changed. Errors: invalid_input.
   result<bool> merge(std::string_view bytes);
 
 private:
+  using removal_map = std::map<std::string, store_version, std::less<>>;  // Versions by key.
   struct collection_state {
     documents content;
-    std::uint64_t version = 0;
-    std::uint64_t last_change_version = 0;  // Newest version of a change, including removals.
+    store_version version;
+    store_version last_change_version;  // Newest version of a change, including removals.
     // Keys removed after version `removals_since`, with the versions of their removals.
-    version_map removals;
-    std::uint64_t removals_since = 0;
+    removal_map removals;
+    store_version removals_since;
 
-    void forget_removals(std::uint64_t up_to);
-    void remember_removal(std::string_view key, std::uint64_t at);
+    void forget_removals(store_version up_to);
+    void remember_removal(std::string_view key, store_version at);
   };
-  // Changes of one collection of another mirror since version `base`; the whole collection if `base` is 0.
+  // Changes of one collection of another mirror since version `base`; the whole collection if it has none.
+  // All versions are of one era.
   struct change_set {
-    std::uint64_t version = 0;
-    std::uint64_t last_change_version = 0;
-    std::uint64_t base = 0;
+    store_version version;
+    store_version last_change_version;
+    std::optional<store_version> base;
     documents content;
-    version_map removals;
+    removal_map removals;
   };
-  static change_set changes_of(const collection_state& current, std::uint64_t known);
+  static change_set changes_of(const collection_state& current, store_version known);
+  static nlohmann::json encode(const change_set& changes);
+  // Throws json::exception for anything else.
+  static change_set decode(const nlohmann::json& encoded);
   static bool merge_into(collection_state& target, change_set newer);
   collection_state& state(std::string_view name);
 
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -16,6 +16,7 @@
 #include "core/gateway/cold_rate_limiter.h"
 #include "core/gateway/cold_state.h"
 #include "core/gateway/evacuation.h"
+#include "core/gateway/store_version.h"
 #include "core/routing/ejection.h"
 
 namespace cuminpath::gateway {
@@ -32,7 +33,7 @@
   std::uint64_t started_ms = 0;
   // For how long it stays cold after the row was written; absent if the row does not say.
   std::optional<milliseconds> cold_for;
-  std::uint64_t row_version = 0;  // Version of the store at the last write of the row.
+  store_version row_version;  // Of the store at the last write of the row, or of the copy that it restored.
 
   // Compares all but the last two, which change with each write of the row.
   [[nodiscard]] bool describes_same_upstream(const upstream_record& other) const {
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -199,7 +199,7 @@
                       std::chrono::duration<double>(m_confirmation.age(now)).count());
   m_state.metrics.set("cuminpath_members_alive", static_cast<double>(m_members.count_alive(now)));
   for (const auto& [table, version] : m_mirror.known_versions()) {
-    m_state.metrics.set("cuminpath_table_version", static_cast<double>(version), {{"table", table}});
+    m_state.metrics.set("cuminpath_table_version", static_cast<double>(version.number), {{"table", table}});
   }
 }
 
--- a/source/unit_tests/gateway/cold_upstreams_test.cpp
+++ b/source/unit_tests/gateway/cold_upstreams_test.cpp
@@ -24,7 +24,7 @@
     upstream_record record{.id = id, .service = "s", .address = id + ":80", .availability_zone = "z"};
     record.slots = 100;
     record.started_ms = started_ms;
-    record.row_version = version;
+    record.row_version.number = version;
     record.cold_for = cold_ms ? std::optional(milliseconds(*cold_ms)) : std::nullopt;
     return record;
   }
