platform: the store is followed through its return from an older copy

Callers saw changes that the operator had confirmed out of force at every gateway, for as long as the store's counter was below its old height and some rows for longer: requests went to the old service, removed routes were still served, and upstreams that had said they leave got requests (CONFIG and DRAIN).

Cause: the store gives versions out again after a drill, and the client compared numbers alone. Whole reads of the copy were dropped as stale, the feed answered 410 for the version that the mirror was at, and the table was read whole again every 0.25 s. The response was reported as an answer before it was used, so the view counted as current all the while.

A call counts as answered once its content was used or stated that there is nothing newer, and the view is confirmed as of the oldest such call of the tables that are followed.

Gateways that do not read the store still compare a sum of versions, so they are not covered yet.

--- a/source/core/gateway/view_confirmation.cpp
+++ b/source/core/gateway/view_confirmation.cpp
@@ -4,9 +4,12 @@
 
 namespace cuminpath::gateway {
 
-void view_confirmation::confirm(std::string_view source, time_point now) {
-  m_longest_age = std::max(m_longest_age, age(now));
-  m_confirmed_at = now;
+void view_confirmation::confirm(std::string_view source, time_point at) {
+  if (at < m_confirmed_at) {
+    return;
+  }
+  m_longest_age = std::max(m_longest_age, age(at));
+  m_confirmed_at = at;
   m_source = source;
 }
 
--- a/source/core/gateway/view_confirmation.h
+++ b/source/core/gateway/view_confirmation.h
@@ -23,7 +23,8 @@
 
   explicit view_confirmation(time_point started) : m_confirmed_at(started) {}
 
-  void confirm(std::string_view source, time_point now);
+  // The view was current at `at`. Ignored if a later time is known.
+  void confirm(std::string_view source, time_point at);
   // Time since the last confirmation, or since the start.
   [[nodiscard]] milliseconds age(time_point now) const;
   // Name of the source of the last confirmation; empty if there was none.
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -28,10 +28,15 @@
   struct events {
     // Called after the mirror has changed.
     std::function<void()> mirror_changed;
-    // Called after each call to the store; `reason` says why the store did not answer.
+    // Called after each call to the store. A call is answered if its response was used, or stated that there
+    // is nothing newer; otherwise, `reason` says why it was not.
     std::function<void(bool answered, std::string_view reason)> store_call_finished;
-    // Called when the store returned a table at an older version than the one that is known.
+    // Called when the mirror equals the store as of `at` or later.
+    std::function<void(time_point at)> store_confirmed;
+    // Called when the store begins to return versions of a table that are older than the known one.
     std::function<void()> store_versions_went_back;
+    // Called when the store has come back from an older copy.
+    std::function<void(std::uint64_t era)> store_restored;
   };
   // Starts to copy the content of the store into `target`, which must outlive this object.
   virtual void start(gateway::mirror& target, events handlers) = 0;
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -44,14 +44,18 @@
 void store_view::start(time_point now) {
   m_started = now;
   m_last_heard = now;
-  m_platform.start(m_mirror,
-                   {.mirror_changed = [this] { on_store_changed(clock::now()); },
-                    .store_call_finished =
-                        [this](bool answered, std::string_view reason) {
-                          on_store_call_finished(answered, reason, clock::now());
-                        },
-                    .store_versions_went_back =
-                        [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); }});
+  m_platform.start(
+      m_mirror,
+      {.mirror_changed = [this] { on_store_changed(clock::now()); },
+       .store_call_finished =
+           [this](bool answered, std::string_view reason) {
+             on_store_call_finished(answered, reason, clock::now());
+           },
+       .store_confirmed = [this](time_point at) { m_confirmation.confirm(k_store_source, at); },
+       .store_versions_went_back =
+           [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); },
+       .store_restored =
+           [this](std::uint64_t /*era*/) { m_state.metrics.add("cuminpath_store_restores_total"); }});
   m_platform.announce(m_local);
   if (!m_settings.seeds.empty() && !is_seed()) {
     m_reader_selection.wait_for_members(now + k_seed_wait);
@@ -79,9 +83,7 @@
 }
 
 void store_view::on_store_call_finished(bool answered, std::string_view reason, time_point now) {
-  if (answered) {
-    m_confirmation.confirm(k_store_source, now);
-  } else {
+  if (!answered) {
     m_last_store_failure = now;
   }
   m_last_call_answered = answered;
@@ -194,6 +196,7 @@
 
 void store_view::set_metrics(time_point now) {
   m_state.metrics.set("cuminpath_reads_store", m_reads_store ? 1 : 0);
+  m_state.metrics.set("cuminpath_store_era", static_cast<double>(m_mirror.era()));
   m_state.metrics.set("cuminpath_mirror_version", static_cast<double>(m_mirror.content_version()));
   m_state.metrics.set("cuminpath_view_age_seconds",
                       std::chrono::duration<double>(m_confirmation.age(now)).count());
