gateway: a mirror passes on removals of rows that it never held

Callers saw: a row that had been removed, an upstream for example, could stay listed at a gateway that does not read the store until the table was changed again.

Cause: a mirror ignored the removal of a row that it did not hold, but counted itself complete up to that version. A gateway that had received the row from another reader, and asked this one for the changes since, was sent no removal. It was not even told of a change, as the version of the newest one did not move.

Evidence: the test fails on the code before: the row is still there after the merge.

Why it works: each removal is remembered and counts as a change, whether the row was known or not, also when it is taken from another mirror; the number of remembered removals is bounded as before.

--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -89,11 +89,14 @@
 void mirror::remove(std::string_view collection, std::string_view key, store_version version) {
   collection_state& target = state(collection);
   const auto known = target.content.find(key);
-  if (version.era != target.version.era || version <= target.version || known == target.content.end() ||
-      known->second.version > version) {
+  if (version.era != target.version.era || version <= target.version ||
+      (known != target.content.end() && known->second.version > version)) {
     return;
   }
-  target.content.erase(known);
+  if (known != target.content.end()) {
+    target.content.erase(known);
+  }
+  // Others may have seen a row that came and went between two reads of this mirror.
   target.remember_removal(key, version);
   target.last_change_version = std::max(target.last_change_version, version);
 }
@@ -254,9 +257,12 @@
     }
     for (const auto& [key, version] : newer.removals) {
       const auto known = target.content.find(key);
-      if (known != target.content.end() && known->second.version < version) {
+      if (known != target.content.end() && known->second.version > version) {
+        continue;
+      }
+      target.remember_removal(key, version);
+      if (known != target.content.end()) {
         target.content.erase(known);
-        target.remember_removal(key, version);
         changed = true;
       }
     }
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -248,6 +248,26 @@
   EXPECT_EQ(behind.collection("a").size(), 1U);
 }
 
+// Guards against upstreams that stay listed at a gateway that has seen a row which came and went between two
+// calls of the gateway that it takes its changes from.
+TEST(mirror, passes_on_removals_of_rows_that_it_never_held) {
+  mirror reader;
+  reader.replace("a", {{"k", {at(1), "value"}}}, at(10));
+  mirror other = reader;
+  mirror third = reader;
+  other.put("a", "came and went", {at(11), "value"});
+  other.advance("a", at(11));
+  reader.remove("a", "came and went", at(12));
+  reader.advance("a", at(12));
+  EXPECT_GT(reader.content_version(), other.content_version());
+  ASSERT_TRUE(third.merge(reader.changes_since(third.known_versions())));
+  for (const mirror* source : {&reader, &third}) {
+    mirror target = other;
+    ASSERT_TRUE(target.merge(source->changes_since(target.known_versions())).value());
+    EXPECT_EQ(target.collection("a"), reader.collection("a"));
+  }
+}
+
 // Guards against a rolling restart in which gateways of a release without eras and later ones no longer
 // exchange changes.
 TEST(mirror, exchanges_changes_with_gateways_that_state_no_era) {
