gateway: reports state the newest change of each table

Cause: gateways compared their mirrors by the sum of the newest changes of all tables. A newer version of one table hides an older one of another, and the sum falls when the store comes back from a copy, so gateways that do not read it were never told of the later era. A table that is empty in the later era did not count as changed either.

Why it works: a report names the newest change of each table with its era, and a mirror is newer if it has any change that the local one lacks. A view is confirmed only by a reader with equal content, or by content that was taken from a reader; a reader that still has rows of an earlier era, or older ones, does not confirm it.

Compatibility: the versions are a third part of the last element of the loads, which gateways of the release before ignore; the sum stays where it was. A report without them states no era. While the local content has era 0 everywhere, such mirrors are compared by the sum as before; once an era is known, they are neither fetched from nor counted as readers, so that the local gateway reads the store itself, and they confirm nothing. A gateway of the release before that sees a falling sum of a new one takes the mirror for older and asks it for nothing; it would drop rows with lower numbers in any case, so it is no worse off than before, and reads the store itself or follows other readers of its release.

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -10,6 +10,7 @@
 
 constexpr int k_report_format = 3;
 constexpr std::size_t k_max_loads = 512;
+constexpr std::size_t k_max_collections = 16;
 // Bounds of the interval that a report may state.
 constexpr milliseconds k_min_report_interval{50};
 constexpr milliseconds k_max_report_interval{20000};
@@ -30,6 +31,27 @@
   return hashes;
 }
 
+// Name, era and number of each collection in turn.
+json to_json(const collection_versions& versions) {
+  json list = json::array();
+  for (const auto& [name, version] : versions) {
+    if (list.size() < 3 * k_max_collections) {
+      list.insert(list.end(), {name, version.era, version.number});
+    }
+  }
+  return list;
+}
+
+collection_versions read_versions(const json& list) {
+  collection_versions versions;
+  for (std::size_t i = 0; i < std::min(list.size(), 3 * k_max_collections); i += 3) {
+    versions.insert_or_assign(
+        list.at(i).get<std::string>(),
+        store_version{list.at(i + 1).get<std::uint64_t>(), list.at(i + 2).get<std::uint64_t>()});
+  }
+  return versions;
+}
+
 // Names are written to the platform as JSON, which holds no other bytes than UTF-8.
 bool is_host_name(std::string_view name) {
   return !name.empty() &&
@@ -44,9 +66,14 @@
     loads.push_back(report.loads[i].upstream_hash);
     loads.push_back(report.loads[i].outstanding);
   }
-  if (!report.silence.empty()) {
-    // An element without a second one ends the pairs; gateways that do not know it ignore it.
-    loads.push_back(json::array({to_json(report.silence.silent), to_json(report.silence.progressing)}));
+  if (!report.silence.empty() || report.newest_changes) {
+    // An element without a second one ends the pairs; gateways that do not know it, or not all of its parts,
+    // ignore what they do not know.
+    json last = json::array({to_json(report.silence.silent), to_json(report.silence.progressing)});
+    if (report.newest_changes) {
+      last.push_back(to_json(*report.newest_changes));
+    }
+    loads.push_back(std::move(last));
   }
   const json document =
       json::array({k_report_format, report.name, report.incarnation, report.sequence, report.caller_address,
@@ -91,8 +118,11 @@
       report.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
     }
     if (loads.size() % 2 == 1) {
-      const json& silence = loads.back();
-      report.silence = {.silent = read_hashes(silence.at(0)), .progressing = read_hashes(silence.at(1))};
+      const json& last = loads.back();
+      report.silence = {.silent = read_hashes(last.at(0)), .progressing = read_hashes(last.at(1))};
+      if (last.size() > 2) {
+        report.newest_changes = read_versions(last.at(2));
+      }
     }
     return report;
   } catch (const json::exception& failure) {
@@ -100,6 +130,23 @@
   }
 }
 
+mirror_relation compare_mirrors(const member_report& other, const member_report& local) {
+  static const collection_versions s_none;
+  const collection_versions& known = local.newest_changes ? *local.newest_changes : s_none;
+  if (!other.newest_changes) {
+    if (std::any_of(known.begin(), known.end(), [](const auto& each) { return each.second.era > 0; })) {
+      return mirror_relation::unusable;
+    }
+    return other.mirror_version > local.mirror_version    ? mirror_relation::newer
+           : other.mirror_version == local.mirror_version ? mirror_relation::equal
+                                                          : mirror_relation::older;
+  }
+  if (lacks_changes(known, *other.newest_changes)) {
+    return mirror_relation::newer;
+  }
+  return lacks_changes(*other.newest_changes, known) ? mirror_relation::older : mirror_relation::equal;
+}
+
 member_list::outcome member_list::on_report(member_report report, time_point now) {
   const auto found = std::find_if(m_members.begin(), m_members.end(),
                                   [&](const member& known) { return known.report.name == report.name; });
@@ -186,23 +233,30 @@
                                                 [&](const member& known) { return alive(known, now); }));
 }
 
-std::size_t member_list::count_store_readers(time_point now) const {
+std::size_t member_list::count_store_readers(const member_report& local, time_point now) const {
   return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const member& known) {
-    return known.report.reads_store && alive(known, now);
+    return known.report.reads_store && alive(known, now) &&
+           compare_mirrors(known.report, local) != mirror_relation::unusable;
   }));
 }
 
-const member_list::member* member_list::find_newer_mirror(std::uint64_t version,
-                                                          std::string_view availability_zone, time_point now,
+const member_list::member* member_list::find(std::string_view name) const {
+  const auto found = std::find_if(m_members.begin(), m_members.end(),
+                                  [&](const member& known) { return known.report.name == name; });
+  return found == m_members.end() ? nullptr : &*found;
+}
+
+const member_list::member* member_list::find_newer_mirror(const member_report& local, time_point now,
                                                           random_source& random) const {
   const member* chosen = nullptr;
   std::size_t candidates = 0;
   bool chosen_preferred = false;
   for (const member& known : m_members) {
-    if (!alive(known, now) || known.report.mirror_version <= version) {
+    if (!alive(known, now) || compare_mirrors(known.report, local) != mirror_relation::newer) {
       continue;
     }
-    const bool preferred = known.report.reads_store && known.report.availability_zone == availability_zone;
+    const bool preferred =
+        known.report.reads_store && known.report.availability_zone == local.availability_zone;
     if (preferred && !chosen_preferred) {
       chosen_preferred = true;
       candidates = 0;
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -11,6 +11,7 @@
 
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/gateway/mirror.h"
 #include "core/gateway/silent_upstreams.h"
 #include "core/gateway/upstream_table.h"
 
@@ -28,10 +29,12 @@
   std::string mirror_address;     // IP:PORT where other gateways read the mirror.
   std::string availability_zone;
   member_state state = member_state::starting;
-  std::uint64_t mirror_version = 0;  // Version of the newest change in the mirror.
-  bool reads_store = false;          // The gateway reads changes from the store, and the store responds.
-  bool store_disturbed = false;      // Recent calls of this gateway to the store have failed.
-  milliseconds interval{200};        // Maximum time until the receiver gets the next report.
+  std::uint64_t mirror_version = 0;  // mirror::content_version(); what a release without eras compares.
+  // mirror::newest_changes(); a gateway of a release without eras states none.
+  std::optional<collection_versions> newest_changes;
+  bool reads_store = false;      // The gateway reads changes from the store, and the store responds.
+  bool store_disturbed = false;  // Recent calls of this gateway to the store have failed.
+  milliseconds interval{200};    // Maximum time until the receiver gets the next report.
   std::vector<upstream_load> loads;
   silence_report silence;
 };
@@ -41,6 +44,17 @@
 // Decodes a report. Errors: invalid_input for anything else.
 result<member_report> decode_report(std::string_view bytes);
 
+// The mirror of another gateway, compared with the local one.
+enum class mirror_relation : std::uint8_t {
+  unusable,  // It holds rows without an era, and the local one knows an era.
+  older,     // It lacks a change, and has none that the local one lacks.
+  equal,
+  newer,  // It has a change that the local one lacks.
+};
+// Compares the mirrors that two reports describe. Sums of versions are compared only with a gateway that
+// states nothing else: they hide a newer change of one collection, and fall when the era rises.
+mirror_relation compare_mirrors(const member_report& other, const member_report& local);
+
 struct member_list_options {
   // A member without a report for this long is suspected and not listed to callers. Up to three reports may
   // be lost.
@@ -85,13 +99,15 @@
   [[nodiscard]] std::vector<const member*> usable(std::string_view availability_zone, std::size_t limit,
                                                   time_point now) const;
   [[nodiscard]] std::size_t count_alive(time_point now) const;
-  // Returns the number of members that are alive and read the store.
-  [[nodiscard]] std::size_t count_store_readers(time_point now) const;
+  // Returns the number of members that are alive and read the store, and whose mirror `local` can use.
+  [[nodiscard]] std::size_t count_store_readers(const member_report& local, time_point now) const;
   [[nodiscard]] std::span<const member> all() const { return m_members; }
-  // Returns a member whose mirror is newer than `version`: one of `availability_zone` that reads the store if
-  // there is one, otherwise any; chosen at random among equals. Null if there is none.
-  [[nodiscard]] const member* find_newer_mirror(std::uint64_t version, std::string_view availability_zone,
-                                                time_point now, random_source& random) const;
+  // Returns the member of that name; null if there is none.
+  [[nodiscard]] const member* find(std::string_view name) const;
+  // Returns a member whose mirror is newer than that of `local`: one of its availability zone that reads the
+  // store if there is one, otherwise any; chosen at random among equals. Null if there is none.
+  [[nodiscard]] const member* find_newer_mirror(const member_report& local, time_point now,
+                                                random_source& random) const;
 
   // Returns true if a report of the member arrived within the limit that applies to it.
   [[nodiscard]] bool alive(const member& value, time_point now) const {
--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -16,6 +16,13 @@
 
 }  // namespace
 
+bool lacks_changes(const collection_versions& known, const collection_versions& newest) {
+  return std::any_of(newest.begin(), newest.end(), [&](const auto& named) {
+    const auto found = known.find(named.first);
+    return named.second > (found == known.end() ? store_version{} : found->second);
+  });
+}
+
 std::string encode_versions(const collection_versions& versions) {
   json document = json::object();
   for (const auto& [name, version] : versions) {
@@ -118,6 +125,11 @@
                                   (target.version != store_version{} && version.era > target.version.era);
     target.last_change_version = may_hide_removal ? version : newest;
   }
+  if (target.last_change_version.era < version.era) {
+    // Empty before and after, but others may have seen a row in between.
+    target.last_change_version =
+        target.version == store_version{} ? store_version{.era = version.era} : version;
+  }
   if (version > target.version) {
     // Rows that were added and removed between the two reads are not known.
     target.forget_removals(version);
@@ -168,6 +180,16 @@
   return sum;
 }
 
+collection_versions mirror::newest_changes() const {
+  collection_versions newest;
+  for (const auto& [name, current] : m_collections) {
+    if (current.last_change_version != store_version{}) {
+      newest.emplace(name, current.last_change_version);
+    }
+  }
+  return newest;
+}
+
 mirror::change_set mirror::changes_of(const collection_state& current, store_version known) {
   if (known.era == k_era_not_stated) {
     known.era = current.version.era;
--- a/source/core/gateway/mirror.h
+++ b/source/core/gateway/mirror.h
@@ -27,6 +27,10 @@
 
 using collection_versions = std::map<std::string, store_version, std::less<>>;  // Versions by collection.
 
+// Returns true if `known` lacks a change that `newest` names: both contain the newest change of each
+// collection.
+bool lacks_changes(const collection_versions& known, const collection_versions& newest);
+
 // The era of a version that comes from a gateway of a release without eras.
 constexpr std::uint64_t k_era_not_stated = std::numeric_limits<std::uint64_t>::max();
 
@@ -58,6 +62,8 @@
   // the newest changes of all collections. The newest version of all would hide a change that is read after a
   // newer one of another collection. Equal mirrors return equal numbers, whenever they were read.
   [[nodiscard]] std::uint64_t content_version() const;
+  // Returns the versions of the newest change of each collection that has any.
+  [[nodiscard]] collection_versions newest_changes() const;
 
   [[nodiscard]] collection_versions known_versions() const;
   // Returns the changes that a gateway whose collections have these versions lacks, as one MessagePack
--- a/source/core/gateway/store_reader_selection.cpp
+++ b/source/core/gateway/store_reader_selection.cpp
@@ -23,7 +23,8 @@
     if (report.availability_zone == self.availability_zone && report.state != member_state::leaving &&
         members.alive(known, now) && preference(report) > own_preference) {
       ++found.alive_count;
-      found.readers += report.reads_store ? 1 : 0;
+      const bool readable = compare_mirrors(report, self) != mirror_relation::unusable;
+      found.readers += report.reads_store && readable ? 1 : 0;
     }
   }
   return found;
--- a/source/core/gateway/store_reader_selection.h
+++ b/source/core/gateway/store_reader_selection.h
@@ -54,7 +54,7 @@
   // Gateways of the availability zone that precede `self` in the order of preference.
   struct preferred_members {
     std::size_t alive_count = 0;
-    std::size_t readers = 0;  // Those of them that read the store.
+    std::size_t readers = 0;  // Those of them that read the store, and whose mirror `self` can use.
   };
   [[nodiscard]] static preferred_members members_preferred_to(const member_report& self,
                                                               const member_list& members, time_point now);
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -384,8 +384,6 @@
       return;
     }
     m_state.upstreams.set_member_loads(report.name, report.loads);
-    const bool newer = report.mirror_version > m_store_view.mirror().content_version();
-    const bool reads_store = report.reads_store;
     const std::string name = report.name;
     const auto state = report.state;
     const gateway::silence_report silence = std::move(report.silence);
@@ -409,12 +407,11 @@
         break;
     }
     m_silence.on_report(name, silence, now);
-    m_store_view.on_report(name, reads_store, newer, now);
+    m_store_view.on_report(name, now);
   }
 
   void send_report(time_point now) {
     ++m_local_report.sequence;
-    m_local_report.mirror_version = m_store_view.mirror().content_version();
     m_local_report.loads = m_state.upstreams.local_loads();
     m_local_report.silence = m_silence.report(now);
     const auto round = m_report_schedule.next(m_local_report.availability_zone, m_members.all());
@@ -424,7 +421,7 @@
     receivers.insert(receivers.end(), round.far.addresses.begin(), round.far.addresses.end());
     m_evidence.send(receivers, now);
     m_last_report = now;
-    m_platform->set_store_reader_count(m_members.count_store_readers(now) +
+    m_platform->set_store_reader_count(m_members.count_store_readers(m_local_report, now) +
                                        (m_local_report.reads_store ? 1 : 0));
   }
 
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -63,20 +63,34 @@
 }
 
 void store_view::tick(time_point now) {
+  describe_mirror();
   update_store_reading(now);
   m_platform.tick(now, m_state.random);
   fetch_newer_changes(now);
   log_state_changes(now);
 }
 
-void store_view::on_report(std::string_view gateway, bool reads_store, bool newer, time_point now) {
-  if (newer) {
+void store_view::on_report(std::string_view gateway, time_point now) {
+  const auto* member = m_members.find(gateway);
+  if (member == nullptr) {
+    return;
+  }
+  const auto relation = gateway::compare_mirrors(member->report, m_local);
+  if (relation == gateway::mirror_relation::newer) {
     fetch_newer_changes(now);
-  } else if (reads_store) {
+  } else if (relation == gateway::mirror_relation::equal && member->report.reads_store) {
     m_confirmation.confirm(gateway, now);
   }
 }
 
+bool store_view::describe_mirror() {
+  m_local.mirror_version = m_mirror.content_version();
+  auto newest = m_mirror.newest_changes();
+  const bool changed = m_local.newest_changes != newest;
+  m_local.newest_changes = std::move(newest);
+  return changed;
+}
+
 void store_view::on_suspended(time_point now) {
   m_reader_selection.distrust_members(now);
   m_platform.restart_store_reading(now);
@@ -101,8 +115,9 @@
 
 void store_view::on_store_changed(time_point now) {
   m_source = k_store_source;
+  const bool news = describe_mirror();
   m_events.changed(store_disturbed(now), now);
-  if (m_local.mirror_version < m_mirror.content_version()) {
+  if (news) {
     m_events.report_due(now);  // Gateways that do not read the store wait for this report.
   }
 }
@@ -126,7 +141,7 @@
     m_store_answers = true;
     m_platform.set_store_reading(reads);
     telemetry::log(log_level::info, "store", reads ? "reads the store" : "takes changes from other gateways",
-                   {{"readers", static_cast<std::int64_t>(m_members.count_store_readers(now))},
+                   {{"readers", static_cast<std::int64_t>(m_members.count_store_readers(m_local, now))},
                     {"mirror_version", to_log(m_mirror.content_version())}});
   }
   m_local.reads_store = reads && m_last_call_answered;
@@ -134,26 +149,28 @@
 }
 
 void store_view::fetch_newer_changes(time_point now) {
-  const auto* newer = m_members.find_newer_mirror(m_mirror.content_version(), m_settings.availability_zone,
-                                                  now, m_state.random);
+  const auto* newer = m_members.find_newer_mirror(m_local, now, m_state.random);
   m_reader_selection.on_versions_compared(newer != nullptr, now);
   if (m_mirror_client.fetching() || now - m_last_mirror_call < k_min_mirror_call_interval) {
     return;
   }
   const bool starting = m_local.state == gateway::member_state::starting;
   if (newer != nullptr && (m_reader_selection.lags(now) || !m_reader_selection.reads_store())) {
-    fetch_changes(newer->report.mirror_address, newer->report.store_disturbed, now);
+    fetch_changes(newer->report.mirror_address, newer->report.store_disturbed,
+                  newer->report.reads_store ? newer->report.name : std::string(), now);
   } else if (starting && !m_settings.seeds.empty() && now - m_last_mirror_call >= k_seed_call_interval) {
-    fetch_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, now);
+    fetch_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, {}, now);
   }
 }
 
-void store_view::fetch_changes(const std::string& address, bool disturbed, time_point now) {
+void store_view::fetch_changes(const std::string& address, bool disturbed, const std::string& reader,
+                               time_point now) {
   if (address.empty() || address == m_local.mirror_address || address == m_settings.mirror_address) {
     return;
   }
   m_last_mirror_call = now;
-  m_mirror_client.fetch(address, [this, address, disturbed](const result<bool>& merged) {
+  m_mirror_client.fetch(address, [this, address, disturbed, reader](const result<bool>& merged) {
+    describe_mirror();
     if (!merged) {
       m_state.metrics.add("cuminpath_failed_mirror_calls_total");
       telemetry::log(merged.error().code == error_code::invalid_input ? log_level::warning : log_level::debug,
@@ -161,6 +178,9 @@
                      {{"address", address}, {"reason", merged.error().message}});
     } else if (merged.value()) {
       m_reader_selection.on_changes_applied(clock::now());
+      if (!reader.empty()) {
+        m_confirmation.confirm(reader, clock::now());
+      }
       m_source = address;
       telemetry::log(log_level::info, "store", "changes of another gateway taken",
                      {{"address", address}, {"mirror_version", to_log(m_mirror.content_version())}});
--- a/source/core/proxy/store_view.h
+++ b/source/core/proxy/store_view.h
@@ -37,8 +37,8 @@
   void start(time_point now);
   // Issues the calls that are due. Called several times a second.
   void tick(time_point now);
-  // A report of another gateway has arrived. `newer`: it states a newer mirror.
-  void on_report(std::string_view gateway, bool reads_store, bool newer, time_point now);
+  // A report of the gateway of that name has arrived and is in the member list.
+  void on_report(std::string_view gateway, time_point now);
   // The process stood still, so that neither the view nor what it knows of other gateways is recent.
   void on_suspended(time_point now);
 
@@ -52,6 +52,8 @@
 private:
   void on_store_call_finished(bool answered, std::string_view reason, time_point now);
   void on_store_changed(time_point now);
+  // Writes what the mirror contains into the local report. Returns true if that has changed.
+  bool describe_mirror();
   // Returns true if a call of the local gateway to the store failed recently.
   [[nodiscard]] bool store_disturbed(time_point now) const;
   // Returns true if other gateways ask the local one first when they start.
@@ -62,7 +64,8 @@
   void update_store_reading(time_point now);
   // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
   void fetch_newer_changes(time_point now);
-  void fetch_changes(const std::string& address, bool disturbed, time_point now);
+  // `reader`: name of the gateway if it reads the store, so that its changes confirm the view.
+  void fetch_changes(const std::string& address, bool disturbed, const std::string& reader, time_point now);
   // Logs when the view becomes stale or current, and when the gateway hears from no other one or from some
   // again.
   void log_state_changes(time_point now);
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -248,6 +248,29 @@
   EXPECT_EQ(behind.collection("a").size(), 1U);
 }
 
+TEST(mirror, names_the_newest_change_of_each_collection) {
+  mirror source;
+  EXPECT_TRUE(source.newest_changes().empty());
+  source.replace("a", {{"k", {at(10), "value"}}}, at(12));
+  source.replace("b", {}, at(12, 0));
+  source.put("a", "k", {at(13), "newer"});
+  EXPECT_EQ(source.newest_changes(), (collection_versions{{"a", at(13)}}));
+  source.remove("a", "k", at(14));
+  EXPECT_EQ(source.newest_changes(), (collection_versions{{"a", at(14)}}));
+  source.replace("a", {{"k", {at(10, 2), "value"}}}, at(11, 2));
+  EXPECT_EQ(source.newest_changes(), (collection_versions{{"a", at(11, 2)}}));
+}
+
+TEST(mirror, lacks_changes_by_collection) {
+  const collection_versions known{{"a", at(13)}, {"b", at(7, 2)}};
+  EXPECT_FALSE(lacks_changes(known, {}));
+  EXPECT_FALSE(lacks_changes(known, known));
+  EXPECT_FALSE(lacks_changes(known, {{"a", at(12)}, {"b", at(900)}}));
+  EXPECT_TRUE(lacks_changes(known, {{"a", at(14)}, {"b", at(1)}}));
+  EXPECT_TRUE(lacks_changes(known, {{"b", at(1, 3)}}));
+  EXPECT_TRUE(lacks_changes(known, {{"c", at(1)}}));
+}
+
 // Guards against upstreams that stay listed at a gateway that has seen a row which came and went between two
 // calls of the gateway that it takes its changes from.
 TEST(mirror, passes_on_removals_of_rows_that_it_never_held) {
@@ -268,6 +291,25 @@
   }
 }
 
+// Guards against a row that only another gateway has seen and that the copy does not contain.
+TEST(mirror, a_collection_that_is_empty_in_a_later_era_is_newer) {
+  for (const bool was_read : {false, true}) {
+    mirror reader;
+    if (was_read) {
+      reader.replace("a", {}, at(50));
+    }
+    mirror other;
+    other.replace("a", {}, at(50));
+    other.put("a", "k", {at(60), "lost"});
+    reader.replace("a", {}, at(55, 2));
+    EXPECT_TRUE(lacks_changes(other.newest_changes(), reader.newest_changes())) << was_read;
+    EXPECT_FALSE(lacks_changes(reader.newest_changes(), other.newest_changes())) << was_read;
+    ASSERT_TRUE(other.merge(reader.changes_since(other.known_versions())));
+    EXPECT_TRUE(other.collection("a").empty()) << was_read;
+    EXPECT_EQ(other.newest_changes(), reader.newest_changes()) << was_read;
+  }
+}
+
 // Guards against a rolling restart in which gateways of a release without eras and later ones no longer
 // exchange changes.
 TEST(mirror, exchanges_changes_with_gateways_that_state_no_era) {
