gateway: the memory of instances in a class of its own

What a gateway remembers of an instance of an upstream beyond its row, that it announced to leave and that its row was removed, moves from upstream_table to instance_memory, and upstream_record to a header of its own.

--- /dev/null
+++ b/source/core/gateway/instance_memory.h
@@ -0,0 +1,51 @@
+// What a gateway remembers of instances of upstreams beyond their rows in the platform's list.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/common/time.h"
+#include "core/gateway/upstream_record.h"
+
+namespace cuminpath::gateway {
+
+// The announcement of an instance in a response that it leaves is kept for this long, also after its row was
+// removed, as rows of leaving instances can be written again. Instances end within a minute of the
+// announcement.
+constexpr minutes k_announcement_lifetime{10};
+// A removed instance is recognized for this long, so that it does not count as new when its row comes back.
+// Outages of the store last minutes.
+constexpr minutes k_instance_memory{10};
+class instance_memory {
+public:
+  // The instance announced that it leaves.
+  void on_leaving(const upstream_record& record, time_point now);
+  // Returns true if this instance, or a later one under its id, announced that it leaves.
+  [[nodiscard]] bool has_left(const upstream_record& record) const;
+
+  // The instance is no longer listed.
+  void on_removed(const upstream_record& record, time_point now);
+  // Returns true if the same instance was listed and removed: a row that lapsed and comes back is no new
+  // instance. False if its start is unknown.
+  [[nodiscard]] bool was_listed(const upstream_record& record) const;
+
+  // Forgets what is older than its lifetime.
+  void expire(time_point now);
+
+private:
+  struct announcement {
+    std::uint64_t started_ms = 0;  // Of the leaving instance.
+    time_point at{};
+  };
+  struct removed_instance {
+    std::uint64_t started_ms = 0;
+    time_point removed_at{};
+  };
+
+  std::unordered_map<std::string, announcement> m_announcements;  // By id.
+  std::unordered_map<std::string, removed_instance> m_removed;    // By id.
+};
+
+}  // namespace cuminpath::gateway
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -43,10 +43,7 @@
   added.cold_rules = cold_policy_of(record.service);
   added.cold_start.on_statement(record.cold_for.value_or(milliseconds{0}), now);
   // The first list tells nothing about when its upstreams have started, but their rows do.
-  const auto instance = m_known_instances.find(record.id);
-  const bool known_before = record.started_ms != 0 && instance != m_known_instances.end() &&
-                            instance->second.started_ms == record.started_ms;
-  if (m_listed_before ? !known_before : !record.cold_for) {
+  if (m_listed_before ? !m_instances.was_listed(record) : !record.cold_for) {
     added.cold_start.on_possible_start(now);
   }
   for (const auto& [member, loads] : m_member_loads) {
@@ -54,17 +51,14 @@
       added.member_requests += load.upstream_hash == added.hash ? load.outstanding : 0;
     }
   }
-  const auto announced = m_announcements.find(record.id);
-  added.announced_leaving =
-      announced != m_announcements.end() && record.started_ms <= announced->second.started_ms;
+  added.announced_leaving = m_instances.has_left(record);
   added.evacuated = m_evacuated_zones.contains(record.availability_zone);
   m_index.insert_or_assign(record.id, m_upstreams.size());
   m_upstreams.push_back(std::move(added));
 }
 
 void upstream_table::erase_index(std::size_t index, time_point now) {
-  const upstream_record& record = m_upstreams[index].record;
-  m_known_instances.insert_or_assign(record.id, known_instance{record.started_ms, now});
+  m_instances.on_removed(m_upstreams[index].record, now);
   m_index.erase(m_upstreams[index].record.id);
   if (index + 1 != m_upstreams.size()) {
     m_upstreams[index] = std::move(m_upstreams.back());
@@ -235,10 +229,7 @@
       erase_index(i, now);
     }
   }
-  std::erase_if(m_announcements,
-                [now](const auto& entry) { return now - entry.second.at >= k_announcement_lifetime; });
-  std::erase_if(m_known_instances,
-                [now](const auto& entry) { return now - entry.second.removed_at >= k_instance_memory; });
+  m_instances.expire(now);
   return changes;
 }
 
@@ -352,7 +343,7 @@
   if (known == nullptr) {
     return false;
   }
-  m_announcements.insert_or_assign(std::string(id), announcement{known->record.started_ms, now});
+  m_instances.on_leaving(known->record, now);
   return !std::exchange(known->announced_leaving, true);
 }
 
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -6,7 +6,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -16,35 +15,12 @@
 #include "core/gateway/cold_rate_limiter.h"
 #include "core/gateway/cold_state.h"
 #include "core/gateway/evacuation.h"
-#include "core/gateway/store_version.h"
+#include "core/gateway/instance_memory.h"
+#include "core/gateway/upstream_record.h"
 #include "core/routing/ejection.h"
 
 namespace cuminpath::gateway {
 
-// One row of the platform's list of upstreams.
-struct upstream_record {
-  std::string id;
-  std::string service;
-  std::string address;  // IP:PORT.
-  std::string availability_zone;
-  std::uint32_t slots = 1;
-  bool leaving = false;
-  // Unix time of the start, which distinguishes restarts under the same id; 0 if unknown.
-  std::uint64_t started_ms = 0;
-  // For how long it stays cold after the row was written; absent if the row does not say.
-  std::optional<milliseconds> cold_for;
-  store_version row_version;  // Of the store at the last write of the row, or of the copy that it restored.
-
-  // Compares all but the last two, which change with each write of the row.
-  [[nodiscard]] bool describes_same_upstream(const upstream_record& other) const {
-    const auto fields = [](const upstream_record& record) {
-      return std::tie(record.id, record.service, record.address, record.availability_zone, record.slots,
-                      record.leaving, record.started_ms);
-    };
-    return fields(*this) == fields(other);
-  }
-};
-
 struct upstream_load {
   std::uint32_t upstream_hash = 0;
   std::uint32_t outstanding = 0;
@@ -66,13 +42,6 @@
 // available again: upstreams that are alive write their rows again in this time. It ends within the limit
 // above, because a row removed right after an outage may belong to an upstream that leaves.
 constexpr milliseconds k_expired_row_grace{1600};
-// The announcement of an instance in a response that it leaves is kept for this long, also after its row was
-// removed, as rows of leaving instances can be written again. Instances end within a minute of the
-// announcement.
-constexpr minutes k_announcement_lifetime{10};
-// A removed instance is recognized for this long, so that it does not count as new when its row comes back.
-// Outages of the store last minutes.
-constexpr minutes k_instance_memory{10};
 // Longer times that an upstream states in a response are considered mistakes and capped to this time.
 constexpr minutes k_max_cold_time{10};
 // Longer Retry-After values of an upstream are considered mistakes and capped to this time.
@@ -251,24 +220,13 @@
   void erase_index(std::size_t index, time_point now);
   [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
 
-  struct announcement {
-    std::uint64_t started_ms = 0;  // Of the leaving instance.
-    time_point at{};
-  };
-  struct known_instance {
-    std::uint64_t started_ms = 0;
-    time_point removed_at{};
-  };
-
   std::vector<upstream> m_upstreams;
   std::unordered_map<std::string, std::size_t> m_index;  // By id.
   std::unordered_map<std::string, std::vector<upstream_load>> m_member_loads;
-  std::unordered_map<std::string, announcement> m_announcements;  // By id.
-  std::optional<service_names> m_services;                        // Absent until the first configuration.
+  std::optional<service_names> m_services;  // Absent until the first configuration.
   evacuation::zone_states m_evacuated_zones;
   cold_policies m_cold_policies;
-  // Instances that are no longer listed, by id. A row that lapsed and comes back is no new instance.
-  std::unordered_map<std::string, known_instance> m_known_instances;
+  instance_memory m_instances;
   bool m_listed_before = false;         // False until the first list with upstreams has been applied.
   std::vector<std::uint32_t> m_silent;  // Hashes.
 };
