gateway, platform: keep upstreams that the copy of a restored store lacks

Callers saw upstreams leave the table that had not left: the store comes back from a copy some seconds old, and rows written since then are missing in it until the upstreams write them again. The table took the first list of the later era for a list of departures, unless three rows or more were missing together or the store had failed for the gateway itself shortly before.

The list of upstreams now carries the version of the table that it was read at, and the first list of a later era removes nothing at once: a missing upstream is kept for k_expired_row_grace, as after an outage, for its row to be written again. It makes no difference whether the list is a whole read of the store or a collection merged from another gateway, since both state the era. Lists that follow remove at once, and upstreams that leave are not kept.

--- a/source/core/gateway/instance_memory.cpp
+++ b/source/core/gateway/instance_memory.cpp
@@ -1,7 +1,15 @@
 #include "core/gateway/instance_memory.h"
 
+#include <algorithm>
+
 namespace cuminpath::gateway {
 
+bool instance_memory::on_list(store_version version) {
+  const bool restored = m_list != store_version{} && version.era > m_list.era;
+  m_list = std::max(m_list, version);
+  return restored;
+}
+
 void instance_memory::on_leaving(const upstream_record& record, time_point now) {
   m_announcements.insert_or_assign(record.id, announcement{record.started_ms, now});
 }
--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -20,6 +20,10 @@
 constexpr minutes k_instance_memory{10};
 class instance_memory {
 public:
+  // A list of `version` of the store was read. Returns true if it is the first one since the store came back
+  // from a copy.
+  bool on_list(store_version version);
+
   // The instance announced that it leaves.
   void on_leaving(const upstream_record& record, time_point now);
   // Returns true if this instance, or a later one under its id, announced that it leaves.
@@ -44,6 +48,7 @@
     time_point removed_at{};
   };
 
+  store_version m_list;                                           // Of the newest list.
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   std::unordered_map<std::string, removed_instance> m_removed;    // By id.
 };
--- a/source/core/gateway/upstream_record.h
+++ b/source/core/gateway/upstream_record.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "core/common/time.h"
 #include "core/gateway/store_version.h"
@@ -34,4 +35,10 @@
   }
 };
 
+// The platform's list at a version of the store.
+struct upstream_list {
+  std::vector<upstream_record> records;
+  store_version version;
+};
+
 }  // namespace cuminpath::gateway
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -108,8 +108,10 @@
 }
 
 std::vector<upstream_table::change> upstream_table::apply(std::span<const upstream_record> records,
-                                                          time_point now, bool store_disturbed) {
+                                                          time_point now, bool store_disturbed,
+                                                          store_version version) {
   using kind = change::kind;
+  const bool restored = m_instances.on_list(version);
   std::vector<change> changes;
   std::unordered_set<std::string_view> listed;
   for (const upstream_record& record : records) {
@@ -150,9 +152,9 @@
       std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const upstream& known) {
         return known.configured && !known.leaving() && !known.removed_at && !listed.contains(known.record.id);
       }));
-  const bool expired =
-      store_disturbed || (vanished >= k_min_expired_rows &&
-                          static_cast<double>(vanished) >= k_min_expired_share * static_cast<double>(size()));
+  const bool expired = store_disturbed || restored ||
+                       (vanished >= k_min_expired_rows &&
+                        static_cast<double>(vanished) >= k_min_expired_share * static_cast<double>(size()));
   for (std::size_t i = m_upstreams.size(); i-- > 0;) {
     upstream& known = m_upstreams[i];
     if (listed.contains(known.record.id) || known.removed_at) {
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -38,9 +38,10 @@
 // Requirement: no new request is sent to a leaving upstream later than this after the platform's list says
 // that it leaves.
 constexpr milliseconds k_max_dispatch_after_leaving{2000};
-// An upstream whose row expired during an outage of the store stays in use for this long after the store is
-// available again: upstreams that are alive write their rows again in this time. It ends within the limit
-// above, because a row removed right after an outage may belong to an upstream that leaves.
+// An upstream whose row expired during an outage of the store, or is missing in the copy that the store came
+// back from, stays in use for this long after the store is available again: upstreams that are alive write
+// their rows again in this time. It ends within the limit above, because a row removed right after an outage
+// may belong to an upstream that leaves.
 constexpr milliseconds k_expired_row_grace{1600};
 // Longer times that an upstream states in a response are considered mistakes and capped to this time.
 constexpr minutes k_max_cold_time{10};
@@ -114,8 +115,10 @@
     std::string id;
   };
 
-  // Replaces the list. `store_disturbed` states that the store was unavailable shortly before `now`.
-  std::vector<change> apply(std::span<const upstream_record> records, time_point now, bool store_disturbed);
+  // Replaces the list by that of `version` of the store. `store_disturbed` states that the store was
+  // unavailable shortly before `now`.
+  std::vector<change> apply(std::span<const upstream_record> records, time_point now, bool store_disturbed,
+                            store_version version = {});
   // Removes upstreams whose grace period has ended.
   std::vector<change> expire(time_point now);
 
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -347,8 +347,8 @@
   }
 
   void apply_upstreams(bool disturbed, time_point now) {
-    const auto records = m_platform->read_upstreams(m_store_view.mirror());
-    log_changes(m_state.upstreams.apply(records, now, disturbed));
+    const auto list = m_platform->read_upstreams(m_store_view.mirror());
+    log_changes(m_state.upstreams.apply(list.records, now, disturbed, list.version));
   }
 
   void log_changes(const std::vector<gateway::upstream_table::change>& changes) {
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -62,8 +62,7 @@
   [[nodiscard]] virtual result<std::shared_ptr<const gateway::configuration>> read_configuration(
       const gateway::mirror& source) const = 0;
   // Returns the upstreams listed in the mirror. Skips rows that describe none, and logs which.
-  [[nodiscard]] virtual std::vector<gateway::upstream_record> read_upstreams(
-      const gateway::mirror& source) = 0;
+  [[nodiscard]] virtual gateway::upstream_list read_upstreams(const gateway::mirror& source) = 0;
   // Returns the availability zones that the operator has evacuated.
   [[nodiscard]] virtual std::vector<gateway::evacuation_request> read_evacuations(
       const gateway::mirror& source) const = 0;
--- /dev/null
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -0,0 +1,167 @@
+// What the table of upstreams makes of a store that has come back from an older copy.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/gateway/mirror.h"
+#include "core/gateway/upstream_table.h"
+
+namespace cuminpath::gateway {
+namespace {
+
+using kind = upstream_table::change::kind;
+
+constexpr time_point k_start{seconds{100}};
+constexpr std::uint64_t k_first_start = 1000;
+
+struct row_options {
+  bool leaving = false;
+  std::uint64_t started_ms = k_first_start;
+  std::optional<milliseconds> cold_for{};
+  std::string address{};
+};
+
+// A store of upstreams and a table that reads it.
+class store_restore : public ::testing::Test {
+protected:
+  void write(const std::string& id, const row_options& options = {}) {
+    upstream_record row{.id = id, .service = "s", .availability_zone = "z", .slots = 4};
+    row.address = options.address.empty() ? id + ":80" : options.address;
+    row.leaving = options.leaving;
+    row.started_ms = options.started_ms;
+    row.cold_for = options.cold_for;
+    row.row_version.number = ++m_number;
+    remove_row(id);
+    m_rows.push_back(std::move(row));
+  }
+  void remove(const std::string& id) {
+    ++m_number;
+    remove_row(id);
+  }
+  void copy() { m_copy = {m_rows, m_number}; }
+  void restore() {
+    m_rows = m_copy.rows;
+    m_number = m_copy.number;
+    ++m_era;
+  }
+  std::vector<upstream_table::change> read(milliseconds at = milliseconds{0}, bool disturbed = false) {
+    for (upstream_record& row : m_rows) {
+      row.row_version.era = m_era;
+    }
+    return m_table.apply(m_rows, k_start + at, disturbed, {m_era, m_number});
+  }
+  bool used(const std::string& id, milliseconds at = milliseconds{0}) {
+    const auto* known = m_table.find(id);
+    return known != nullptr &&
+           !upstream_table::why_excluded(*known, {.availability_zone = "z"}, k_start + at);
+  }
+  static std::size_t count(std::span<const upstream_table::change> changes, kind type) {
+    return static_cast<std::size_t>(std::count_if(changes.begin(), changes.end(),
+                                                  [type](const auto& each) { return each.type == type; }));
+  }
+
+  upstream_table m_table;
+
+private:
+  struct content {
+    std::vector<upstream_record> rows;
+    std::uint64_t number = 0;
+  };
+  void remove_row(const std::string& id) {
+    std::erase_if(m_rows, [&](const upstream_record& row) { return row.id == id; });
+  }
+
+  std::vector<upstream_record> m_rows;
+  std::uint64_t m_number = 0;
+  std::uint64_t m_era = 0;
+  content m_copy;
+};
+
+// Presence.
+
+// Guards against refusals for want of upstreams while rows that the copy lacks are written again.
+TEST_F(store_restore, an_upstream_that_the_copy_lacks_is_kept_for_its_row_to_be_written_again) {
+  for (const char* id : {"a", "b", "c", "d"}) {
+    write(id);
+  }
+  copy();
+  write("new");
+  read();
+  restore();
+  EXPECT_EQ(count(read(), kind::kept_after_expiry), 1U);
+  EXPECT_TRUE(used("new"));
+  EXPECT_TRUE(m_table.expire(k_start + k_expired_row_grace - milliseconds{1}).empty());
+  write("new");
+  read(milliseconds{1500});
+  m_table.expire(k_start + k_expired_row_grace);
+  EXPECT_TRUE(used("new", k_expired_row_grace));
+}
+
+// Guards against requests to an upstream that is gone: its row is not written again after the copy.
+TEST_F(store_restore, an_upstream_whose_row_is_not_written_again_is_gone_after_the_grace_period) {
+  write("a");
+  copy();
+  write("new");
+  read();
+  restore();
+  read();
+  EXPECT_EQ(count(m_table.expire(k_start + k_expired_row_grace), kind::removed), 1U);
+  EXPECT_FALSE(used("new", k_expired_row_grace));
+  EXPECT_TRUE(used("a", k_expired_row_grace));
+}
+
+// Guards against a grace period that begins again with each read of the restored store.
+TEST_F(store_restore, only_the_first_list_of_an_era_may_lack_rows) {
+  for (const char* id : {"a", "b", "c", "d"}) {
+    write(id);
+  }
+  copy();
+  read();
+  restore();
+  read();
+  remove("a");
+  EXPECT_EQ(count(read(milliseconds{300}), kind::removed), 1U);
+  EXPECT_FALSE(used("a"));
+}
+
+// Guards against a leaving upstream that is used again because it is kept.
+TEST_F(store_restore, a_leaving_upstream_that_the_copy_lacks_is_not_kept) {
+  write("a");
+  copy();
+  write("new", {.leaving = true});
+  read();
+  restore();
+  EXPECT_EQ(count(read(), kind::removed), 1U);
+}
+
+// Guards against a first list that counts as a copy: nothing was known before it.
+TEST_F(store_restore, the_first_list_is_no_copy_whatever_its_era) {
+  copy();
+  restore();
+  restore();
+  read();
+  write("a");
+  EXPECT_EQ(count(read(), kind::added), 1U);
+  EXPECT_TRUE(used("a"));
+}
+
+// The same content reaches a gateway that does not read the store as a whole collection of another one.
+TEST(store_restore_mirror, a_collection_merged_from_another_gateway_states_the_era) {
+  mirror reader;
+  mirror other;
+  const auto row = [](std::uint64_t era, std::uint64_t number) { return document{{era, number}, "row"}; };
+  ASSERT_TRUE(reader.replace("servers", {{"a", row(0, 5)}, {"new", row(0, 9)}}, {0, 9}));
+  ASSERT_TRUE(other.merge(reader.changes_since(other.known_versions())).value());
+  ASSERT_TRUE(reader.replace("servers", {{"a", row(1, 5)}}, {1, 6}));
+  ASSERT_TRUE(other.merge(reader.changes_since(other.known_versions())).value());
+  EXPECT_EQ(other.version("servers"), (store_version{1, 6}));
+  EXPECT_EQ(other.collection("servers").at("a").version, (store_version{1, 5}));
+  EXPECT_FALSE(other.collection("servers").contains("new"));
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
