gateway: an instance that has said it leaves stays leaving until a later start

Callers' requests reached upstreams that had said they were leaving: the store comes back from a copy that lists them as ready, or lacks their row, which a late write then lists as ready. What an instance said in a response was remembered, what its row said only as long as the row said it.

A row that says so now counts as an announcement of the instance, by id and start, in the same memory. Only a later start ends it, or its lifetime after the row is gone. A write of the upstream that reaches the store late has the same effect as a copy, so it holds within an era, too. If the row states no start, nothing tells a restart from a late write, and an announcement would exclude the upstream for minutes: it stays leaving while its row is that of the copy, and a row written after the first list of the era, or listed for 10 s, is believed. An announcement of an earlier start replaces none of a later one.

Before, with the version of the list passed and not used, four of the five new tests failed: the upstream was used after the copy in each of them. Now gateway_tests without the simulations in virtual time pass (199).

--- a/source/core/gateway/instance_memory.cpp
+++ b/source/core/gateway/instance_memory.cpp
@@ -4,14 +4,22 @@
 
 namespace cuminpath::gateway {
 
-bool instance_memory::on_list(store_version version) {
+bool instance_memory::on_list(store_version version, time_point now) {
   const bool restored = m_list != store_version{} && version.era > m_list.era;
   m_list = std::max(m_list, version);
+  if (restored) {
+    m_copy = restored_list{version, now};
+  }
   return restored;
 }
 
+bool instance_memory::is_of_copy(const upstream_record& record, time_point now) const {
+  return m_copy && record.row_version <= m_copy->version && now - m_copy->read_at < k_copy_doubt;
+}
+
 void instance_memory::on_leaving(const upstream_record& record, time_point now) {
-  m_announcements.insert_or_assign(record.id, announcement{record.started_ms, now});
+  announcement& latest = m_announcements[record.id];
+  latest = {std::max(latest.started_ms, record.started_ms), now};
 }
 
 bool instance_memory::has_left(const upstream_record& record) const {
--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -11,22 +12,29 @@
 
 namespace cuminpath::gateway {
 
-// The announcement of an instance in a response that it leaves is kept for this long, also after its row was
-// removed, as rows of leaving instances can be written again. Instances end within a minute of the
-// announcement.
+// The announcement of an instance that it leaves is kept for this long, also after its row was removed, as
+// rows of leaving instances can be written again. Instances end within a minute of the announcement.
 constexpr minutes k_announcement_lifetime{10};
 // A removed instance is recognized for this long, so that it does not count as new when its row comes back.
 // Outages of the store last minutes.
 constexpr minutes k_instance_memory{10};
+// A row that the store lists for this long after it came back from a copy is alive, also if it is not written
+// again: the store removes rows after three heartbeats of silence, and heartbeats come every second or two.
+constexpr seconds k_copy_doubt{10};
+
 class instance_memory {
 public:
   // A list of `version` of the store was read. Returns true if it is the first one since the store came back
   // from a copy.
-  bool on_list(store_version version);
+  bool on_list(store_version version, time_point now);
+  // Returns true if the row may be of the copy, so it may say less than was known before: it was not written
+  // after the first list since then, and has not outlived k_copy_doubt either.
+  [[nodiscard]] bool is_of_copy(const upstream_record& record, time_point now) const;
 
-  // The instance announced that it leaves.
+  // The instance said in a response, or by its row, that it leaves.
   void on_leaving(const upstream_record& record, time_point now);
-  // Returns true if this instance, or a later one under its id, announced that it leaves.
+  // Returns true if this instance, or a later one under its id, said that it leaves. A late write can list it
+  // as ready after that, and so can a copy of the store.
   [[nodiscard]] bool has_left(const upstream_record& record) const;
 
   // The instance is no longer listed.
@@ -43,12 +51,17 @@
     std::uint64_t started_ms = 0;  // Of the leaving instance.
     time_point at{};
   };
+  struct restored_list {
+    store_version version;
+    time_point read_at{};
+  };
   struct removed_instance {
     std::uint64_t started_ms = 0;
     time_point removed_at{};
   };
 
-  store_version m_list;                                           // Of the newest list.
+  store_version m_list;                 // Of the newest list.
+  std::optional<restored_list> m_copy;  // The first list since the store last came back from a copy.
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   std::unordered_map<std::string, removed_instance> m_removed;    // By id.
 };
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -111,11 +111,14 @@
                                                           time_point now, bool store_disturbed,
                                                           store_version version) {
   using kind = change::kind;
-  const bool restored = m_instances.on_list(version);
+  const bool restored = m_instances.on_list(version, now);
   std::vector<change> changes;
   std::unordered_set<std::string_view> listed;
   for (const upstream_record& record : records) {
     listed.insert(record.id);
+    if (record.leaving && record.started_ms != 0) {
+      m_instances.on_leaving(record, now);
+    }
     upstream* known = find_mutable(record.id);
     if (known == nullptr) {
       add(record, now);
@@ -140,8 +143,13 @@
       known->announced_leaving = false;
       known->rejects_until = {};
     }
+    known->announced_leaving = known->announced_leaving || m_instances.has_left(record);
     known->wrong_instance = false;
+    const bool was_leaving = known->record.leaving;
     known->record = record;
+    // If its start is unknown, it is ready again once its row says so after the copy.
+    known->record.leaving =
+        record.leaving || (was_leaving && record.started_ms == 0 && m_instances.is_of_copy(record, now));
     if (auto changed = update_configured(*known)) {
       changes.push_back(std::move(*changed));
     }
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -163,5 +163,85 @@
   EXPECT_FALSE(other.collection("servers").contains("new"));
 }
 
+// Leaving.
+
+// Guards against requests to a leaving upstream that the copy lists as ready.
+TEST_F(store_restore, an_upstream_that_leaves_stays_so_though_the_copy_lists_it_as_ready) {
+  for (const std::uint64_t started_ms : {std::uint64_t{0}, k_first_start}) {
+    const std::string id = "a" + std::to_string(started_ms);
+    write(id, {.started_ms = started_ms});
+    read();
+    copy();
+    write(id, {.leaving = true, .started_ms = started_ms});
+    read();
+    restore();
+    read();
+    EXPECT_FALSE(used(id)) << started_ms;
+    read(milliseconds{900});
+    EXPECT_FALSE(used(id)) << started_ms;
+  }
+}
+
+// Guards against requests to a leaving upstream whose earlier write reaches the store late.
+TEST_F(store_restore, an_upstream_that_leaves_stays_so_until_a_later_start) {
+  write("a");
+  read();
+  copy();
+  write("a", {.leaving = true});
+  read();
+  restore();
+  read();
+  write("a");
+  read(milliseconds{100});
+  EXPECT_FALSE(used("a"));
+  write("a", {.started_ms = k_first_start + 1});
+  read(milliseconds{200});
+  EXPECT_TRUE(used("a"));
+}
+
+// Guards against an upstream without a known start that is never used again: nothing else ends its leaving.
+TEST_F(store_restore, a_row_of_an_unknown_start_that_is_written_after_the_copy_is_believed) {
+  write("a", {.started_ms = 0});
+  read();
+  copy();
+  write("a", {.leaving = true, .started_ms = 0});
+  read();
+  restore();
+  read();
+  EXPECT_FALSE(used("a"));
+  write("a", {.started_ms = 0});
+  read(milliseconds{500});
+  EXPECT_TRUE(used("a"));
+}
+
+TEST_F(store_restore, an_upstream_that_announced_leaving_stays_so_though_the_copy_removes_and_lists_it) {
+  write("b");
+  copy();
+  write("a");
+  read();
+  m_table.on_leaving("a", k_start);
+  restore();
+  read();
+  EXPECT_EQ(m_table.find("a"), nullptr);
+  write("a");
+  read(milliseconds{200});
+  EXPECT_FALSE(used("a"));
+}
+
+// Guards against requests to an upstream that leaves by its row alone, which the copy removes and a late
+// write lists again.
+TEST_F(store_restore, an_upstream_that_leaves_by_its_row_stays_so_after_its_removal) {
+  write("b");
+  copy();
+  write("a", {.leaving = true});
+  read();
+  restore();
+  read();
+  EXPECT_EQ(m_table.find("a"), nullptr);
+  write("a");
+  read(milliseconds{200});
+  EXPECT_FALSE(used("a"));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
