gateway: an upstream that was removed is not used because a copy lists it

Callers' requests were sent to upstreams that were gone: their rows had been removed, the store came back from a copy that still lists them, and the table added them as new upstreams. At the address of one that is gone, another service may respond by then.

The table now holds such a row back: its version is of the first list of the era or older, and this gateway has seen the removal of this instance, or of a later one under its id. A row without a known start counts as the same instance. It is used once its row is written again, at a later start, or when the store still lists it 10 s after the first list: the store removes rows after three heartbeats of silence. An upstream that was missing before the copy, and is kept for its grace period, is kept no longer because the copy lists it.

--- a/source/core/gateway/instance_memory.cpp
+++ b/source/core/gateway/instance_memory.cpp
@@ -37,6 +37,12 @@
          removed->second.started_ms == record.started_ms;
 }
 
+bool instance_memory::may_be_gone(const upstream_record& record, time_point now) const {
+  const auto removed = m_removed.find(record.id);
+  return removed != m_removed.end() && is_of_copy(record, now) &&
+         (removed->second.started_ms == 0 || record.started_ms <= removed->second.started_ms);
+}
+
 void instance_memory::expire(time_point now) {
   std::erase_if(m_announcements,
                 [now](const auto& entry) { return now - entry.second.at >= k_announcement_lifetime; });
--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -43,6 +43,10 @@
   // instance. False if its start is unknown.
   [[nodiscard]] bool was_listed(const upstream_record& record) const;
 
+  // Returns true if the row is of the copy, and this instance, or a later one under its id, was removed: it
+  // may be gone.
+  [[nodiscard]] bool may_be_gone(const upstream_record& record, time_point now) const;
+
   // Forgets what is older than its lifetime.
   void expire(time_point now);
 
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -114,12 +114,24 @@
   const bool restored = m_instances.on_list(version, now);
   std::vector<change> changes;
   std::unordered_set<std::string_view> listed;
+  auto held_back_before = std::exchange(m_held_back, {});
   for (const upstream_record& record : records) {
-    listed.insert(record.id);
     if (record.leaving && record.started_ms != 0) {
       m_instances.on_leaving(record, now);
     }
     upstream* known = find_mutable(record.id);
+    if (known == nullptr && m_instances.may_be_gone(record, now)) {
+      if (!held_back_before.contains(record.id)) {
+        changes.push_back({kind::held_back, record.id});
+      }
+      m_held_back.insert_or_assign(record.id, record);
+      continue;
+    }
+    // It was missing before the copy, so its grace period goes on.
+    if (known != nullptr && known->removed_at && m_instances.is_of_copy(record, now)) {
+      continue;
+    }
+    listed.insert(record.id);
     if (known == nullptr) {
       add(record, now);
       changes.push_back(update_configured(m_upstreams.back()).value_or(change{kind::added, record.id}));
@@ -240,9 +252,28 @@
     }
   }
   m_instances.expire(now);
+  release_held_back(changes, now);
   return changes;
 }
 
+// Rows that the store goes on listing without writing them again.
+void upstream_table::release_held_back(std::vector<change>& changes, time_point now) {
+  const std::size_t before = m_held_back.size();
+  std::erase_if(m_held_back, [&](const auto& entry) {
+    const upstream_record& record = entry.second;
+    if (m_instances.may_be_gone(record, now)) {
+      return false;
+    }
+    add(record, now);
+    changes.push_back(update_configured(m_upstreams.back()).value_or(change{change::kind::added, record.id}));
+    return true;
+  });
+  if (m_held_back.size() != before) {
+    mark_superseded();
+    mark_silent();
+  }
+}
+
 void upstream_table::set_evacuations(const evacuation& evacuations) {
   m_evacuated_zones = evacuations.active();
   for (upstream& known : m_upstreams) {
@@ -408,6 +439,8 @@
       return "restarted";
     case change::kept_after_expiry:
       return "kept after lapse";
+    case change::held_back:
+      return "not used, may be gone";
     case change::not_configured:
       return "service not configured";
   }
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -110,6 +110,7 @@
       leaving,
       restarted,
       kept_after_expiry,
+      held_back,       // A copy of the store lists it again after its removal. It is not in the table.
       not_configured,  // The configuration does not name its service, or no longer does.
     } type;
     std::string id;
@@ -119,7 +120,7 @@
   // unavailable shortly before `now`.
   std::vector<change> apply(std::span<const upstream_record> records, time_point now, bool store_disturbed,
                             store_version version = {});
-  // Removes upstreams whose grace period has ended.
+  // Removes upstreams whose grace period has ended, and adds held back ones that the store goes on listing.
   std::vector<change> expire(time_point now);
 
   // Sets the services that the configuration names; all of them before the first call. Rows of other services
@@ -220,6 +221,7 @@
   std::optional<change> update_configured(upstream& known) const;
   void mark_superseded();
   void mark_silent();
+  void release_held_back(std::vector<change>& changes, time_point now);
   void erase_index(std::size_t index, time_point now);
   [[nodiscard]] bool may_eject(std::string_view service, time_point now) const;
 
@@ -230,6 +232,8 @@
   evacuation::zone_states m_evacuated_zones;
   cold_policies m_cold_policies;
   instance_memory m_instances;
+  // Rows of the copy that the store came back from whose upstreams may be gone, by id.
+  std::unordered_map<std::string, upstream_record> m_held_back;
   bool m_listed_before = false;         // False until the first list with upstreams has been applied.
   std::vector<std::uint32_t> m_silent;  // Hashes.
 };
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -17,6 +17,8 @@
 
 constexpr time_point k_start{seconds{100}};
 constexpr std::uint64_t k_first_start = 1000;
+// Longer than any time for which rows of the copy are doubted.
+constexpr seconds k_long_after{60};
 
 struct row_options {
   bool leaving = false;
@@ -243,5 +245,89 @@
   EXPECT_FALSE(used("a"));
 }
 
+// Removed before.
+
+// Guards against requests to an upstream that is gone and that the copy lists again.
+TEST_F(store_restore, an_upstream_removed_before_is_not_used_because_of_the_copy) {
+  for (const std::uint64_t started_ms : {std::uint64_t{0}, k_first_start}) {
+    const std::string id = "a" + std::to_string(started_ms);
+    write(id, {.started_ms = started_ms});
+    read();
+    copy();
+    remove(id);
+    read();
+    restore();
+    read();
+    EXPECT_FALSE(used(id)) << started_ms;
+    write("b");
+    read(milliseconds{900});
+    m_table.expire(k_start + milliseconds{900});
+    EXPECT_FALSE(used(id)) << started_ms;
+    EXPECT_TRUE(used("b"));
+  }
+}
+
+// Guards against an upstream that is alive and never used again.
+TEST_F(store_restore, an_upstream_removed_before_is_used_once_its_row_is_written_again) {
+  write("a");
+  read();
+  copy();
+  remove("a");
+  read();
+  restore();
+  read();
+  write("a");
+  EXPECT_EQ(count(read(milliseconds{400}), kind::added), 1U);
+  EXPECT_TRUE(used("a"));
+}
+
+TEST_F(store_restore, an_upstream_removed_before_is_used_at_a_later_start) {
+  write("a");
+  read();
+  remove("a");
+  read();
+  write("a", {.started_ms = k_first_start + 5});
+  copy();
+  restore();
+  read();
+  EXPECT_TRUE(used("a"));
+}
+
+TEST_F(store_restore, an_upstream_removed_before_is_used_if_the_store_goes_on_listing_it) {
+  write("a");
+  read();
+  copy();
+  remove("a");
+  read();
+  restore();
+  read();
+  EXPECT_EQ(count(m_table.expire(k_start + seconds{4}), kind::added), 0U);
+  EXPECT_EQ(count(m_table.expire(k_start + k_long_after), kind::added), 1U);
+  EXPECT_TRUE(used("a", k_long_after));
+  read(k_long_after);
+  EXPECT_TRUE(used("a", k_long_after));
+}
+
+// Guards against a second copy that ends the grace period of an upstream for good.
+TEST_F(store_restore, an_upstream_missing_in_one_copy_and_listed_by_the_next_is_not_kept_longer) {
+  write("b");
+  read();
+  write("a");
+  read();
+  copy();
+  remove("a");
+  read(milliseconds{0}, true);
+  EXPECT_TRUE(used("a"));
+  restore();
+  read(milliseconds{400});
+  EXPECT_TRUE(used("a"));
+  EXPECT_EQ(count(m_table.expire(k_start + k_expired_row_grace), kind::removed), 1U);
+  read(milliseconds{1700});
+  EXPECT_FALSE(used("a"));
+  write("a");
+  read(milliseconds{1800});
+  EXPECT_TRUE(used("a"));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
