gateway: an earlier instance in a copy of the store replaces no later one

Callers' requests were sent to the address of an instance that had ended: an upstream restarts under its id at another address, the store comes back from a copy of before, and the table took the row of the copy in place of the newer one. Addresses of upstreams that have ended are used again by other services.

A row of the copy with an earlier start than the known one says that the row of the known instance is missing: that instance is kept for the grace period, and is gone if its row is not written again by then.

Before, the address was that of the earlier instance.

--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -127,8 +127,9 @@
       m_held_back.insert_or_assign(record.id, record);
       continue;
     }
-    // It was missing before the copy, so its grace period goes on.
-    if (known != nullptr && known->removed_at && m_instances.is_of_copy(record, now)) {
+    // The row of this instance is missing in the copy, or it was before: the grace period begins, or goes on.
+    if (known != nullptr && (known->removed_at || record.started_ms < known->record.started_ms) &&
+        m_instances.is_of_copy(record, now)) {
       continue;
     }
     listed.insert(record.id);
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -329,5 +329,27 @@
   EXPECT_TRUE(used("a"));
 }
 
+// Guards against requests to an instance that is gone, at an address that may be used again: the copy lists
+// it in place of the later one.
+TEST_F(store_restore, an_earlier_instance_listed_by_the_copy_replaces_no_later_one) {
+  write("a", {.address = "earlier:80"});
+  read();
+  copy();
+  write("a", {.started_ms = k_first_start + 5, .address = "later:80"});
+  read();
+  restore();
+  read();
+  ASSERT_NE(m_table.find("a"), nullptr);
+  EXPECT_EQ(m_table.find("a")->record.address, "later:80");
+  EXPECT_TRUE(used("a"));
+  // Its row is written again, or it is gone.
+  EXPECT_EQ(count(m_table.expire(k_start + k_expired_row_grace), kind::removed), 1U);
+  read(milliseconds{1700});
+  EXPECT_FALSE(used("a"));
+  write("a", {.started_ms = k_first_start + 5, .address = "later:80"});
+  read(milliseconds{1800});
+  EXPECT_TRUE(used("a"));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
