proxy: a gateway that hears from nobody asks the seeds again

Cause: seeds were asked only while a gateway was starting. One that took its first content from a seed which had not read the rows of the gateways yet was ready with it, knew no other gateway, was known to none, as its own row could not be written, and was told nothing more.

Why it works: a gateway that neither hears from another one nor has an answer of the store asks a seed after 0.25 to 0.5 s, and then at growing intervals of at most 1 to 2 s. The answer brings the rows of the other gateways, so it reports to them, they know it from its report and report to it, and it asks no more; its own row is not needed. Until then, the answers keep its view within 2 s of that of the seed.

Bound: a seed bears the calls of a whole fleet that starts, so gateways that are all alone for a minute may not call it more often in any second.

--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -14,8 +14,6 @@
 constexpr milliseconds k_store_disturbed_period{4000};
 // Between two calls for the changes of another gateway. Changes in quick succession share one call.
 constexpr milliseconds k_min_mirror_call_interval{100};
-// Between two calls to the seeds while a starting gateway knows of no other gateway.
-constexpr milliseconds k_seed_call_interval{250};
 // A starting gateway asks the seeds for the content of the store for this long before it reads the store
 // itself. When all gateways start together, the seeds read the store within a fraction of this time.
 constexpr milliseconds k_seed_wait{1200};
@@ -154,12 +152,27 @@
   if (m_mirror_client.fetching() || now - m_last_mirror_call < k_min_mirror_call_interval) {
     return;
   }
-  const bool starting = m_local.state == gateway::member_state::starting;
   if (newer != nullptr && (m_reader_selection.lags(now) || !m_reader_selection.reads_store())) {
     fetch_changes(newer->report.mirror_address, newer->report.store_disturbed,
                   newer->report.reads_store ? newer->report.name : std::string(), now);
-  } else if (starting && !m_settings.seeds.empty() && now - m_last_mirror_call >= k_seed_call_interval) {
-    fetch_changes(m_settings.seeds[random_index(m_state.random, m_settings.seeds.size())], false, {}, now);
+  } else if (m_seed_schedule.take_due(contact(now), now, m_state.random)) {
+    ask_seed(now);
+  }
+}
+
+gateway::seed_schedule::contact store_view::contact(time_point now) const {
+  using contact = gateway::seed_schedule::contact;
+  if (m_local.state == gateway::member_state::starting) {
+    return contact::starting;
+  }
+  return m_local.reads_store || m_members.count_alive(now) > 0 ? contact::in_touch : contact::alone;
+}
+
+void store_view::ask_seed(time_point now) {
+  std::vector<std::string> others = m_settings.seeds;
+  std::erase(others, m_local.mirror_address);
+  if (!others.empty()) {
+    fetch_changes(others[random_index(m_state.random, others.size())], false, {}, now);
   }
 }
 
--- a/source/core/proxy/store_view.h
+++ b/source/core/proxy/store_view.h
@@ -11,6 +11,7 @@
 #include "core/gateway/member_list.h"
 #include "core/gateway/mirror.h"
 #include "core/gateway/mirror_client.h"
+#include "core/gateway/seed_schedule.h"
 #include "core/gateway/store_reader_selection.h"
 #include "core/gateway/view_confirmation.h"
 #include "core/http/client.h"
@@ -64,6 +65,9 @@
   void update_store_reading(time_point now);
   // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
   void fetch_newer_changes(time_point now);
+  [[nodiscard]] gateway::seed_schedule::contact contact(time_point now) const;
+  // Fetches changes from a seed, if there is one besides the local gateway.
+  void ask_seed(time_point now);
   // `reader`: name of the gateway if it reads the store, so that its changes confirm the view.
   void fetch_changes(const std::string& address, bool disturbed, const std::string& reader, time_point now);
   // Logs when the view becomes stale or current, and when the gateway hears from no other one or from some
@@ -79,6 +83,7 @@
   gateway::mirror m_mirror;
   gateway::mirror_client m_mirror_client;
   gateway::store_reader_selection m_reader_selection;
+  gateway::seed_schedule m_seed_schedule;
   bool m_store_answers = true;
   bool m_reads_store = true;          // As last set with platform_port::set_store_reading().
   bool m_last_call_answered = false;  // Since the gateway began to read the store.
--- /dev/null
+++ b/source/unit_tests/gateway/seed_schedule_test.cpp
@@ -0,0 +1,96 @@
+#include "core/gateway/seed_schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace cuminpath::gateway {
+namespace {
+
+using contact = seed_schedule::contact;
+
+constexpr time_point k_start{seconds{100}};
+constexpr milliseconds k_tick{50};
+
+std::vector<time_point> calls(seed_schedule& schedule, contact state, time_point from, time_point until,
+                              random_source& random) {
+  std::vector<time_point> found;
+  for (time_point now = from; now < until; now += k_tick) {
+    if (schedule.take_due(state, now, random)) {
+      found.push_back(now);
+    }
+  }
+  return found;
+}
+
+// Guards against a gateway that took its first content from a seed that did not list the others yet, cannot
+// read the store, and asks nobody again.
+TEST(seed_schedule, a_gateway_that_hears_from_nobody_keeps_asking) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    random_source random(seed);
+    seed_schedule schedule;
+    EXPECT_EQ(calls(schedule, contact::starting, k_start, k_start + seconds{1}, random).size(), 4U);
+    const time_point ready = k_start + seconds{1};
+    const auto alone = calls(schedule, contact::alone, ready, ready + seconds{60}, random);
+    ASSERT_GE(alone.size(), 2U);
+    EXPECT_LE(alone[0] - ready, seed_schedule::k_first_interval);
+    EXPECT_LE(alone[1] - alone[0], 2 * seed_schedule::k_first_interval + k_tick);
+    for (std::size_t i = 1; i < alone.size(); ++i) {
+      EXPECT_LE(alone[i] - alone[i - 1], seed_schedule::k_last_interval + k_tick);
+    }
+    EXPECT_GE(alone.back(), ready + seconds{57});
+  }
+}
+
+TEST(seed_schedule, asks_no_more_once_it_hears_from_another_gateway_or_the_store) {
+  random_source random(1);
+  seed_schedule schedule;
+  EXPECT_FALSE(calls(schedule, contact::alone, k_start, k_start + seconds{10}, random).empty());
+  EXPECT_TRUE(
+      calls(schedule, contact::in_touch, k_start + seconds{10}, k_start + seconds{70}, random).empty());
+  // Reports may be late for a moment, so it does not ask at once.
+  const time_point lost = k_start + seconds{70};
+  const auto again = calls(schedule, contact::alone, lost, lost + seconds{2}, random);
+  ASSERT_FALSE(again.empty());
+  EXPECT_GE(again.front() - lost, seed_schedule::k_first_interval / 2);
+  EXPECT_LE(again.front() - lost, seed_schedule::k_first_interval + k_tick);
+}
+
+// A seed bears the calls of a whole fleet that starts. Gateways that are all cut off from each other and from
+// the store may not send it more, in any second.
+TEST(seed_schedule, gateways_that_are_alone_call_a_seed_less_often_than_starting_ones) {
+  constexpr std::size_t k_seeds = 3;
+  for (const std::size_t size : {30U, 148U, 300U}) {
+    const auto busiest_second = [&](contact state, milliseconds duration) {
+      random_source random(size);
+      std::map<std::int64_t, std::vector<std::size_t>> by_tick;
+      for (std::size_t i = 0; i < size; ++i) {
+        seed_schedule schedule;
+        for (const time_point at : calls(schedule, state, k_start, k_start + duration, random)) {
+          by_tick[(at - k_start) / k_tick].push_back(random_index(random, k_seeds));
+        }
+      }
+      std::size_t most = 0;
+      for (const auto& [first, unused] : by_tick) {
+        std::vector<std::size_t> of_seed(k_seeds);
+        for (auto each = by_tick.lower_bound(first); each != by_tick.lower_bound(first + 20); ++each) {
+          for (const std::size_t called : each->second) {
+            ++of_seed[called];
+          }
+        }
+        most = std::max(most, *std::max_element(of_seed.begin(), of_seed.end()));
+      }
+      return most;
+    };
+    const std::size_t starting = busiest_second(contact::starting, seconds{1});
+    const std::size_t alone = busiest_second(contact::alone, seconds{60});
+    EXPECT_LE(alone, starting) << size;
+    RecordProperty("starting_" + std::to_string(size), static_cast<int>(starting));
+    RecordProperty("alone_" + std::to_string(size), static_cast<int>(alone));
+  }
+}
+
+}  // namespace
+}  // namespace cuminpath::gateway
