--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -351,5 +351,35 @@
   EXPECT_TRUE(used("a"));
 }
 
+// Cold.
+
+TEST_F(store_restore, the_time_in_a_row_of_the_copy_counts_again_from_when_it_is_read) {
+  constexpr milliseconds k_cold_for{3000};
+  m_table.set_cold_policies({{"s", {.cold_start = k_cold_for, .max_per_s = 26}}});
+  write("a", {.cold_for = k_cold_for});
+  read();
+  copy();
+  write("a", {.cold_for = milliseconds{0}});
+  read(milliseconds{2900});
+  restore();
+  read(milliseconds{2950});
+  EXPECT_TRUE(m_table.find("a")->cold(k_start + milliseconds{5949}));
+  EXPECT_FALSE(m_table.find("a")->cold(k_start + milliseconds{5950}));
+}
+
+// Guards against a service whose upstreams all count as cold after a copy that lacks their rows.
+TEST_F(store_restore, an_upstream_that_the_copy_lacks_does_not_become_cold) {
+  m_table.set_cold_policies({{"s", {.cold_start = milliseconds{3000}, .max_per_s = 26}}});
+  write("b", {.cold_for = milliseconds{0}});
+  copy();
+  write("a", {.cold_for = milliseconds{0}});
+  read();
+  restore();
+  read();
+  write("a", {.cold_for = milliseconds{0}});
+  read(milliseconds{500});
+  EXPECT_FALSE(m_table.find("a")->cold(k_start + milliseconds{500}));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
