--- a/source/core/gateway/view_confirmation.cpp
+++ b/source/core/gateway/view_confirmation.cpp
@@ -20,7 +20,7 @@
 std::optional<view_confirmation::change> view_confirmation::take_change(time_point now) {
   const bool stale = age(now) >= k_stale_after;
   if (stale == m_stale) {
-    m_longest_age = stale ? m_longest_age : milliseconds{0};
+    m_longest_age = stale ? std::max(m_longest_age, age(now)) : milliseconds{0};
     return std::nullopt;
   }
   m_stale = stale;
--- a/source/unit_tests/gateway/view_confirmation_test.cpp
+++ b/source/unit_tests/gateway/view_confirmation_test.cpp
@@ -31,5 +31,17 @@
   EXPECT_FALSE(view.take_change(k_start + seconds{9}));
 }
 
+// A response tells of a moment before it arrives.
+TEST(view_confirmation, says_how_long_the_confirmation_was_missing_when_it_arrives) {
+  view_confirmation view(k_start);
+  ASSERT_TRUE(view.take_change(k_start + seconds{6}));
+  EXPECT_FALSE(view.take_change(k_start + seconds{8}));
+  view.confirm("store", k_start + seconds{7});
+  const auto change = view.take_change(k_start + seconds{8});
+  ASSERT_TRUE(change);
+  EXPECT_FALSE(change->stale);
+  EXPECT_EQ(change->age, seconds{8});
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
