gateway: a mirror that is complete up to a change does not lack it

After a drill each reader records the version of its own read as the newest change, so gateways with the same content stated different ones for as long as a table was quiet. All but one counted as behind and fetched from it; if its reports arrived but its mirror could not be fetched, all others would count as lagging after 0.5 s and read the store. Found by review; the relation is shown by the test, the load by reading only.

A mirror takes the newest change that another one states if it is complete up to that version.

Measured: the test failed before (newer in place of equal) and passes.

--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -190,6 +190,19 @@
   return newest;
 }
 
+bool mirror::learn_newest_changes(const collection_versions& others) {
+  bool learned = false;
+  for (const auto& [name, newest] : others) {
+    const auto found = m_collections.find(name);
+    if (found != m_collections.end() && newest <= found->second.version &&
+        newest > found->second.last_change_version) {
+      found->second.last_change_version = newest;
+      learned = true;
+    }
+  }
+  return learned;
+}
+
 mirror::change_set mirror::changes_of(const collection_state& current, store_version known) {
   if (known.era == k_era_not_stated) {
     known.era = current.version.era;
--- a/source/core/gateway/mirror.h
+++ b/source/core/gateway/mirror.h
@@ -64,6 +64,10 @@
   [[nodiscard]] std::uint64_t content_version() const;
   // Returns the versions of the newest change of each collection that has any.
   [[nodiscard]] collection_versions newest_changes() const;
+  // Takes the newest changes that another mirror of the same store states, and returns true if that changed
+  // anything. A collection that is complete up to such a change contains it, also if it recorded a lower
+  // version: reads at different times record the same removals with different versions.
+  bool learn_newest_changes(const collection_versions& others);
 
   [[nodiscard]] collection_versions known_versions() const;
   // Returns the changes that a gateway whose collections have these versions lacks, as one MessagePack
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -73,6 +73,10 @@
   if (member == nullptr) {
     return;
   }
+  const auto& newest = member->report.newest_changes;
+  if (newest && m_mirror.learn_newest_changes(*newest)) {
+    describe_mirror();
+  }
   const auto relation = gateway::compare_mirrors(member->report, m_local);
   if (relation == gateway::mirror_relation::newer) {
     fetch_newer_changes(now);
--- a/source/unit_tests/gateway/mirror_exchange_test.cpp
+++ b/source/unit_tests/gateway/mirror_exchange_test.cpp
@@ -226,5 +226,34 @@
   }
 }
 
+// Guards against gateways that count as behind for as long as a table is quiet, although they have read all
+// of it: they would all read the store, and ask the other one without end if it doesn't answer.
+TEST(mirror_exchange, a_mirror_that_is_complete_up_to_a_change_does_not_lack_it) {
+  const auto report = [](const mirror& described) {
+    return member_report{.mirror_version = described.content_version(),
+                         .newest_changes = described.newest_changes()};
+  };
+  const mirror::documents copy{{"k", document{{1, 40}, "row"}}};
+  mirror one;
+  mirror other;
+  for (mirror* each : {&one, &other}) {
+    ASSERT_TRUE(each->replace("op", {{"k", document{{0, 40}, "row"}}}, {0, 60}));
+  }
+  // Both read the copy; `other` two transactions later, which are of another table.
+  ASSERT_TRUE(one.replace("op", copy, {1, 50}));
+  ASSERT_TRUE(other.replace("op", copy, {1, 52}));
+  one.advance("op", {1, 90});
+  EXPECT_EQ(one.collection("op"), other.collection("op"));
+  EXPECT_TRUE(one.learn_newest_changes(other.newest_changes()));
+  EXPECT_FALSE(one.learn_newest_changes(other.newest_changes()));
+  EXPECT_EQ(compare_mirrors(report(other), report(one)), mirror_relation::equal);
+  ASSERT_TRUE(one.replace("op", copy, {1, 95}));
+  EXPECT_EQ(compare_mirrors(report(other), report(one)), mirror_relation::equal);
+  // It does lack a change after the version up to which it is complete.
+  other.put("op", "k", {{1, 96}, "new"});
+  EXPECT_FALSE(one.learn_newest_changes(other.newest_changes()));
+  EXPECT_EQ(compare_mirrors(report(other), report(one)), mirror_relation::newer);
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
