gateway: gateways that are cut off together ask the seeds

Two gateways that the store rejects and that know each other counted as in touch, and asked nobody for changes. Found by review, by reading.

A gateway is in touch if the store answers it, or if it hears from a reader of the store or from a seed.

Measured: the new unit test of the decision passes; with any other gateway counted, as before, it fails.

--- a/source/core/gateway/seed_schedule.h
+++ b/source/core/gateway/seed_schedule.h
@@ -5,9 +5,12 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
+#include <string>
 
 #include "core/common/random.h"
 #include "core/common/time.h"
+#include "core/gateway/member_list.h"
 
 namespace cuminpath::gateway {
 
@@ -15,7 +18,7 @@
 public:
   enum class contact : std::uint8_t {
     starting,  // The gateway does not have enough content to serve callers yet.
-    alone,     // It hears neither from another gateway nor from the store.
+    alone,     // It hears neither from the store nor from a gateway that would have news.
     in_touch,
   };
 
@@ -28,6 +31,11 @@
   // Returns true if a seed has to be asked now, and counts it as asked.
   bool take_due(contact state, time_point now, random_source& random);
 
+  // Returns the contact of the gateway that `local` describes. Gateways that know each other, but neither a
+  // reader of the store nor a seed, are cut off together.
+  [[nodiscard]] static contact find_contact(const member_report& local, const member_list& members,
+                                            std::span<const std::string> seeds, time_point now);
+
 private:
   milliseconds m_interval = k_first_interval;
   std::optional<time_point> m_next;
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -159,17 +159,12 @@
   if (newer != nullptr && (m_reader_selection.lags(now) || !m_reader_selection.reads_store())) {
     fetch_changes(newer->report.mirror_address, newer->report.store_disturbed,
                   newer->report.reads_store ? newer->report.name : std::string(), now);
-  } else if (m_seed_schedule.take_due(contact(now), now, m_state.random)) {
-    ask_seed(now);
+    return;
   }
-}
-
-gateway::seed_schedule::contact store_view::contact(time_point now) const {
-  using contact = gateway::seed_schedule::contact;
-  if (m_local.state == gateway::member_state::starting) {
-    return contact::starting;
+  const auto contact = gateway::seed_schedule::find_contact(m_local, m_members, m_settings.seeds, now);
+  if (m_seed_schedule.take_due(contact, now, m_state.random)) {
+    ask_seed(now);
   }
-  return m_local.reads_store || m_members.count_alive(now) > 0 ? contact::in_touch : contact::alone;
 }
 
 void store_view::ask_seed(time_point now) {
--- a/source/core/proxy/store_view.h
+++ b/source/core/proxy/store_view.h
@@ -65,7 +65,6 @@
   void update_store_reading(time_point now);
   // Fetches changes from a gateway that has newer ones, if the local gateway does not read the store or lags.
   void fetch_newer_changes(time_point now);
-  [[nodiscard]] gateway::seed_schedule::contact contact(time_point now) const;
   // Fetches changes from a seed, if there is one besides the local gateway.
   void ask_seed(time_point now);
   // `reader`: name of the gateway if it reads the store, so that its changes confirm the view.
--- a/source/unit_tests/gateway/seed_schedule_test.cpp
+++ b/source/unit_tests/gateway/seed_schedule_test.cpp
@@ -92,5 +92,25 @@
   }
 }
 
+// Guards against gateways that the store rejects and that know only each other: none of them hears of a
+// change.
+TEST(seed_schedule, gateways_that_are_cut_off_together_are_not_in_touch) {
+  const std::vector<std::string> seeds{"seed:1"};
+  const auto contact_with = [&](const std::optional<member_report>& other, member_report local = {}) {
+    local.state = member_state::ready;
+    member_list members({});
+    if (other) {
+      members.on_report(*other, k_start);
+    }
+    return seed_schedule::find_contact(local, members, seeds, k_start);
+  };
+  EXPECT_EQ(contact_with(std::nullopt), contact::alone);
+  EXPECT_EQ(contact_with(std::nullopt, {.reads_store = true}), contact::in_touch);
+  EXPECT_EQ(contact_with(member_report{.name = "g", .mirror_address = "g:1"}), contact::alone);
+  EXPECT_EQ(contact_with(member_report{.name = "g", .mirror_address = "g:1", .reads_store = true}),
+            contact::in_touch);
+  EXPECT_EQ(contact_with(member_report{.name = "s", .mirror_address = "seed:1"}), contact::in_touch);
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
