gateway: upstreams that a copy lists or lacks are used again in time

An upstream that was missing before a drill, and that the copy lists, was neither kept nor held back: once its grace period was over it stayed unused until the next change of any table, without bound in a quiet store. A later instance listed by the copy was ignored together with it. An upstream that two copies lacked had no time left to write its row after the second. Callers would get 503 for want of upstreams. Found by review.

Such a row is held back as any other that may be gone, and used once the time of doubt has passed; a later start is taken at once; the grace period begins again with each copy that lacks the row. The time of doubt is 6.5 s in place of 10 s: a row that the store still lists after three heartbeats is that of an instance that is alive.

The test of the first list could not fail; it checks the answer of instance_memory now.

--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -18,9 +18,10 @@
 // A removed instance is recognized for this long, so that it does not count as new when its row comes back.
 // Outages of the store last minutes.
 constexpr minutes k_instance_memory{10};
-// A row that the store lists for this long after it came back from a copy is alive, also if it is not written
-// again: the store removes rows after three heartbeats of silence, and heartbeats come every second or two.
-constexpr seconds k_copy_doubt{10};
+// A row that the store lists for this long after it came back from a copy is that of an instance that is
+// alive: the store removes rows after three heartbeats of silence, and heartbeats come every two seconds at
+// most. They change the row only if more than their number differs, so a row may stay as it was in the copy.
+constexpr milliseconds k_copy_doubt{6500};
 
 class instance_memory {
 public:
--- a/source/core/gateway/upstream_table.cpp
+++ b/source/core/gateway/upstream_table.cpp
@@ -128,8 +128,10 @@
       continue;
     }
     // The row of this instance is missing in the copy, or it was before: the grace period begins, or goes on.
-    if (known != nullptr && (known->removed_at || record.started_ms < known->record.started_ms) &&
-        m_instances.is_of_copy(record, now)) {
+    if (known != nullptr && m_instances.is_of_copy(record, now) &&
+        (record.started_ms < known->record.started_ms ||
+         (known->removed_at && record.started_ms == known->record.started_ms))) {
+      m_held_back.insert_or_assign(record.id, record);
       continue;
     }
     listed.insert(record.id);
@@ -178,11 +180,18 @@
                         static_cast<double>(vanished) >= k_min_expired_share * static_cast<double>(size()));
   for (std::size_t i = m_upstreams.size(); i-- > 0;) {
     upstream& known = m_upstreams[i];
-    if (listed.contains(known.record.id) || known.removed_at) {
+    if (listed.contains(known.record.id)) {
+      continue;
+    }
+    if (known.removed_at) {
+      if (restored && known.missing_in_copy) {
+        known.removed_at = now;  // Its row is written again after the last copy only.
+      }
       continue;
     }
     if (expired && known.configured && !known.leaving()) {
       known.removed_at = now;
+      known.missing_in_copy = restored;
       changes.push_back({kind::kept_after_expiry, known.record.id});
     } else {
       changes.push_back({kind::removed, known.record.id});
@@ -262,7 +271,7 @@
   const std::size_t before = m_held_back.size();
   std::erase_if(m_held_back, [&](const auto& entry) {
     const upstream_record& record = entry.second;
-    if (m_instances.may_be_gone(record, now)) {
+    if (m_index.contains(record.id) || m_instances.may_be_gone(record, now)) {
       return false;
     }
     add(record, now);
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -96,6 +96,7 @@
     bool superseded = false;  // A later instance is listed at the same address; this row has not expired yet.
     // Set if the row was removed, but the upstream is kept until the grace period ends.
     std::optional<time_point> removed_at;
+    bool missing_in_copy = false;  // It was removed with the first list of a restored store.
 
     [[nodiscard]] double outstanding() const { return local_requests + member_requests; }
     [[nodiscard]] bool leaving() const { return record.leaving || announced_leaving; }
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/gateway/instance_memory.h"
 #include "core/gateway/mirror.h"
 #include "core/gateway/upstream_table.h"
 
@@ -149,6 +150,10 @@
   write("a");
   EXPECT_EQ(count(read(), kind::added), 1U);
   EXPECT_TRUE(used("a"));
+  instance_memory memory;
+  EXPECT_FALSE(memory.on_list({3, 50}, k_start));
+  EXPECT_FALSE(memory.on_list({3, 51}, k_start));
+  EXPECT_TRUE(memory.on_list({4, 40}, k_start));
 }
 
 // The same content reaches a gateway that does not read the store as a whole collection of another one.
@@ -381,5 +386,71 @@
   EXPECT_FALSE(m_table.find("a")->cold(k_start + milliseconds{500}));
 }
 
+// Guards against an upstream that is alive and stays unused while nothing else in the store changes.
+TEST_F(store_restore, an_upstream_in_its_grace_period_that_the_copy_lists_is_used_in_the_end) {
+  write("b");
+  write("a");
+  read();
+  copy();
+  remove("a");
+  read(milliseconds{0}, true);
+  restore();
+  read(milliseconds{400});
+  m_table.expire(k_start + k_expired_row_grace);
+  m_table.expire(k_start + k_long_after);
+  EXPECT_TRUE(used("a", k_long_after));
+}
+
+// Guards against a later instance, listed by the copy, that is not taken in place of one in its grace
+// period.
+TEST_F(store_restore, a_later_instance_listed_by_the_copy_is_used) {
+  write("b");
+  write("a", {.address = "earlier:80"});
+  read();
+  write("a", {.started_ms = k_first_start + 5, .address = "later:80"});
+  copy();
+  remove("a");
+  read(milliseconds{0}, true);
+  restore();
+  read(milliseconds{400});
+  ASSERT_NE(m_table.find("a"), nullptr);
+  EXPECT_EQ(m_table.find("a")->record.address, "later:80");
+  m_table.expire(k_start + k_expired_row_grace);
+  EXPECT_TRUE(used("a", k_expired_row_grace));
+}
+
+// Guards against all upstreams unused for seconds though the store lists them, and they are alive: a row
+// changes when more than its sequence does, so it is not written again.
+TEST_F(store_restore, rows_that_lapsed_before_the_copy_lists_them_are_used_after_three_heartbeats) {
+  write("a");
+  write("b");
+  read();
+  copy();
+  remove("a");
+  remove("b");
+  read(milliseconds{0}, true);
+  restore();
+  read(milliseconds{400});
+  m_table.expire(k_start + k_expired_row_grace);
+  read(milliseconds{1700});
+  m_table.expire(k_start + seconds{7});
+  EXPECT_TRUE(used("a", seconds{7}));
+  EXPECT_TRUE(used("b", seconds{7}));
+}
+
+// Guards against refusals after a second drill: no time is left to write the row again.
+TEST_F(store_restore, an_upstream_that_two_copies_lack_is_kept_after_the_second) {
+  write("b");
+  copy();
+  write("a");
+  read();
+  restore();
+  read();
+  restore();
+  read(milliseconds{1400});
+  m_table.expire(k_start + milliseconds{1700});
+  EXPECT_TRUE(used("a", milliseconds{1700}));
+}
+
 }  // namespace
 }  // namespace cuminpath::gateway
