--- a/source/core/gateway/mirror.cpp
+++ b/source/core/gateway/mirror.cpp
@@ -83,7 +83,7 @@
 void mirror::put(std::string_view collection, std::string_view key, document value) {
   collection_state& target = state(collection);
   if (value.version.era != target.version.era || value.version <= target.version) {
-    return;  // The content that replaced the collection includes this change.
+    return;  // The content refers to other changes, or includes this one.
   }
   const auto known = target.content.find(key);
   if (known != target.content.end() && known->second.version >= value.version) {
--- a/source/core/gateway/mirror.h
+++ b/source/core/gateway/mirror.h
@@ -19,7 +19,7 @@
 namespace cuminpath::gateway {
 
 struct document {
-  store_version version;  // Of the store at the last change of the document, or of the copy that it restored.
+  store_version version;  // Number of its last change, in the era in which it was read.
   std::string bytes;
 
   bool operator==(const document&) const = default;
--- a/source/core/gateway/upstream_record.h
+++ b/source/core/gateway/upstream_record.h
@@ -23,7 +23,7 @@
   std::uint64_t started_ms = 0;
   // For how long it stays cold after the row was written; absent if the row does not say.
   std::optional<milliseconds> cold_for;
-  store_version row_version;  // Of the store at the last write of the row, or of the copy that it restored.
+  store_version row_version;  // Number of the last write of the row, in the era in which it was read.
 
   // Compares all but the last two, which change with each write of the row.
   [[nodiscard]] bool describes_same_upstream(const upstream_record& other) const {
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -36,7 +36,7 @@
     // Called when the store begins to return versions of a table that are older than the known one.
     std::function<void()> store_versions_went_back;
     // Called when the store has come back from an older copy.
-    std::function<void(std::uint64_t era)> store_restored;
+    std::function<void()> store_restored;
   };
   // Starts to copy the content of the store into `target`, which must outlive this object.
   virtual void start(gateway::mirror& target, events handlers) = 0;
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -42,18 +42,16 @@
 void store_view::start(time_point now) {
   m_started = now;
   m_last_heard = now;
-  m_platform.start(
-      m_mirror,
-      {.mirror_changed = [this] { on_store_changed(clock::now()); },
-       .store_call_finished =
-           [this](bool answered, std::string_view reason) {
-             on_store_call_finished(answered, reason, clock::now());
-           },
-       .store_confirmed = [this](time_point at) { m_confirmation.confirm(k_store_source, at); },
-       .store_versions_went_back =
-           [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); },
-       .store_restored =
-           [this](std::uint64_t /*era*/) { m_state.metrics.add("cuminpath_store_restores_total"); }});
+  m_platform.start(m_mirror,
+                   {.mirror_changed = [this] { on_store_changed(clock::now()); },
+                    .store_call_finished =
+                        [this](bool answered, std::string_view reason) {
+                          on_store_call_finished(answered, reason, clock::now());
+                        },
+                    .store_confirmed = [this](time_point at) { m_confirmation.confirm(k_store_source, at); },
+                    .store_versions_went_back =
+                        [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); },
+                    .store_restored = [this] { m_state.metrics.add("cuminpath_store_restores_total"); }});
   m_platform.announce(m_local);
   if (!m_settings.seeds.empty() && !is_seed()) {
     m_reader_selection.wait_for_members(now + k_seed_wait);
--- a/source/unit_tests/gateway/mirror_exchange_test.cpp
+++ b/source/unit_tests/gateway/mirror_exchange_test.cpp
@@ -208,8 +208,7 @@
   std::size_t m_steps_back = 0;
 };
 
-// Guards against newer rows of one table that a sum over all tables hides, and against gateways that do not
-// learn that the store has come back from an older copy.
+// Guards against newer rows of one table that a sum over all tables hides.
 TEST(mirror_exchange, all_gateways_get_the_newest_content_of_every_table) {
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     fleet all(seed);
@@ -226,8 +225,7 @@
   }
 }
 
-// Guards against gateways that count as behind for as long as a table is quiet, although they have read all
-// of it: they would all read the store, and ask the other one without end if it doesn't answer.
+// Guards against gateways that count as behind while a table is quiet, and all read the store.
 TEST(mirror_exchange, a_mirror_that_is_complete_up_to_a_change_does_not_lack_it) {
   const auto report = [](const mirror& described) {
     return member_report{.mirror_version = described.content_version(),
--- a/source/unit_tests/gateway/mirror_test.cpp
+++ b/source/unit_tests/gateway/mirror_test.cpp
@@ -271,8 +271,7 @@
   EXPECT_TRUE(lacks_changes(known, {{"c", at(1)}}));
 }
 
-// Guards against upstreams that stay listed at a gateway that has seen a row which came and went between two
-// calls of the gateway that it takes its changes from.
+// Guards against upstreams that stay listed where a row was seen that came and went elsewhere.
 TEST(mirror, passes_on_removals_of_rows_that_it_never_held) {
   mirror reader;
   reader.replace("a", {{"k", {at(1), "value"}}}, at(10));
@@ -310,8 +309,7 @@
   }
 }
 
-// Guards against a rolling restart in which gateways of a release without eras and later ones no longer
-// exchange changes.
+// Guards against a rolling restart in which gateways of two releases exchange no changes.
 TEST(mirror, exchanges_changes_with_gateways_that_state_no_era) {
   const auto to_bytes = [](const json& value) {
     std::string bytes;
--- a/source/unit_tests/gateway/seed_schedule_test.cpp
+++ b/source/unit_tests/gateway/seed_schedule_test.cpp
@@ -25,8 +25,7 @@
   return found;
 }
 
-// Guards against a gateway that took its first content from a seed that did not list the others yet, cannot
-// read the store, and asks nobody again.
+// Guards against a gateway that the store rejects and that nobody tells of changes.
 TEST(seed_schedule, a_gateway_that_hears_from_nobody_keeps_asking) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     random_source random(seed);
@@ -58,8 +57,7 @@
   EXPECT_LE(again.front() - lost, seed_schedule::k_first_interval + k_tick);
 }
 
-// A seed bears the calls of a whole fleet that starts. Gateways that are all cut off from each other and from
-// the store may not send it more, in any second.
+// Guards against more calls in any second than a seed bears while a fleet starts.
 TEST(seed_schedule, gateways_that_are_alone_call_a_seed_less_often_than_starting_ones) {
   constexpr std::size_t k_seeds = 3;
   for (const std::size_t size : {30U, 148U, 300U}) {
@@ -92,8 +90,7 @@
   }
 }
 
-// Guards against gateways that the store rejects and that know only each other: none of them hears of a
-// change.
+// Guards against rejected gateways that know only each other and hear of no change.
 TEST(seed_schedule, gateways_that_are_cut_off_together_are_not_in_touch) {
   const std::vector<std::string> seeds{"seed:1"};
   const auto contact_with = [&](const std::optional<member_report>& other, member_report local = {}) {
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -235,8 +235,7 @@
   EXPECT_FALSE(used("a"));
 }
 
-// Guards against requests to an upstream that leaves by its row alone, which the copy removes and a late
-// write lists again.
+// Guards against requests to an upstream whose row a late write lists again as ready.
 TEST_F(store_restore, an_upstream_that_leaves_by_its_row_stays_so_after_its_removal) {
   write("b");
   copy();
@@ -334,8 +333,7 @@
   EXPECT_TRUE(used("a"));
 }
 
-// Guards against requests to an instance that is gone, at an address that may be used again: the copy lists
-// it in place of the later one.
+// Guards against requests to an instance that has ended, at an address that may be used again.
 TEST_F(store_restore, an_earlier_instance_listed_by_the_copy_replaces_no_later_one) {
   write("a", {.address = "earlier:80"});
   read();
@@ -401,8 +399,7 @@
   EXPECT_TRUE(used("a", k_long_after));
 }
 
-// Guards against a later instance, listed by the copy, that is not taken in place of one in its grace
-// period.
+// Guards against a later instance that is ignored during the grace period of the earlier one.
 TEST_F(store_restore, a_later_instance_listed_by_the_copy_is_used) {
   write("b");
   write("a", {.address = "earlier:80"});
@@ -419,8 +416,7 @@
   EXPECT_TRUE(used("a", k_expired_row_grace));
 }
 
-// Guards against all upstreams unused for seconds though the store lists them, and they are alive: a row
-// changes when more than its sequence does, so it is not written again.
+// Guards against upstreams that are alive and unused, as heartbeats do not change their rows.
 TEST_F(store_restore, rows_that_lapsed_before_the_copy_lists_them_are_used_after_three_heartbeats) {
   write("a");
   write("b");
