gateway, proxy: a view is as old as the last response of the store, also at gateways that don't read it

Operators saw a view_age near 0 at every gateway that doesn't read the store until the calls of the readers had failed: up to 3.4 s with few readers and 10.9 s with many, and "view is stale" that much too late. Found in the read-through.

Cause: the report of a reader with equal content confirmed a view as of its arrival, though the reader itself was confirmed earlier. The same held for content that was fetched from a reader.

A reader states in its reports how long ago the store confirmed its mirror, and others count from then. Only its own responses of the store count there, so two readers can't keep each other current. The age is a fourth part of the last element of the loads, which gateways of the release before ignore; a report of three tables has at most 220 bytes as before this commit.

--- a/source/core/gateway/member_list.cpp
+++ b/source/core/gateway/member_list.cpp
@@ -11,6 +11,8 @@
 constexpr int k_report_format = 3;
 constexpr std::size_t k_max_loads = 512;
 constexpr std::size_t k_max_collections = 16;
+// Higher ages are all the same to a receiver.
+constexpr milliseconds k_max_view_age{60000};
 // Bounds of the interval that a report may state.
 constexpr milliseconds k_min_report_interval{50};
 constexpr milliseconds k_max_report_interval{20000};
@@ -72,6 +74,7 @@
     json last = json::array({to_json(report.silence.silent), to_json(report.silence.progressing)});
     if (report.newest_changes) {
       last.push_back(to_json(*report.newest_changes));
+      last.push_back(std::clamp(report.view_age, milliseconds{0}, k_max_view_age).count());
     }
     loads.push_back(std::move(last));
   }
@@ -123,6 +126,9 @@
       if (last.size() > 2) {
         report.newest_changes = read_versions(last.at(2));
       }
+      if (last.size() > 3) {
+        report.view_age = milliseconds(last.at(3).get<std::uint32_t>());
+      }
     }
     return report;
   } catch (const json::exception& failure) {
--- a/source/core/gateway/member_list.h
+++ b/source/core/gateway/member_list.h
@@ -33,6 +33,7 @@
   // mirror::newest_changes(); a gateway of a release without eras states none.
   std::optional<collection_versions> newest_changes;
   bool reads_store = false;      // The gateway reads changes from the store, and the store responds.
+  milliseconds view_age{0};      // Of a gateway that reads the store: since the store confirmed its mirror.
   bool store_disturbed = false;  // Recent calls of this gateway to the store have failed.
   milliseconds interval{200};    // Maximum time until the receiver gets the next report.
   std::vector<upstream_load> loads;
--- a/source/core/proxy/store_view.cpp
+++ b/source/core/proxy/store_view.cpp
@@ -48,7 +48,11 @@
                         [this](bool answered, std::string_view reason) {
                           on_store_call_finished(answered, reason, clock::now());
                         },
-                    .store_confirmed = [this](time_point at) { m_confirmation.confirm(k_store_source, at); },
+                    .store_confirmed =
+                        [this](time_point at) {
+                          m_store_confirmed_at = at;
+                          m_confirmation.confirm(k_store_source, at);
+                        },
                     .store_versions_went_back =
                         [this] { m_state.metrics.add("cuminpath_store_versions_went_back_total"); },
                     .store_restored = [this] { m_state.metrics.add("cuminpath_store_restores_total"); }});
@@ -59,7 +63,7 @@
 }
 
 void store_view::tick(time_point now) {
-  describe_mirror();
+  describe_mirror(now);
   update_store_reading(now);
   m_platform.tick(now, m_state.random);
   fetch_newer_changes(now);
@@ -73,21 +77,22 @@
   }
   const auto& newest = member->report.newest_changes;
   if (newest && m_mirror.learn_newest_changes(*newest)) {
-    describe_mirror();
+    describe_mirror(now);
   }
   const auto relation = gateway::compare_mirrors(member->report, m_local);
   if (relation == gateway::mirror_relation::newer) {
     fetch_newer_changes(now);
   } else if (relation == gateway::mirror_relation::equal && member->report.reads_store) {
-    m_confirmation.confirm(gateway, now);
+    m_confirmation.confirm(gateway, now - member->report.view_age);
   }
 }
 
-bool store_view::describe_mirror() {
+bool store_view::describe_mirror(time_point now) {
   m_local.mirror_version = m_mirror.content_version();
   auto newest = m_mirror.newest_changes();
   const bool changed = m_local.newest_changes != newest;
   m_local.newest_changes = std::move(newest);
+  m_local.view_age = std::chrono::duration_cast<milliseconds>(now - m_store_confirmed_at);
   return changed;
 }
 
@@ -115,7 +120,7 @@
 
 void store_view::on_store_changed(time_point now) {
   m_source = k_store_source;
-  const bool news = describe_mirror();
+  const bool news = describe_mirror(now);
   m_events.changed(store_disturbed(now), now);
   if (news) {
     m_events.report_due(now);  // Gateways that do not read the store wait for this report.
@@ -155,8 +160,7 @@
     return;
   }
   if (newer != nullptr && (m_reader_selection.lags(now) || !m_reader_selection.reads_store())) {
-    fetch_changes(newer->report.mirror_address, newer->report.store_disturbed,
-                  newer->report.reads_store ? newer->report.name : std::string(), now);
+    fetch_changes(newer->report.mirror_address, now, &newer->report);
     return;
   }
   const auto contact = gateway::seed_schedule::find_contact(m_local, m_members, m_settings.seeds, now);
@@ -169,18 +173,27 @@
   std::vector<std::string> others = m_settings.seeds;
   std::erase(others, m_local.mirror_address);
   if (!others.empty()) {
-    fetch_changes(others[random_index(m_state.random, others.size())], false, {}, now);
+    fetch_changes(others[random_index(m_state.random, others.size())], now);
   }
 }
 
-void store_view::fetch_changes(const std::string& address, bool disturbed, const std::string& reader,
-                               time_point now) {
+void store_view::fetch_changes(const std::string& address, time_point now,
+                               const gateway::member_report* source) {
   if (address.empty() || address == m_local.mirror_address || address == m_settings.mirror_address) {
     return;
   }
   m_last_mirror_call = now;
-  m_mirror_client.fetch(address, [this, address, disturbed, reader](const result<bool>& merged) {
-    describe_mirror();
+  struct confirmation {
+    std::string source;
+    time_point at;
+  };
+  std::optional<confirmation> confirms;
+  if (source != nullptr && source->reads_store) {
+    confirms = confirmation{source->name, now - source->view_age};
+  }
+  const bool disturbed = source != nullptr && source->store_disturbed;
+  m_mirror_client.fetch(address, [this, address, disturbed, confirms](const result<bool>& merged) {
+    describe_mirror(clock::now());
     if (!merged) {
       m_state.metrics.add("cuminpath_failed_mirror_calls_total");
       telemetry::log(merged.error().code == error_code::invalid_input ? log_level::warning : log_level::debug,
@@ -188,8 +201,8 @@
                      {{"address", address}, {"reason", merged.error().message}});
     } else if (merged.value()) {
       m_reader_selection.on_changes_applied(clock::now());
-      if (!reader.empty()) {
-        m_confirmation.confirm(reader, clock::now());
+      if (confirms) {
+        m_confirmation.confirm(confirms->source, confirms->at);
       }
       m_source = address;
       telemetry::log(log_level::info, "store", "changes of another gateway taken",
--- a/source/core/proxy/store_view.h
+++ b/source/core/proxy/store_view.h
@@ -53,8 +53,9 @@
 private:
   void on_store_call_finished(bool answered, std::string_view reason, time_point now);
   void on_store_changed(time_point now);
-  // Writes what the mirror contains into the local report. Returns true if that has changed.
-  bool describe_mirror();
+  // Writes what the mirror contains, and how current it is, into the local report. Returns true if the
+  // content has changed.
+  bool describe_mirror(time_point now);
   // Returns true if a call of the local gateway to the store failed recently.
   [[nodiscard]] bool store_disturbed(time_point now) const;
   // Returns true if other gateways ask the local one first when they start.
@@ -67,8 +68,10 @@
   void fetch_newer_changes(time_point now);
   // Fetches changes from a seed, if there is one besides the local gateway.
   void ask_seed(time_point now);
-  // `reader`: name of the gateway if it reads the store, so that its changes confirm the view.
-  void fetch_changes(const std::string& address, bool disturbed, const std::string& reader, time_point now);
+  // `source`: the last report of the gateway; null for a seed. If it reads the store, its changes confirm the
+  // view.
+  void fetch_changes(const std::string& address, time_point now,
+                     const gateway::member_report* source = nullptr);
   // Logs when the view becomes stale or current, and when the gateway hears from no other one or from some
   // again.
   void log_state_changes(time_point now);
@@ -87,6 +90,7 @@
   bool m_reads_store = true;          // As last set with platform_port::set_store_reading().
   bool m_last_call_answered = false;  // Since the gateway began to read the store.
   time_point m_last_store_failure{};
+  time_point m_store_confirmed_at{};  // As of when the store confirmed the mirror last.
   time_point m_last_mirror_call{};
   std::string m_source;
   gateway::view_confirmation m_confirmation{clock::now()};
--- a/source/unit_tests/gateway/member_list_test.cpp
+++ b/source/unit_tests/gateway/member_list_test.cpp
@@ -51,6 +51,7 @@
   }
   EXPECT_LE(encode_report(sent).size(), 200U);
   sent.newest_changes = {{"op", {1, 300'000}}, {"servers", {1, 400'000}}, {"gateways", {1, 300'000}}};
+  sent.view_age = milliseconds{10'000};
   EXPECT_LE(encode_report(sent).size(), 220U);
   for (std::uint32_t i = 0; i < 100; ++i) {
     sent.silence.silent.push_back(~i);
@@ -95,7 +96,7 @@
 constexpr std::string_view k_report_by_table =
     "\x9e\x03\xa1"
     "a\x01\x07\xa3h:1\xa3h:2\xa3h:3\xa1z\x01\x63\xc3\xc2\xcc\xc8\x93\x05\x06"
-    "\x93\x90\x90\x96\xa2op\x02\x50\xa7servers\x01\x13";
+    "\x94\x90\x90\x96\xa2op\x02\x50\xa7servers\x01\x13\x05";
 
 // Guards against a rolling restart in which gateways of two releases drop each other's reports.
 TEST(member_list, exchanges_reports_with_gateways_that_state_no_versions_by_table) {
@@ -110,6 +111,7 @@
   auto by_table = decode_report(k_report_by_table);
   ASSERT_TRUE(by_table);
   EXPECT_EQ(by_table.value().newest_changes, (collection_versions{{"op", {2, 80}}, {"servers", {1, 19}}}));
+  EXPECT_EQ(by_table.value().view_age, milliseconds{5});
   EXPECT_EQ(encode_report(by_table.value()), k_report_by_table);
 
   // What the earlier release requires: 14 elements of format 3, the sum in the tenth, and in the last one
