--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -18,18 +18,18 @@
 // A removed instance is recognized for this long, so that it does not count as new when its row comes back.
 // Outages of the store last minutes.
 constexpr minutes k_instance_memory{10};
-// A row that the store lists for this long after it came back from a copy is that of an instance that is
-// alive: the store removes rows after three heartbeats of silence, and heartbeats come every two seconds at
-// most. They change the row only if more than their number differs, so a row may stay as it was in the copy.
-constexpr milliseconds k_copy_doubt{6500};
+// A row that the store lists for this long after it was restored is that of an instance that is alive: the
+// store removes rows after three heartbeats of silence, and heartbeats come every two seconds at most. They
+// change the row only if more than their number differs, so a row may stay as it was in the copy.
+constexpr milliseconds k_copy_settle_time{6500};
 
 class instance_memory {
 public:
-  // A list of `version` of the store was read. Returns true if it is the first one since the store came back
-  // from a copy.
+  // A list of `version` of the store was read. Returns true if it is the first one since the store was
+  // restored from a copy.
   bool on_list(store_version version, time_point now);
   // Returns true if the row may be of the copy, so it may say less than was known before: it was not written
-  // after the first list since then, and has not outlived k_copy_doubt either.
+  // after the first list since then, and has not outlived k_copy_settle_time either.
   [[nodiscard]] bool is_of_copy(const upstream_record& record, time_point now) const;
 
   // The instance said in a response, or by its row, that it leaves.
@@ -66,7 +66,7 @@
   };
 
   store_version m_list;                 // Of the newest list.
-  std::optional<restored_list> m_copy;  // The first list since the store last came back from a copy.
+  std::optional<restored_list> m_copy;  // The first list since the store was last restored.
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   std::unordered_map<std::string, removed_instance> m_removed;    // By id.
 };
--- a/source/core/gateway/store_version.h
+++ b/source/core/gateway/store_version.h
@@ -7,7 +7,7 @@
 
 namespace cuminpath::gateway {
 
-// The store numbers its changes. When it comes back from an older copy, it gives out numbers again and its
+// The store numbers its changes. When it is restored from an older copy, it gives out numbers again and its
 // era rises, so every version of a later era is newer than any of an earlier one. A store that states no era
 // stays in era 0.
 struct store_version {
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -38,10 +38,10 @@
 // Requirement: no new request is sent to a leaving upstream later than this after the platform's list says
 // that it leaves.
 constexpr milliseconds k_max_dispatch_after_leaving{2000};
-// An upstream whose row expired during an outage of the store, or is missing in the copy that the store came
-// back from, stays in use for this long after the store is available again: upstreams that are alive write
-// their rows again in this time. It ends within the limit above, because a row removed right after an outage
-// may belong to an upstream that leaves.
+// An upstream whose row expired during an outage of the store, or is missing in the copy that the store
+// was restored from, stays in use for this long after the store is available again: upstreams that are alive
+// write their rows again in this time. It ends within the limit above, because a row removed right after an
+// outage may belong to an upstream that leaves.
 constexpr milliseconds k_expired_row_grace{1600};
 // Longer times that an upstream states in a response are considered mistakes and capped to this time.
 constexpr minutes k_max_cold_time{10};
@@ -233,7 +233,7 @@
   evacuation::zone_states m_evacuated_zones;
   cold_policies m_cold_policies;
   instance_memory m_instances;
-  // Rows of the copy that the store came back from whose upstreams may be gone, by id.
+  // Rows of a restored store whose upstreams may be gone, by id.
   std::unordered_map<std::string, upstream_record> m_held_back;
   bool m_listed_before = false;         // False until the first list with upstreams has been applied.
   std::vector<std::uint32_t> m_silent;  // Hashes.
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -35,7 +35,7 @@
     std::function<void(time_point at)> store_confirmed;
     // Called when the store begins to return versions of a table that are older than the known one.
     std::function<void()> store_versions_went_back;
-    // Called when the store has come back from an older copy.
+    // Called when the store was restored from an older copy.
     std::function<void()> store_restored;
   };
   // Starts to copy the content of the store into `target`, which must outlive this object.
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -434,7 +434,7 @@
   EXPECT_TRUE(used("b", seconds{7}));
 }
 
-// Guards against refusals after a second drill: no time is left to write the row again.
+// Guards against refusals after a second restore: no time is left to write the row again.
 TEST_F(store_restore, an_upstream_that_two_copies_lack_is_kept_after_the_second) {
   write("b");
   copy();
