gateway, config: a row of a restored store counts after three heartbeats of the platform

An upstream whose row had lapsed before the store was restored, and that the copy lists, got no request for 6.5 s, though the platform removes rows after 3.6 s of silence where heartbeats come every 1.2 s.

Cause: the time after which such a row must be that of an upstream that is alive was a constant for heartbeats of two seconds. The interval is a field of the platform's settings (heartbeatMs).

A row counts once it has outlived three heartbeats and half a second, in which a removal is read.

--- a/source/core/config/gateway_settings.cpp
+++ b/source/core/config/gateway_settings.cpp
@@ -110,6 +110,7 @@
     read_share(m_root, "admission_queue_share", value.admission_queue_share);
     m_root.optional().read("admission_queue_requests", value.admission_queue_requests,
                            {1U, k_max_queue_requests});
+    m_root.optional().read("upstream_heartbeat_ms", value.upstream_heartbeat, {100, k_minute_ms});
     read_process_limits(m_root, value);
     read_log(value.log);
     m_root.report_unknown_keys();
--- a/source/core/config/gateway_settings.h
+++ b/source/core/config/gateway_settings.h
@@ -49,6 +49,8 @@
   // Longest wait of a request for a place, as a share of the latency target of its route; 0: nothing waits.
   double admission_queue_share = 0;
   std::uint32_t admission_queue_requests = 256;  // That wait at one time.
+  // Between two writes of an upstream's row in the platform's list. Key upstream_heartbeat_ms.
+  milliseconds upstream_heartbeat{2000};
   double memory_limit_mb = 0;         // Memory in MB at which the process is killed; 0: that of the host.
   std::uint32_t max_descriptors = 0;  // That the process may have open; 0: the limit of the operating system.
 
--- a/source/core/gateway/instance_memory.cpp
+++ b/source/core/gateway/instance_memory.cpp
@@ -14,7 +14,8 @@
 }
 
 bool instance_memory::is_of_copy(const upstream_record& record, time_point now) const {
-  return m_copy && record.row_version <= m_copy->version && now - m_copy->read_at < k_copy_settle_time;
+  const milliseconds settle_time = k_heartbeats_until_removal * m_heartbeat_interval + k_removal_read_time;
+  return m_copy && record.row_version <= m_copy->version && now - m_copy->read_at < settle_time;
 }
 
 void instance_memory::on_leaving(const upstream_record& record, time_point now) {
--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -18,18 +18,22 @@
 // A removed instance is recognized for this long, so that it does not count as new when its row comes back.
 // Outages of the store last minutes.
 constexpr minutes k_instance_memory{10};
-// A row that the store lists for this long after it was restored is that of an instance that is alive: the
-// store removes rows after three heartbeats of silence, and heartbeats come every two seconds at most. They
-// change the row only if more than their number differs, so a row may stay as it was in the copy.
-constexpr milliseconds k_copy_settle_time{6500};
+// The platform removes a row after this many intervals without a heartbeat of its upstream.
+constexpr int k_heartbeats_until_removal = 3;
+// Until a gateway has read the removal of a row.
+constexpr milliseconds k_removal_read_time{500};
 
 class instance_memory {
 public:
+  void set_heartbeat_interval(milliseconds interval) { m_heartbeat_interval = interval; }
+
   // A list of `version` of the store was read. Returns true if it is the first one since the store was
   // restored from a copy.
   bool on_list(store_version version, time_point now);
   // Returns true if the row may be of the copy, so it may say less than was known before: it was not written
-  // after the first list since then, and has not outlived k_copy_settle_time either.
+  // after the first list since then, and may not be removed yet though its upstream is gone. Heartbeats
+  // change a row only if more than their number differs, so that of an upstream that is alive may stay as it
+  // was.
   [[nodiscard]] bool is_of_copy(const upstream_record& record, time_point now) const;
 
   // The instance said in a response, or by its row, that it leaves.
@@ -65,6 +69,7 @@
     time_point removed_at{};
   };
 
+  milliseconds m_heartbeat_interval{2000};
   store_version m_list;                 // Of the newest list.
   std::optional<restored_list> m_copy;  // The first list since the store was last restored.
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -124,6 +124,9 @@
   // Removes upstreams whose grace period has ended, and adds held back ones that the store goes on listing.
   std::vector<change> expire(time_point now);
 
+  // Sets the time between two heartbeats of an upstream, by which its row stays listed.
+  void set_heartbeat_interval(milliseconds interval) { m_instances.set_heartbeat_interval(interval); }
+
   // Sets the services that the configuration names; all of them before the first call. Rows of other services
   // may come from another writer, so they describe no upstream to use: they count nowhere and take no address
   // from another row. They stay known, because requests may still run there under the configuration before,
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -87,6 +87,7 @@
     m_state.set_second_attempt_shares(
         {.requests = settings.second_attempt_share, .tokens = settings.second_attempt_token_share});
     m_state.enable_workspace_shares(settings.workspace_shares);
+    m_state.upstreams.set_heartbeat_interval(settings.upstream_heartbeat);
     m_state.admission_queue.set_options({.max_wait_share = settings.admission_queue_share,
                                          .max_requests = settings.admission_queue_requests});
     apply_process_limits();
@@ -580,6 +581,7 @@
     m_state.set_second_attempt_shares(
         {.requests = parsed.value.second_attempt_share, .tokens = parsed.value.second_attempt_token_share});
     m_state.enable_workspace_shares(parsed.value.workspace_shares);
+    m_state.upstreams.set_heartbeat_interval(parsed.value.upstream_heartbeat);
     m_state.admission_queue.set_options({.max_wait_share = parsed.value.admission_queue_share,
                                          .max_requests = parsed.value.admission_queue_requests});
     apply_process_limits();
--- a/source/unit_tests/config/templates_test.cpp
+++ b/source/unit_tests/config/templates_test.cpp
@@ -26,6 +26,7 @@
                                                      {"bounds.retryBudgetBurst", "207"},
                                                      {"bounds.coldOver", "1.5"},
                                                      {"bounds.coldSlack", "5"},
+                                                     {"heartbeatMs", "1200"},
                                                      {"limits.memoryMb", "112"},
                                                      {"limits.maxFds", "2870"},
                                                      {"internalPorts.0", "7340"},
@@ -43,8 +44,9 @@
                                                      {"listen.control", "10.1.0.40:4"}};
   text = std::regex_replace(text, std::regex(R"(\{\{#seeds\}\}.*\{\{/seeds\}\})"),
                             R"("10.1.0.41:4", "10.1.0.42:4")");
-  text = std::regex_replace(text, std::regex(R"(\{\{#(bounds\.cold\w+|limits\.\w+)\}\}(.*)\{\{/\1\}\})"),
-                            has_optional ? "$2" : "");
+  text = std::regex_replace(
+      text, std::regex(R"(\{\{#(bounds\.cold\w+|limits\.\w+|heartbeatMs)\}\}(.*)\{\{/\1\}\})"),
+      has_optional ? "$2" : "");
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
--- a/source/unit_tests/gateway/store_restore_test.cpp
+++ b/source/unit_tests/gateway/store_restore_test.cpp
@@ -434,6 +434,21 @@
   EXPECT_TRUE(used("b", seconds{7}));
 }
 
+TEST_F(store_restore, a_row_of_the_copy_counts_once_it_has_outlived_three_heartbeats_of_the_platform) {
+  m_table.set_heartbeat_interval(milliseconds{1000});
+  write("a");
+  read();
+  copy();
+  remove("a");
+  read();
+  restore();
+  read(milliseconds{100});
+  m_table.expire(k_start + milliseconds{3100});
+  EXPECT_FALSE(used("a", milliseconds{3100}));
+  m_table.expire(k_start + milliseconds{3700});
+  EXPECT_TRUE(used("a", milliseconds{3700}));
+}
+
 // Guards against refusals after a second restore: no time is left to write the row again.
 TEST_F(store_restore, an_upstream_that_two_copies_lack_is_kept_after_the_second) {
   write("b");
