http: a response that ends with its connection before the request has been written is a failure

Agents, entries, balancers and the command line could take the part of a response that came before an interrupted upload for a whole one: http::client reported success with the part as its body.

A response whose end is that of its connection counts only if libcurl has written the whole body of the request. Responses with a length or chunks are unaffected: an early refusal that is whole stays one.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -125,6 +125,20 @@
     return received <= options.max_response_bytes;
   }
 
+  // Whether the end of the connection ends the body of the response, which then has no length.
+  [[nodiscard]] bool body_ends_with_connection() const {
+    return value.method != "HEAD" && may_have_body(response_status) &&
+           !find_header(response_headers, "Content-Length") &&
+           !find_header(response_headers, "Transfer-Encoding");
+  }
+
+  // Whether all of the request's body has been given to the connection.
+  [[nodiscard]] bool request_written() const {
+    curl_off_t written = 0;
+    curl_easy_getinfo(easy.get(), CURLINFO_SIZE_UPLOAD_T, &written);
+    return static_cast<std::size_t>(written) >= value.body.size();
+  }
+
   void report_head() {
     if (head_reported) {
       return;
@@ -416,6 +430,12 @@
       } else if (message->data.result == CURLE_OK && !done->head_complete) {
         // libcurl takes the end of the connection inside a head for the end of a response without a body.
         done->post([](stream_handler& to) { to.failure({.message = "connection ended inside a head"}); });
+      } else if (message->data.result == CURLE_OK && done->body_ends_with_connection() &&
+                 !done->request_written()) {
+        // A write that fails takes the error of the connection, and a read behind it sees an orderly end.
+        done->post([](stream_handler& to) {
+          to.failure({.message = "connection ended before the request was written", .sent = true});
+        });
       } else if (message->data.result == CURLE_OK) {
         done->report_head();
         done->post([](stream_handler& to) { to.end(); });
