--- a/source/core/balancer/platform_port.h
+++ b/source/core/balancer/platform_port.h
@@ -21,7 +21,8 @@
 // A fencing token of a group.
 struct acquired_token {
   std::uint64_t value = 0;
-  // The last token that any process has acquired before; no other one was acquired in between.
+  // The last token that any process has acquired before; no other one was acquired in between. 0 if it is not
+  // known.
   std::uint64_t previous = 0;
 };
 
