--- a/source/unit_tests/balancer/switch_test.cpp
+++ b/source/unit_tests/balancer/switch_test.cpp
@@ -21,7 +21,8 @@
 constexpr milliseconds k_suspect_timeout{700};
 constexpr milliseconds k_grace_period{8000};
 constexpr time_point k_start{seconds{100}};
-constexpr std::size_t k_max_unread = 400;  // Later datagrams are dropped by the host.
+constexpr std::uint64_t k_tokens_per_era = 1000;  // More than versions that a copy lacks.
+constexpr std::size_t k_max_unread = 400;         // Later datagrams are dropped by the host.
 
 struct faults {
   double lost_orders = 0;        // Share of orders without a response, executed 2 to 12 s later.
@@ -33,6 +34,7 @@
   // Freezes of a host of up to 5 s, per second; half of them of the first. Its engine goes on with passes,
   // but nobody can read it or send it orders.
   double host_freezes = 0;
+  double store_restores = 0;  // Restores of the store from a copy of up to 6 s before, per second.
   bool fencing = true;
 };
 
@@ -129,6 +131,29 @@
     if (m_faults.planned_stops > 0 && occurs(m_faults.planned_stops) && !m_balancers[rank]->stop) {
       start_stop(*m_balancers[rank]);
     }
+    if (m_faults.store_restores > 0 && occurs(m_faults.store_restores)) {
+      restore_store(m_now - random_time(0, 6000));
+    }
+  }
+
+  // Versions are given out again, in another era.
+  void restore_store(time_point copied) {
+    while (!m_store_rows.empty() && m_store_rows.back().at > copied) {
+      m_store_rows.pop_back();
+    }
+    ++m_store_era;
+  }
+
+  void acquire_token(balancer& self) {
+    const std::uint64_t previous = m_store_rows.empty() ? 0 : m_store_rows.back().version;
+    // The store counts the changes of others, too.
+    const std::uint64_t version =
+        previous + 1 + (m_faults.store_restores > 0 ? random_index(m_random, 2) : 0);
+    m_store_rows.push_back({m_now, version});
+    const std::uint64_t offset = m_store_era * k_tokens_per_era;
+    self.token = offset + version;
+    self.coordinator.set_previous_token(self.token, previous == 0 ? 0 : offset + previous);
+    self.versions = 0;
   }
 
   void restart_balancer(std::uint32_t rank) {
@@ -273,9 +298,7 @@
     const bool outdated =
         self.coordinator.outdated_token() != 0 && self.token <= self.coordinator.outdated_token();
     if ((self.token == 0 && chance(0.1)) || outdated) {
-      self.coordinator.set_previous_token(m_last_token + 1, m_last_token);
-      self.token = ++m_last_token;
-      self.versions = 0;
+      acquire_token(self);
     }
     if (self.coordinator.current_phase() == phase::idle && chance(0.05)) {
       const std::uint64_t version = first_version_of_token(self.token) + ++self.versions;
@@ -331,7 +354,12 @@
   engine_group m_group;
   std::vector<std::unique_ptr<balancer>> m_balancers;
   time_point m_now = k_start;
-  std::uint64_t m_last_token = 0;
+  struct store_row {
+    time_point at;
+    std::uint64_t version = 0;
+  };
+  std::vector<store_row> m_store_rows;  // Of the group, since the store's beginning.
+  std::uint64_t m_store_era = 0;
   std::uint64_t m_switches = 0;
   std::uint64_t m_releases_without_rank = 0;
   milliseconds m_pass_time{0};  // As the leaders estimate it.
@@ -410,6 +438,18 @@
   EXPECT_GT(releases_without_rank, 0U);
 }
 
+// Guards against two leaders with one token, and a leader whose token is lower than earlier ones.
+TEST(map_switch, no_pass_uses_different_maps_when_the_store_is_restored) {
+  EXPECT_TRUE(support::check_property(400, [](std::uint64_t seed) {
+    check_safety_and_progress(seed, {.lost_orders = 0.2,
+                                     .lost_reports = 0.2,
+                                     .pauses = 0.4,
+                                     .balancer_restarts = 0.3,
+                                     .host_freezes = 0.3,
+                                     .store_restores = 0.5});
+  }));
+}
+
 // Guards against a group that stands still until another balancer suspects the one that was stopped.
 TEST(map_switch, a_balancer_that_is_stopped_leaves_no_rank_held) {
   for (const bool leader : {true, false}) {
