tests: the model of tokens refutes a predecessor of an earlier era

With the predecessor that the row states, a token that the copy lacks lies between the two: refuted.

--- a/tests/models/store_tokens.pml
+++ b/tests/models/store_tokens.pml
@@ -7,7 +7,7 @@
  * Properties: no token is given out twice. A token is higher than all that were given out before the row was
  * read. Nobody holds a token between one and its predecessor, if somebody holds the predecessor.
  *
- * Mutants (-D): TOKENS_GO_BACK, ERA_OF_THE_ANSWER, READ_BACK_IN_ANY_ERA.
+ * Mutants (-D): TOKENS_GO_BACK, ERA_OF_THE_ANSWER, READ_BACK_IN_ANY_ERA, PREDECESSOR_OF_ANY_ERA.
  */
 #define RESTORES 2
 #define MAX_VERSION 5
@@ -23,6 +23,21 @@
 byte predecessor[MAX_TOKEN]; /* Of a token that was given out; 0 if there is none. */
 byte highest = 0;            /* Token that was given out. */
 
+#ifdef PREDECESSOR_OF_ANY_ERA
+byte row_token = 0, copied_row_token = 0; /* The row states the token that was written with it. */
+#define COPY_TOKEN copied_row_token = row_token;
+#define RESTORE_TOKEN row_token = copied_row_token;
+#define WRITE_TOKEN row_token = TOKEN(known, version);
+#define READ_TOKEN previous = row_token;
+#define PREDECESSOR previous
+#else
+#define COPY_TOKEN
+#define RESTORE_TOKEN
+#define WRITE_TOKEN
+#define READ_TOKEN
+#define PREDECESSOR (expected == 0 -> 0 : TOKEN(known, expected))
+#endif
+
 #ifdef TOKENS_GO_BACK
 #define TOKEN(e, v) (v)
 #else
@@ -54,16 +69,16 @@
 }
 
 proctype balancer() {
-  byte known, expected, mine, written, highest_before, lower, between, answered;
+  byte known, expected, mine, written, highest_before, lower, between, answered, previous;
   bool executed;
 
-  atomic { highest_before = highest; expected = row };
+  atomic { highest_before = highest; expected = row; READ_TOKEN };
   atomic { known = era; attempts++; mine = attempts };
   /* The write is executed, or refused. */
   atomic {
     if
     :: row == expected && version < MAX_VERSION ->
-      version++; row = version; writer = mine; written = version; executed = true
+      version++; row = version; writer = mine; WRITE_TOKEN written = version; executed = true
     :: else -> executed = false
     fi
   };
@@ -73,9 +88,9 @@
       answered = era;
       if
 #ifdef ERA_OF_THE_ANSWER
-      :: executed -> give(TOKEN(answered, written), (expected == 0 -> 0 : TOKEN(known, expected)))
+      :: executed -> give(TOKEN(answered, written), PREDECESSOR)
 #else
-      :: executed && answered == known -> give(TOKEN(known, written), (expected == 0 -> 0 : TOKEN(known, expected)))
+      :: executed && answered == known -> give(TOKEN(known, written), PREDECESSOR)
 #endif
       :: else
       fi
@@ -86,9 +101,9 @@
       answered = era;
       if
 #ifdef READ_BACK_IN_ANY_ERA
-      :: executed -> give(TOKEN(answered, written), (expected == 0 -> 0 : TOKEN(known, expected)))
+      :: executed -> give(TOKEN(answered, written), PREDECESSOR)
 #else
-      :: executed && answered == known -> give(TOKEN(known, written), (expected == 0 -> 0 : TOKEN(known, expected)))
+      :: executed && answered == known -> give(TOKEN(known, written), PREDECESSOR)
 #endif
       :: else
       fi
@@ -99,10 +114,10 @@
 proctype copies() {
 end:
   do
-  :: atomic { copied_version = version; copied_row = row; copied_writer = writer }
+  :: atomic { copied_version = version; copied_row = row; copied_writer = writer; COPY_TOKEN }
   :: atomic {
       restores < RESTORES ->
-      version = copied_version; row = copied_row; writer = copied_writer;
+      version = copied_version; row = copied_row; writer = copied_writer; RESTORE_TOKEN
       era++; restores++
     }
   od
