gateway: evacuations last while a restored copy of the store lacks them

Cause: a row that is missing was taken for the end of the evacuation, and one that is listed for its begin, also in a list that is older than what was known.

The first list of a later era is recognized as instance_memory did; that part is a class of its own now, restored_copy, which both use, and so is the time of 1.6 s (k_expired_row_grace) in which upstreams and the operator write their rows again. An evacuation that the copy lacks stays in force that long, again after each later copy that lacks it, and ends then if its row is not back. One whose end is known does not come into force while only the copy lists it; written again, it does at once, and so it does if it is still listed after that time. A gateway that has not seen the end, or has started since, evacuates the zone at once: it knows no better.

Three unit tests fail on a mutant without the recognition.

--- a/source/core/gateway/evacuation.h
+++ b/source/core/gateway/evacuation.h
@@ -5,12 +5,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/gateway/restored_copy.h"
 
 namespace cuminpath::gateway {
 
@@ -22,6 +22,12 @@
   bool operator==(const evacuation_request&) const = default;
 };
 
+// The requests as of one version of the store.
+struct evacuation_list {
+  std::vector<evacuation_request> requests;
+  store_version version;
+};
+
 // The evacuations in force, and those that have ended recently. Knowledge of this process only: requests stay
 // in force while the store cannot be read.
 class evacuation {
@@ -34,8 +40,13 @@
     bool operator==(const change&) const = default;
   };
 
-  // Replaces the requests by the given ones. Returns the zones whose state has changed.
-  std::vector<change> apply(std::span<const evacuation_request> requests, time_point now);
+  // Replaces the requests by the given ones. Returns the zones whose state has changed. After the store was
+  // restored from an older copy, a request that the copy lacks stays in force, and one that was known to have
+  // ended does not come into force, for k_expired_row_grace or until its row is written again.
+  std::vector<change> apply(const evacuation_list& listed, time_point now);
+  // Ends requests that were not written again after the store was restored, and brings those into force that
+  // it goes on listing. Returns the zones whose state has changed.
+  std::vector<change> expire(time_point now);
 
   [[nodiscard]] bool evacuated(std::string_view availability_zone) const {
     return m_active.contains(availability_zone);
@@ -47,7 +58,8 @@
 
   struct state {
     std::uint64_t version = 0;
-    time_point since{};  // When this process learned of the evacuation.
+    time_point since{};                 // When this process learned of the evacuation.
+    std::optional<time_point> ends_at;  // Set if the request is no longer listed.
   };
   using zone_states = std::map<std::string, state, std::less<>>;
   [[nodiscard]] const zone_states& active() const { return m_active; }
@@ -56,7 +68,14 @@
   static constexpr minutes k_restoration_memory{1};
 
 private:
+  [[nodiscard]] bool may_be_of_copy(const evacuation_request& request, std::uint64_t era,
+                                    time_point now) const;
+  void activate(const evacuation_request& request, std::vector<change>& changes, time_point now);
+  void remove_ended(std::vector<change>& changes, time_point now);
+
+  restored_copy m_copy;
   zone_states m_active;
+  evacuation_list m_held_back;  // Listed by a copy of the store, though their end was known.
   std::map<std::string, time_point, std::less<>> m_restored;
 };
 
--- a/source/core/gateway/instance_memory.cpp
+++ b/source/core/gateway/instance_memory.cpp
@@ -4,18 +4,9 @@
 
 namespace cuminpath::gateway {
 
-bool instance_memory::on_list(store_version version, time_point now) {
-  const bool restored = m_list != store_version{} && version.era > m_list.era;
-  m_list = std::max(m_list, version);
-  if (restored) {
-    m_copy = restored_list{version, now};
-  }
-  return restored;
-}
-
 bool instance_memory::is_of_copy(const upstream_record& record, time_point now) const {
   const milliseconds settle_time = k_heartbeats_until_removal * m_heartbeat_interval + k_removal_read_time;
-  return m_copy && record.row_version <= m_copy->version && now - m_copy->read_at < settle_time;
+  return m_copy.may_hold(record.row_version, settle_time, now);
 }
 
 void instance_memory::on_leaving(const upstream_record& record, time_point now) {
--- a/source/core/gateway/instance_memory.h
+++ b/source/core/gateway/instance_memory.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "core/common/time.h"
+#include "core/gateway/restored_copy.h"
 #include "core/gateway/upstream_record.h"
 
 namespace cuminpath::gateway {
@@ -29,7 +29,7 @@
 
   // A list of `version` of the store was read. Returns true if it is the first one since the store was
   // restored from a copy.
-  bool on_list(store_version version, time_point now);
+  bool on_list(store_version version, time_point now) { return m_copy.on_list(version, now); }
   // Returns true if the row may be of the copy, so it may say less than was known before: it was not written
   // after the first list since then, and may not be removed yet though its upstream is gone. Heartbeats
   // change a row only if more than their number differs, so that of an upstream that is alive may stay as it
@@ -60,18 +60,13 @@
     std::uint64_t started_ms = 0;  // Of the leaving instance.
     time_point at{};
   };
-  struct restored_list {
-    store_version version;
-    time_point read_at{};
-  };
   struct removed_instance {
     std::uint64_t started_ms = 0;
     time_point removed_at{};
   };
 
   milliseconds m_heartbeat_interval{2000};
-  store_version m_list;                 // Of the newest list.
-  std::optional<restored_list> m_copy;  // The first list since the store was last restored.
+  restored_copy m_copy;
   std::unordered_map<std::string, announcement> m_announcements;  // By id.
   std::unordered_map<std::string, removed_instance> m_removed;    // By id.
 };
--- a/source/core/gateway/upstream_table.h
+++ b/source/core/gateway/upstream_table.h
@@ -38,11 +38,6 @@
 // Requirement: no new request is sent to a leaving upstream later than this after the platform's list says
 // that it leaves.
 constexpr milliseconds k_max_dispatch_after_leaving{2000};
-// An upstream whose row expired during an outage of the store, or is missing in the copy that the store
-// was restored from, stays in use for this long after the store is available again: upstreams that are alive
-// write their rows again in this time. It ends within the limit above, because a row removed right after an
-// outage may belong to an upstream that leaves.
-constexpr milliseconds k_expired_row_grace{1600};
 // Longer times that an upstream states in a response are considered mistakes and capped to this time.
 constexpr minutes k_max_cold_time{10};
 // Longer Retry-After values of an upstream are considered mistakes and capped to this time.
--- a/source/core/proxy/gateway_process.cpp
+++ b/source/core/proxy/gateway_process.cpp
@@ -223,7 +223,7 @@
 
   void on_mirror_changed(bool disturbed, time_point now) {
     apply_configuration();
-    apply_evacuations(now);
+    apply_evacuations(m_evacuation.apply(m_platform->read_evacuations(m_store_view.mirror()), now), now);
     apply_upstreams(disturbed, now);
     m_listed = false;
     for (auto& row : m_platform->read_members(m_store_view.mirror())) {
@@ -312,13 +312,9 @@
     }
   }
 
-  void apply_evacuations(time_point now) {
-    const auto changes = m_evacuation.apply(m_platform->read_evacuations(m_store_view.mirror()), now);
-    if (changes.empty()) {
-      return;
-    }
-    m_state.upstreams.set_evacuations(m_evacuation);
+  void apply_evacuations(std::span<const gateway::evacuation::change> changes, time_point now) {
     for (const auto& change : changes) {
+      m_state.upstreams.set_evacuations(m_evacuation);
       if (!change.evacuated) {
         m_state.upstreams.on_zone_restored(change.availability_zone, now);
       }
@@ -503,6 +499,7 @@
   void tick(time_point now) {
     detect_suspension(now);
     m_store_view.tick(now);
+    apply_evacuations(m_evacuation.expire(now), now);
     log_changes(m_state.upstreams.expire(now));
     update_members(now);
     if (now - m_last_cold_update >= k_cold_update_interval) {
--- a/source/core/proxy/platform_port.h
+++ b/source/core/proxy/platform_port.h
@@ -64,8 +64,7 @@
   // Returns the upstreams listed in the mirror. Skips rows that describe none, and logs which.
   [[nodiscard]] virtual gateway::upstream_list read_upstreams(const gateway::mirror& source) = 0;
   // Returns the availability zones that the operator has evacuated.
-  [[nodiscard]] virtual std::vector<gateway::evacuation_request> read_evacuations(
-      const gateway::mirror& source) const = 0;
+  [[nodiscard]] virtual gateway::evacuation_list read_evacuations(const gateway::mirror& source) const = 0;
   [[nodiscard]] virtual std::vector<gateway::member_report> read_members(const gateway::mirror& source) = 0;
 
   [[nodiscard]] virtual gateway::header_names header_names() const = 0;
--- a/source/unit_tests/gateway/evacuation_test.cpp
+++ b/source/unit_tests/gateway/evacuation_test.cpp
@@ -14,11 +14,11 @@
 
 TEST(evacuation, reports_begin_and_end_of_overlapping_evacuations) {
   evacuation zones;
-  EXPECT_EQ(zones.apply(requests{{"a", 5}}, k_start), (std::vector<evacuation::change>{{"a", 5, true}}));
-  EXPECT_EQ(zones.apply(requests{{"a", 5}, {"b", 6}}, k_start),
+  EXPECT_EQ(zones.apply({requests{{"a", 5}}}, k_start), (std::vector<evacuation::change>{{"a", 5, true}}));
+  EXPECT_EQ(zones.apply({requests{{"a", 5}, {"b", 6}}}, k_start),
             (std::vector<evacuation::change>{{"b", 6, true}}));
-  EXPECT_TRUE(zones.apply(requests{{"a", 5}, {"b", 6}}, k_start).empty());
-  EXPECT_EQ(zones.apply(requests{{"b", 6}}, k_start), (std::vector<evacuation::change>{{"a", 5, false}}));
+  EXPECT_TRUE(zones.apply({requests{{"a", 5}, {"b", 6}}}, k_start).empty());
+  EXPECT_EQ(zones.apply({requests{{"b", 6}}}, k_start), (std::vector<evacuation::change>{{"a", 5, false}}));
   EXPECT_FALSE(zones.evacuated("a"));
   EXPECT_TRUE(zones.evacuated("b"));
 }
@@ -27,8 +27,8 @@
 // cold in between.
 TEST(evacuation, notices_a_request_that_was_removed_and_written_again) {
   evacuation zones;
-  zones.apply(requests{{"a", 5}}, k_start);
-  EXPECT_EQ(zones.apply(requests{{"a", 9}}, k_start + seconds{1}),
+  zones.apply({requests{{"a", 5}}}, k_start);
+  EXPECT_EQ(zones.apply({requests{{"a", 9}}}, k_start + seconds{1}),
             (std::vector<evacuation::change>{{"a", 9, true}}));
   EXPECT_TRUE(zones.evacuated("a"));
   EXPECT_EQ(zones.active().at("a").since, k_start + seconds{1});
@@ -36,15 +36,60 @@
 
 TEST(evacuation, remembers_a_restoration_until_the_zone_is_evacuated_again) {
   evacuation zones;
-  zones.apply(requests{{"a", 5}}, k_start);
+  zones.apply({requests{{"a", 5}}}, k_start);
   EXPECT_FALSE(zones.restored_at("a", k_start));
-  zones.apply(requests{}, k_start + seconds{2});
+  zones.apply({requests{}}, k_start + seconds{2});
   EXPECT_EQ(zones.restored_at("a", k_start + seconds{3}), k_start + seconds{2});
   EXPECT_FALSE(zones.restored_at("a", k_start + seconds{3} + evacuation::k_restoration_memory));
-  zones.apply(requests{{"a", 7}}, k_start + seconds{4});
+  zones.apply({requests{{"a", 7}}}, k_start + seconds{4});
   EXPECT_FALSE(zones.restored_at("a", k_start + seconds{4}));
 }
 
+// Guards against requests to a zone that is being emptied, because the copy lacks the operator's row.
+TEST(evacuation, lasts_until_its_row_is_written_again_after_a_restore) {
+  evacuation zones;
+  zones.apply({requests{{"a", 5}}, {1, 6}}, k_start);
+  EXPECT_TRUE(zones.apply({requests{}, {2, 3}}, k_start).empty());
+  EXPECT_TRUE(zones.apply({requests{}, {2, 4}}, k_start).empty()) << "another row is written";
+  EXPECT_TRUE(zones.expire(k_start + k_expired_row_grace - milliseconds{1}).empty());
+  EXPECT_TRUE(zones.evacuated("a"));
+  EXPECT_TRUE(zones.apply({requests{{"a", 7}}, {2, 7}}, k_start).empty()) << "the same evacuation";
+  EXPECT_TRUE(zones.expire(k_start + 2 * k_expired_row_grace).empty());
+  EXPECT_EQ(zones.active().at("a").since, k_start);
+  EXPECT_EQ(zones.apply({requests{}, {2, 8}}, k_start), (std::vector<evacuation::change>{{"a", 7, false}}));
+}
+
+// Guards against an evacuation that never ends, and against one that a second copy ends early.
+TEST(evacuation, ends_after_the_last_restore_if_its_row_is_not_written_again) {
+  evacuation zones;
+  zones.apply({requests{{"a", 5}}, {1, 6}}, k_start);
+  zones.apply({requests{}, {2, 3}}, k_start);
+  const time_point second = k_start + seconds{1};
+  zones.apply({requests{}, {3, 2}}, second);
+  EXPECT_TRUE(zones.expire(second + k_expired_row_grace - milliseconds{1}).empty());
+  EXPECT_EQ(zones.expire(second + k_expired_row_grace), (std::vector<evacuation::change>{{"a", 5, false}}));
+  EXPECT_FALSE(zones.evacuated("a"));
+}
+
+// Guards against a zone that is lost for a moment near capacity, because the copy has a row that was removed.
+TEST(evacuation, does_not_begin_again_while_only_a_copy_lists_it) {
+  evacuation zones;
+  zones.apply({requests{{"a", 5}}, {1, 6}}, k_start);
+  zones.apply({requests{}, {1, 8}}, k_start);
+  EXPECT_EQ(zones.apply({requests{{"a", 5}, {"b", 4}}, {2, 6}}, k_start),
+            (std::vector<evacuation::change>{{"b", 4, true}}));
+  EXPECT_TRUE(zones.apply({requests{{"a", 5}, {"b", 4}}, {2, 7}}, k_start).empty());
+  EXPECT_TRUE(zones.expire(k_start + k_expired_row_grace - milliseconds{1}).empty());
+  EXPECT_FALSE(zones.evacuated("a"));
+  evacuation removed = zones;
+  EXPECT_TRUE(removed.apply({requests{{"b", 4}}, {2, 8}}, k_start).empty());
+  EXPECT_TRUE(removed.expire(k_start + k_expired_row_grace).empty());
+  evacuation written = zones;
+  EXPECT_EQ(written.apply({requests{{"a", 8}, {"b", 4}}, {2, 8}}, k_start),
+            (std::vector<evacuation::change>{{"a", 8, true}}));
+  EXPECT_EQ(zones.expire(k_start + k_expired_row_grace), (std::vector<evacuation::change>{{"a", 5, true}}));
+}
+
 class evacuated_table : public ::testing::Test {
 protected:
   evacuated_table() {
@@ -58,7 +103,7 @@
     m_table.apply(m_records, k_start, false);
   }
   void evacuate(requests wanted) {
-    m_zones.apply(wanted, k_start);
+    m_zones.apply({std::move(wanted)}, k_start);
     m_table.set_evacuations(m_zones);
   }
   const upstream_table::upstream* choose() {
--- a/source/unit_tests/proxy/evacuated_zone_test.cpp
+++ b/source/unit_tests/proxy/evacuated_zone_test.cpp
@@ -14,7 +14,7 @@
 class evacuated_zone : public proxy_fixture {
 protected:
   void evacuate() {
-    const std::vector<gateway::evacuation_request> requests{{"z", 1}};
+    const gateway::evacuation_list requests{.requests = {{"z", 1}}};
     m_zones.apply(requests, clock::now());
     m_state.upstreams.set_evacuations(m_zones);
   }
--- a/source/unit_tests/proxy/placement_explanation_test.cpp
+++ b/source/unit_tests/proxy/placement_explanation_test.cpp
@@ -52,7 +52,7 @@
     m_state.upstreams.apply(m_records, now, false);
     gateway::evacuation evacuations;
     if (one_in(4)) {
-      const std::vector<gateway::evacuation_request> requests{{"y", 1}};
+      const gateway::evacuation_list requests{.requests = {{"y", 1}}};
       (void)evacuations.apply(requests, now);
     }
     m_state.upstreams.set_evacuations(evacuations);
