http: an early refusal with a length stays a whole response

Found by review.

Cause: the headers of the response have been passed on when the call ends, so that each body seemed to have no length. Whether the connection ends the body is decided when the head is complete.

The new test fails without the change (413 with a length, 503 in chunks, during an upload of 8 MB) and passes with it; the five interrupted uploads still fail as they must.

--- a/source/core/http/client_transfer.cpp
+++ b/source/core/http/client_transfer.cpp
@@ -35,7 +35,9 @@
     return header.has_value();
   }
   const bool interim = target.response_status / 100 == k_informational_status_class;
-  target.head_complete = !interim;
+  if (!interim) {
+    target.complete_head();
+  }
   target.next_line = interim ? transfer::head_part::status_line : transfer::head_part::trailers;
   target.head_bytes = 0;
   return has_valid_framing(target.response_headers);
@@ -165,7 +167,7 @@
     // libcurl takes the end of the connection inside a head for the end of a response without a body.
     return call_failure{.message = "connection ended inside a head"};
   }
-  if (ended.body_ends_with_connection() && !ended.request_written()) {
+  if (ended.body_ends_with_connection && !ended.request_written()) {
     // A write that fails takes the error of the connection, and a read behind it sees an orderly end.
     return call_failure{.message = "connection ended before the request was written"};
   }
--- a/source/core/http/client_transfer.h
+++ b/source/core/http/client_transfer.h
@@ -75,9 +75,10 @@
   header_list response_headers;
   // What the next line of a head belongs to.
   enum class head_part : std::uint8_t { status_line, headers, trailers } next_line = head_part::status_line;
-  int response_status = 0;     // Of the last status line.
-  bool malformed = false;      // The response is not valid HTTP.
-  bool head_complete = false;  // Of the response, other than an interim one.
+  int response_status = 0;                 // Of the last status line.
+  bool malformed = false;                  // The response is not valid HTTP.
+  bool head_complete = false;              // Of the response, other than an interim one.
+  bool body_ends_with_connection = false;  // The response has no length.
   bool head_reported = false;
   std::size_t received = 0;                  // Bytes of the body, of heads and of trailers.
   std::size_t head_bytes = 0;                // Of the current head, or of the trailers.
@@ -125,11 +126,12 @@
     return received <= options.max_response_bytes;
   }
 
-  // Whether the end of the connection ends the body of the response, which then has no length.
-  [[nodiscard]] bool body_ends_with_connection() const {
-    return value.method != "HEAD" && may_have_body(response_status) &&
-           !find_header(response_headers, "Content-Length") &&
-           !find_header(response_headers, "Transfer-Encoding");
+  // Takes the head of the response, other than an interim one, as complete.
+  void complete_head() {
+    head_complete = true;
+    body_ends_with_connection = value.method != "HEAD" && may_have_body(response_status) &&
+                                !find_header(response_headers, "Content-Length") &&
+                                !find_header(response_headers, "Transfer-Encoding");
   }
 
   // Whether all of the request's body has been given to the connection.
--- a/source/unit_tests/http/interrupted_upload_test.cpp
+++ b/source/unit_tests/http/interrupted_upload_test.cpp
@@ -26,7 +26,7 @@
   milliseconds delay;  // After the part of the body.
 };
 
-class interrupted_upload_test : public ::testing::TestWithParam<interruption> {
+class upload_test : public ::testing::Test {
 protected:
   // Accepts one connection, answers the first bytes of its request with a part of a body and ends it.
   void serve() {
@@ -34,15 +34,15 @@
       ASSERT_FALSE(error);
       m_peer.async_read_some(asio::buffer(m_buffer), [this](std::error_code failure, std::size_t) {
         ASSERT_FALSE(failure);
-        asio::write(m_peer, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\npart")));
-        m_timer.expires_after(GetParam().delay);
+        asio::write(m_peer, asio::buffer(m_response));
+        m_timer.expires_after(m_end.delay);
         m_timer.async_wait([this](std::error_code) { end_connection(); });
       });
     });
   }
   void end_connection() {
     std::error_code ignored;
-    m_peer.set_option(asio::socket_base::linger(GetParam().reset, 0), ignored);
+    m_peer.set_option(asio::socket_base::linger(m_end.reset, 0), ignored);
     m_peer.close(ignored);
   }
 
@@ -61,6 +61,29 @@
   asio::steady_timer m_timer{m_context};
   std::array<char, 1024> m_buffer{};
   client m_client{m_context};
+  std::string_view m_response = "HTTP/1.1 200 OK\r\n\r\npart";
+  interruption m_end{};
+};
+
+// Guards against a whole refusal that is reported as a failure because of the rest of the request.
+TEST_F(upload_test, an_early_refusal_with_a_length_is_whole) {
+  m_end.delay = milliseconds{200};
+  for (const std::string_view response :
+       {"HTTP/1.1 413 Content Too Large\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    m_response = response;
+    serve();
+    const auto done = upload();
+    ASSERT_FALSE(done.failure) << done.failure->message;
+    EXPECT_EQ(done.value.body, "body");
+    m_context.restart();
+    m_context.run();  // Until the connection has ended.
+  }
+}
+
+class interrupted_upload_test : public upload_test, public ::testing::WithParamInterface<interruption> {
+protected:
+  void SetUp() override { m_end = GetParam(); }
 };
 
 TEST_P(interrupted_upload_test, is_a_failure) {
