proxy: a connection that was paused at the end of a response is read while idle

Reading from an upstream is paused while a slow caller has not taken enough; if the response ended in that same read, the connection went back to the pool still paused. An idle connection that is not read does not notice its end, and reusable() cannot see it: a connection that was closed in an orderly way has 0 bytes available without an error.

The end of a response ends the pause, and the read that follows waits for the next bytes or the end.

--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -299,6 +299,7 @@
     return;
   }
   m_request_active = false;
+  m_paused = false;  // An idle connection is read, so that its end is noticed.
   // If the response arrived before the whole request was written, the connection is still in the middle of
   // the request and cannot carry another one.
   m_reusable = m_keep_alive && m_request_written && !bytes_follow;
--- a/source/unit_tests/proxy/upstream_connection_test.cpp
+++ b/source/unit_tests/proxy/upstream_connection_test.cpp
@@ -161,6 +161,34 @@
   EXPECT_NE(m_failure, "");
 }
 
+// Guards against a kept connection whose end is not noticed, because reading was paused for a slow caller
+// when its last response ended.
+TEST_F(upstream_connection_test, that_was_paused_at_the_end_of_a_response_is_read_while_it_is_idle) {
+  asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
+  const auto connection = std::make_shared<upstream_connection>(m_context, "i-1");
+  asio::ip::tcp::socket peer(m_context);
+  bool kept = false;
+  bool idle_close = false;
+  connection->on_idle_close = [&] { idle_close = true; };
+  connection->connect(acceptor.local_endpoint(), milliseconds{1000}, [&](std::string_view failure) {
+    ASSERT_EQ(failure, "");
+    peer = acceptor.accept();
+    connection->send("GET / HTTP/1.1\r\n\r\n", nullptr, "X-Id", "a", false,
+                     {.body = [&](std::string_view /*part*/) { connection->pause_reading(); },
+                      .end =
+                          [&] {
+                            kept = connection->reusable();
+                            peer.close();
+                          }});
+    asio::write(peer, asio::buffer(std::string_view("HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nbody")));
+  });
+  m_context.run_for(milliseconds{200});
+  EXPECT_TRUE(kept);
+  EXPECT_TRUE(idle_close);
+  EXPECT_FALSE(connection->reusable());
+  connection->close();
+}
+
 TEST_F(upstream_connection_test, an_answer_that_arrived_before_a_failed_write_is_read) {
   const auto seen = send_after_reset("HTTP/1.1 503 X\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nfull");
   EXPECT_EQ(seen.status, 503);
