proxy, net: peers are cut off for lack of progress, not for a closed window

Cause: TCP_USER_TIMEOUT of 1.5 s on every connection. The kernel applies it also to a peer that acknowledges everything and keeps its window closed for so long; a receiver opens a closed window only once a good part of its buffer is free. Upstreams that read a long request slowly were cut off in the same way.

net::send_watch decides instead, from samples of TCP_INFO taken by the tick of callers and a timer of the upstream connection while something is not acknowledged: no byte acknowledged for 15 s ends a peer that is there; retransmissions without any acknowledgement for 1.5 s, or a probe unanswered for 1 s, one that is gone. Idle ones are left to keep-alive probes, one of which decided before, too. Acknowledgements during a pause of the own process count.

--- a/source/core/http/client_transfer.cpp
+++ b/source/core/http/client_transfer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/net/send_watch.h"
 #include "core/net/socket_options.h"
 
 namespace cuminpath::http {
@@ -74,6 +75,7 @@
 // response.
 int on_socket(void* user, curl_socket_t socket, curlsocktype /*purpose*/) {
   net::set_connection_options(socket);
+  net::limit_unacknowledged_time(socket, net::k_max_silence);
   static_cast<transfer*>(user)->sockets->insert(socket);
   return CURL_SOCKOPT_OK;
 }
--- a/source/core/net/socket_options.cpp
+++ b/source/core/net/socket_options.cpp
@@ -12,13 +12,10 @@
 namespace cuminpath::net {
 namespace {
 
-// Max time for which sent data may stay unacknowledged before the connection is closed; long enough for
-// several retransmissions.
-constexpr int k_user_timeout_ms = 1500;
-// Keep-alive probes detect a peer that has failed while no data was being sent.
+// A keep-alive probe detects a peer that has failed while no data was being sent.
 constexpr int k_probe_idle_s = 2;
 constexpr int k_probe_interval_s = 1;
-constexpr int k_probe_count = 2;
+constexpr int k_probe_count = 1;
 constexpr std::size_t k_read_buffer_bytes = 32U << 10U;
 
 void set_option(int socket, int level, int name, int value) {
@@ -59,13 +56,16 @@
 
 void set_connection_options(int handle) {
   set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-  set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, k_user_timeout_ms);
   set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, k_probe_idle_s);
   set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, k_probe_interval_s);
   set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, k_probe_count);
 }
 
+void limit_unacknowledged_time(int handle, milliseconds limit) {
+  set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
 void reset_on_close(asio::ip::tcp::socket& socket) {
   std::error_code ignored;
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/source/core/net/socket_options.h
+++ b/source/core/net/socket_options.h
@@ -7,17 +7,25 @@
 #include <span>
 #include <string_view>
 
+#include "core/common/time.h"
+
 namespace cuminpath::net {
 
 // Parses an address of the form IP:PORT; absent for anything else.
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
-// Disables Nagle's algorithm and sets the timeouts after which an unresponsive peer's connection is closed.
-// Errors are ignored: the options only shorten the time until a dead connection is detected.
+// Disables Nagle's algorithm and lets the kernel close an idle connection whose peer does not answer for 3 s.
+// What the peer takes of the bytes that it is sent is the matter of send_watch. Errors are ignored: the
+// options only shorten the time until a dead connection is detected.
 void set_connection_options(asio::ip::tcp::socket& socket);
 // Sets the same options on a socket that another library owns.
 void set_connection_options(int handle);
 
+// Lets the kernel close the connection if sent data stays unacknowledged, or the peer keeps its window
+// closed, for `limit`. The kernel then takes a peer that reads slowly for one that is gone. An error is
+// ignored.
+void limit_unacknowledged_time(int handle, milliseconds limit);
+
 // Makes a later close of the socket discard undelivered data and reset the connection. An error is ignored;
 // the connection then ends in an orderly way.
 void reset_on_close(asio::ip::tcp::socket& socket);
--- a/source/core/proxy/caller_connection.cpp
+++ b/source/core/proxy/caller_connection.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "core/net/socket_options.h"
+#include "core/telemetry/log.h"
 
 namespace cuminpath::proxy {
 namespace {
@@ -172,10 +173,7 @@
     return;
   }
   if (error) {
-    if (m_phase == connection_phase::responding && m_handlers.disconnected) {
-      m_handlers.disconnected(this);
-    }
-    close();
+    drop();
     return;
   }
   m_last_read = clock::now();
@@ -276,14 +274,9 @@
       reject(503, reason, std::max(retry_after, k_min_retry_after));
       return;
     case connection_phase::responding:
-      if (m_handlers.disconnected) {
-        m_handlers.disconnected(this);
-      }
-      close();
-      return;
     case connection_phase::idle:
     case connection_phase::lingering:
-      close();
+      drop();
       return;
     case connection_phase::closed:
       return;
@@ -296,10 +289,7 @@
     m_memory.on_step(this, clock::now());
     return false;
   }
-  if (m_phase == connection_phase::responding && m_handlers.disconnected) {
-    m_handlers.disconnected(this);
-  }
-  close();
+  drop();
   return true;
 }
 
@@ -477,6 +467,7 @@
     return;
   }
   m_writing = true;
+  m_send_watch.on_sent(clock::now());
   m_output_in_flight = m_pending_output.take_front(k_max_write_bytes);
   std::vector<asio::const_buffer> buffers;
   for (const std::string_view view : m_output_in_flight.views()) {
@@ -491,11 +482,8 @@
       self->flush();
       self->serve_next_pipelined();
       self->wait_readable();
-    } else if (self->m_phase != connection_phase::closed) {
-      if (self->m_phase == connection_phase::responding && self->m_handlers.disconnected) {
-        self->m_handlers.disconnected(self.get());
-      }
-      self->close();
+    } else {
+      self->drop();
     }
   });
 }
@@ -506,10 +494,32 @@
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+void caller_connection::check_delivery(time_point now) {
+  const auto verdict = m_send_watch.sample(m_socket.native_handle(), now);
+  if (verdict == net::send_verdict::done && m_writing) {
+    m_send_watch.on_sent(now);
+  }
+  if (verdict == net::send_verdict::unread || verdict == net::send_verdict::gone) {
+    telemetry::log(
+        telemetry::log_level::info, "callers", "caller is cut off",
+        {{"reason", verdict == net::send_verdict::gone ? "it no longer answers" : "it reads nothing"},
+         {"phase", phase_name()},
+         {"held_bytes", static_cast<std::int64_t>(m_memory.held(this))}});
+    net::reset_on_close(m_socket);
+    drop();
+  }
+}
+
 void caller_connection::enforce_limits(time_point now) {
+  if (now >= m_send_watch.due()) {
+    check_delivery(now);
+  }
   switch (m_phase) {
     case connection_phase::idle:
-      close_if_idle_since(now - m_limits.idle_timeout);
+      // A caller that still reads its response is not idle.
+      if (!m_send_watch.active()) {
+        close_if_idle_since(now - m_limits.idle_timeout);
+      }
       return;
     case connection_phase::reading:
       // The timeout limits the whole head, but for a body only the time between two reads.
@@ -530,11 +540,22 @@
   }
 }
 
+void caller_connection::drop() {
+  if (m_phase == connection_phase::responding && m_handlers.disconnected) {
+    m_handlers.disconnected(this);
+  }
+  close();
+}
+
 void caller_connection::close() {
   if (m_phase == connection_phase::closed) {
     return;
   }
   m_phase = connection_phase::closed;
+  if (m_send_watch.active()) {
+    net::limit_unacknowledged_time(m_socket.native_handle(), net::k_max_unread_time);
+    m_send_watch.stop();
+  }
   std::error_code ignored;
   m_socket.close(ignored);
   release_request();
--- a/source/core/proxy/caller_connection.h
+++ b/source/core/proxy/caller_connection.h
@@ -10,6 +10,7 @@
 #include "core/common/time.h"
 #include "core/gateway/configuration.h"
 #include "core/http/message.h"
+#include "core/net/send_watch.h"
 #include "core/proxy/byte_blocks.h"
 #include "core/proxy/caller_memory_budget.h"
 #include "core/proxy/message_parser.h"
@@ -80,7 +81,7 @@
   // Refuses a request of which only a part has arrived.
   void refuse_unfinished_request(std::string_view reason);
   // Rejects a request that arrives too slowly, and closes the connection when it has been idle or lingering
-  // for too long. Called several times a second.
+  // for too long or its caller does not take the response (send_watch). Called several times a second.
   void enforce_limits(time_point now);
 
   // Charges what is held of responses that the caller has not been given yet. Returns false if there is no
@@ -118,6 +119,9 @@
   void append(std::string_view bytes);
   void flush();
   void shutdown_send();
+  void check_delivery(time_point now);
+  // Ends the request that is being served, if any, and closes the connection.
+  void drop();
   void close();
   [[nodiscard]] std::string serialize_head(int status, const http::header_list& headers);
 
@@ -132,6 +136,7 @@
   std::string m_pipelined;              // Bytes received while a request was being served.
   byte_blocks m_pending_output;         // To be written after `m_output_in_flight`.
   byte_blocks m_output_in_flight;
+  net::send_watch m_send_watch;
   connection_phase m_phase = connection_phase::idle;
   time_point m_phase_start;
   time_point m_last_read;
--- a/source/core/proxy/upstream_connection.cpp
+++ b/source/core/proxy/upstream_connection.cpp
@@ -55,6 +55,7 @@
 upstream_connection::upstream_connection(asio::io_context& context, std::string upstream_id)
     : m_socket(context),
       m_connect_timer(context),
+      m_send_timer(context),
       m_upstream_id(std::move(upstream_id)),
       m_parser(message_parser::message_type::responses) {
   m_parser.on_head = [this](message_head&& head) { handle_head(std::move(head)); };
@@ -130,9 +131,38 @@
       m_unwritten.emplace_back(view.data(), view.size());
     }
   }
+  m_send_watch.on_sent(clock::now());
+  watch_request();
   write_request();
 }
 
+void upstream_connection::watch_request() {
+  m_send_timer.expires_at(m_send_watch.due());
+  m_send_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
+    if (cancelled || !self->m_open || !self->m_request_active) {
+      return;
+    }
+    const time_point now = clock::now();
+    switch (self->m_send_watch.sample(self->m_socket.native_handle(), now)) {
+      case net::send_verdict::done:
+        if (self->m_request_written) {
+          return;
+        }
+        self->m_send_watch.on_sent(now);
+        break;
+      case net::send_verdict::waits:
+        break;
+      case net::send_verdict::unread:
+        self->fail("upstream does not read the request");
+        return;
+      case net::send_verdict::gone:
+        self->fail("upstream no longer answers");
+        return;
+    }
+    self->watch_request();
+  });
+}
+
 // Writes without an asynchronous operation, so that m_request_written is true before any response to the last
 // byte can be read. The completion of an asynchronous write can be handled after that response.
 void upstream_connection::write_request() {
@@ -304,7 +334,10 @@
   // the request and cannot carry another one.
   m_reusable = m_keep_alive && m_request_written && !bytes_follow;
   const auto end = std::exchange(m_events, {}).end;
-  if (!m_reusable) {
+  if (m_reusable) {
+    m_send_timer.cancel();
+    m_send_watch.stop();
+  } else {
     close();
   }
   if (end) {
@@ -345,6 +378,11 @@
     // upstream later.
     net::reset_on_close(m_socket);
   }
+  m_send_timer.cancel();
+  if (m_send_watch.active()) {
+    net::limit_unacknowledged_time(m_socket.native_handle(), net::k_max_unread_time);
+    m_send_watch.stop();
+  }
   m_open = false;
   m_request_active = false;
   m_reusable = false;
--- a/source/core/proxy/upstream_connection.h
+++ b/source/core/proxy/upstream_connection.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/net/send_watch.h"
 #include "core/proxy/byte_blocks.h"
 #include "core/proxy/message_parser.h"
 
@@ -63,6 +64,8 @@
 private:
   void write_request();
   void release_outgoing();
+  // Ends the request if the upstream does not take it (send_watch).
+  void watch_request();
   void wait_readable();
   void on_readable();
   // Reads what has arrived before it ends the request.
@@ -75,6 +78,8 @@
 
   asio::ip::tcp::socket m_socket;
   asio::steady_timer m_connect_timer;
+  asio::steady_timer m_send_timer;  // Of the samples of m_send_watch.
+  net::send_watch m_send_watch;
   std::string m_upstream_id;
   std::function<void(std::string_view)> m_on_connected;
   message_parser m_parser;
