gateway: the test of the limits of admission ends also where there is no limit

With the mutant admission-ignores-passes the test admission.retries_precede_new_requests_of_their_priority_only never ended: it asks for one request more until one is refused. The mutant was only found by the limit of time of all tests of the gateway.

The test asks for no more than all slots. Each limit that it compares is below that, so it is as strict as before.

--- a/source/unit_tests/gateway/admission_test.cpp
+++ b/source/unit_tests/gateway/admission_test.cpp
@@ -79,8 +79,9 @@
   EXPECT_FALSE(detector.observe(milliseconds{8000}));
   EXPECT_FALSE(detector.observe(milliseconds{8000}));
   EXPECT_TRUE(detector.observe(milliseconds{7700}));
+  constexpr std::uint32_t k_slots = 600;
   const auto admitted = [](std::uint32_t priority, bool retry, std::uint32_t outstanding) {
-    return keeps_passes_on_time({.upstreams = 100, .slots = 600, .outstanding = outstanding},
+    return keeps_passes_on_time({.upstreams = 100, .slots = k_slots, .outstanding = outstanding},
                                 {.priority = priority,
                                  .engine = true,
                                  .max_pass_utilization = 0.75,
@@ -93,7 +94,7 @@
   for (const auto& [priority, retry] : {std::pair(0U, true), std::pair(0U, false), std::pair(1U, true),
                                         std::pair(1U, false), std::pair(2U, true), std::pair(2U, false)}) {
     std::uint32_t outstanding = 0;
-    while (admitted(priority, retry, outstanding + 1)) {
+    while (outstanding < k_slots && admitted(priority, retry, outstanding + 1)) {
       ++outstanding;
     }
     limits.push_back(outstanding);
