quarantine: exchanged ages do not move output behind crashes

Two gateways that told each other of a part released it from quarantine without any new output: each took the later of two times, and each exchange made the time of the output later by its way.

Received times are corrected by how late the same message gives crashes that are known here, and differences of the precision of the ages are ignored. Differences over 100 ms are kept: gateways may notice one crash at different times.

--- a/source/core/routing/prompt_quarantine.cpp
+++ b/source/core/routing/prompt_quarantine.cpp
@@ -19,6 +19,10 @@
 // quarantine.
 constexpr minutes k_suspect_memory{10};
 constexpr int k_suspect_memory_durations = 3;
+// Larger differences between ages of one crash come from processes that noticed it at different times.
+constexpr milliseconds k_max_delivery_time{100};
+// Ages are exchanged in whole milliseconds.
+constexpr milliseconds k_age_precision{2};
 
 // Bounded memory of when parts last produced output. Forgets the parts that were not seen for longest.
 class output_memory {
@@ -178,7 +182,11 @@
         learned = add_crash(received.part, {each.id, now - each.age}, now) || learned;
       }
       if (received.last_output_age) {
-        learned = record_output(received.part, now - *received.last_output_age, now) || learned;
+        const time_point at = now - *received.last_output_age - delivery_time(received, now);
+        const auto known = m_outputs.find(received.part);
+        if (!known || at > *known + k_age_precision) {
+          learned = record_output(received.part, at, now) || learned;
+        }
       }
     }
     return learned;
@@ -221,6 +229,25 @@
     return recent_output(part, now).has_value();
   }
 
+  // Returns by how much the received ages are too low, judged by crashes that are known here: the time on the
+  // way and what the sender had added before.
+  [[nodiscard]] duration delivery_time(const part_evidence& received, time_point now) const {
+    duration longest{0};
+    const auto found = m_suspects.find(received.part);
+    if (found == m_suspects.end()) {
+      return longest;
+    }
+    for (const crash& each : found->second.crashes) {
+      for (const crash_evidence& same : received.crashes) {
+        const duration late = now - same.age - each.at;
+        if (same.id == each.id && late <= k_max_delivery_time) {
+          longest = std::max(longest, late);
+        }
+      }
+    }
+    return longest;
+  }
+
   // Returns true if the part produced output that the sender does not know of and that changes its judgement.
   [[nodiscard]] bool refutes(const part_evidence& received, time_point now) const {
     const auto output = recent_output(received.part, now);
--- a/source/unit_tests/routing/prompt_quarantine_test.cpp
+++ b/source/unit_tests/routing/prompt_quarantine_test.cpp
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 
 #include <algorithm>
+#include <array>
 #include <vector>
 
 namespace cuminpath::routing {
@@ -269,6 +270,25 @@
   EXPECT_THAT(members.admit(k_shared), Each(true));
 }
 
+TEST(prompt_quarantine_fleet, ages_that_are_passed_on_do_not_move_output_behind_crashes) {
+  constexpr milliseconds k_delay{2};
+  const std::vector<prompt_part> parts{k_shared};
+  std::array<prompt_quarantine, 2> members;
+  time_point now{seconds{1000}};
+  members[0].on_output(parts, now);
+  for (crash_id id = 1; id <= 5; ++id) {
+    now += milliseconds{100};
+    members[0].on_crash(id, parts, now);
+  }
+  for (const time_point end = now + seconds{25}; now < end; now += k_report_interval) {
+    for (const std::size_t sender : {0U, 1U}) {
+      members[1 - sender].merge(members[sender].evidence_to_send(now), now + k_delay);
+    }
+  }
+  EXPECT_TRUE(members[0].admit(parts, now));
+  EXPECT_TRUE(members[1].admit(parts, now));
+}
+
 TEST(prompt_quarantine_fleet, a_member_that_starts_later_learns_of_the_quarantine) {
   fleet members(18, 17, 0.1);
   members.crash(0, 1, {k_crashing});
