balancer: a leader that has used all map versions of its token acquires a new one

After 4,095 maps with one token the next version belonged to the token after it: no rank latched a hold of such a switch, so that a successor could not release a group whose leader had frozen, and a leader with the next token found its versions used. Found by reading.

Cause: versions were counted without an end. start() takes only versions of its token and asks for a higher one otherwise.

The new test fails without the change and passes with it.

--- a/source/core/balancer/switch_coordinator.cpp
+++ b/source/core/balancer/switch_coordinator.cpp
@@ -105,6 +105,10 @@
       !complete(ranks, now) || needs_recovery(ranks, now)) {
     return false;
   }
+  if (token_of_version(version) != token) {
+    m_outdated_token = token;
+    return false;
+  }
   const std::uint64_t current = ranks.front()->status.map_version;
   if (!all_of(ranks, [&](const engine_status& status) {
         return std::max(status.map_version, status.prepared.value_or(0)) < version;
--- a/source/core/balancer/switch_coordinator.h
+++ b/source/core/balancer/switch_coordinator.h
@@ -47,7 +47,8 @@
   explicit switch_coordinator(switch_coordinator_options options = {}) : m_options(options) {}
 
   // Starts a switch to `map`. Returns false unless idle and all ranks are known, of one epoch and on the same
-  // map. `version` must be higher than all that the ranks have had.
+  // map. `version` must be higher than all that the ranks have had. One that is not of `token`, because all
+  // of that token have been used, requires a new token.
   bool start(std::span<const std::optional<rank_view>> ranks, std::uint64_t token, std::uint64_t version,
              rank_map map, time_point now);
 
--- a/source/unit_tests/balancer/switch_coordinator_test.cpp
+++ b/source/unit_tests/balancer/switch_coordinator_test.cpp
@@ -197,6 +197,14 @@
   EXPECT_EQ(decide(), phase::disarming);
 }
 
+// Guards against versions of maps that count as those of the next token.
+TEST_F(leader_takeover, needs_a_new_token_once_all_versions_of_its_token_are_used) {
+  const std::uint64_t last = first_version_of_token(k_token + 1) - 1;
+  EXPECT_FALSE(m_coordinator.start(m_views, k_token, last + 1, {}, k_now));
+  EXPECT_EQ(m_coordinator.outdated_token(), k_token);
+  EXPECT_TRUE(m_coordinator.start(m_views, k_token + 1, last + 2, {}, k_now));
+}
+
 class stopping_leader : public leader_takeover {
 protected:
   stopping_leader() {
