gateway: an evacuation lasts until the operator had time to write it again

If the operator took two seconds after a restore, requests reached the zone that was being emptied: 14 of them at four gateways.

Cause: the grace period of upstreams, 1.6 s, was used for the operator's rows, though the operator has another bound, and balancers already gave it 4 s.

--- a/source/core/gateway/evacuation.cpp
+++ b/source/core/gateway/evacuation.cpp
@@ -21,7 +21,7 @@
       continue;
     }
     if (restored) {
-      known.ends_at = now + k_expired_row_grace;
+      known.ends_at = now + k_operator_rewrite_time;
     } else if (!known.ends_at) {
       known.ends_at = now;
     }
@@ -54,7 +54,7 @@
 }
 
 bool evacuation::may_be_of_copy(const evacuation_request& request, std::uint64_t era, time_point now) const {
-  return m_copy.may_hold({era, request.version}, k_expired_row_grace, now);
+  return m_copy.may_hold({era, request.version}, k_operator_rewrite_time, now);
 }
 
 void evacuation::activate(const evacuation_request& request, std::vector<change>& changes, time_point now) {
--- a/source/core/gateway/evacuation.h
+++ b/source/core/gateway/evacuation.h
@@ -42,7 +42,7 @@
 
   // Replaces the requests by the given ones. Returns the zones whose state has changed. After the store was
   // restored from an older copy, a request that the copy lacks stays in force, and one that was known to have
-  // ended does not come into force, for k_expired_row_grace or until its row is written again.
+  // ended does not come into force, for k_operator_rewrite_time or until its row is written again.
   std::vector<change> apply(const evacuation_list& listed, time_point now);
   // Ends requests that were not written again after the store was restored, and brings those into force that
   // it goes on listing. Returns the zones whose state has changed.
--- a/source/core/gateway/restored_copy.h
+++ b/source/core/gateway/restored_copy.h
@@ -10,9 +10,11 @@
 
 // An upstream whose row expired during an outage of the store, or is missing in the copy that the store
 // was restored from, stays in use for this long after the store is available again: upstreams that are alive
-// write their rows again in this time, and so does the operator. It ends within k_max_dispatch_after_leaving,
-// because a row removed right after an outage may belong to an upstream that leaves.
+// write their rows again in this time. It ends within k_max_dispatch_after_leaving, because a row removed
+// right after an outage may belong to an upstream that leaves.
 constexpr milliseconds k_expired_row_grace{1600};
+// After a restore, the operator writes again within this time what the copy lacks.
+constexpr milliseconds k_operator_rewrite_time{4000};
 
 class restored_copy {
 public:
--- a/source/unit_tests/gateway/evacuation_test.cpp
+++ b/source/unit_tests/gateway/evacuation_test.cpp
@@ -51,10 +51,10 @@
   zones.apply({requests{{"a", 5}}, {1, 6}}, k_start);
   EXPECT_TRUE(zones.apply({requests{}, {2, 3}}, k_start).empty());
   EXPECT_TRUE(zones.apply({requests{}, {2, 4}}, k_start).empty()) << "another row is written";
-  EXPECT_TRUE(zones.expire(k_start + k_expired_row_grace - milliseconds{1}).empty());
+  EXPECT_TRUE(zones.expire(k_start + k_operator_rewrite_time - milliseconds{1}).empty());
   EXPECT_TRUE(zones.evacuated("a"));
   EXPECT_TRUE(zones.apply({requests{{"a", 7}}, {2, 7}}, k_start).empty()) << "the same evacuation";
-  EXPECT_TRUE(zones.expire(k_start + 2 * k_expired_row_grace).empty());
+  EXPECT_TRUE(zones.expire(k_start + 2 * k_operator_rewrite_time).empty());
   EXPECT_EQ(zones.active().at("a").since, k_start);
   EXPECT_EQ(zones.apply({requests{}, {2, 8}}, k_start), (std::vector<evacuation::change>{{"a", 7, false}}));
 }
@@ -66,8 +66,9 @@
   zones.apply({requests{}, {2, 3}}, k_start);
   const time_point second = k_start + seconds{1};
   zones.apply({requests{}, {3, 2}}, second);
-  EXPECT_TRUE(zones.expire(second + k_expired_row_grace - milliseconds{1}).empty());
-  EXPECT_EQ(zones.expire(second + k_expired_row_grace), (std::vector<evacuation::change>{{"a", 5, false}}));
+  EXPECT_TRUE(zones.expire(second + k_operator_rewrite_time - milliseconds{1}).empty());
+  EXPECT_EQ(zones.expire(second + k_operator_rewrite_time),
+            (std::vector<evacuation::change>{{"a", 5, false}}));
   EXPECT_FALSE(zones.evacuated("a"));
 }
 
@@ -79,15 +80,16 @@
   EXPECT_EQ(zones.apply({requests{{"a", 5}, {"b", 4}}, {2, 6}}, k_start),
             (std::vector<evacuation::change>{{"b", 4, true}}));
   EXPECT_TRUE(zones.apply({requests{{"a", 5}, {"b", 4}}, {2, 7}}, k_start).empty());
-  EXPECT_TRUE(zones.expire(k_start + k_expired_row_grace - milliseconds{1}).empty());
+  EXPECT_TRUE(zones.expire(k_start + k_operator_rewrite_time - milliseconds{1}).empty());
   EXPECT_FALSE(zones.evacuated("a"));
   evacuation removed = zones;
   EXPECT_TRUE(removed.apply({requests{{"b", 4}}, {2, 8}}, k_start).empty());
-  EXPECT_TRUE(removed.expire(k_start + k_expired_row_grace).empty());
+  EXPECT_TRUE(removed.expire(k_start + k_operator_rewrite_time).empty());
   evacuation written = zones;
   EXPECT_EQ(written.apply({requests{{"a", 8}, {"b", 4}}, {2, 8}}, k_start),
             (std::vector<evacuation::change>{{"a", 8, true}}));
-  EXPECT_EQ(zones.expire(k_start + k_expired_row_grace), (std::vector<evacuation::change>{{"a", 5, true}}));
+  EXPECT_EQ(zones.expire(k_start + k_operator_rewrite_time),
+            (std::vector<evacuation::change>{{"a", 5, true}}));
 }
 
 class evacuated_table : public ::testing::Test {
